--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,10 @@
 CORE_SRC = $(foreach d,$(CORE_DIRS),$(wildcard src/$d/*.c))
 IO_SRC = $(wildcard src/io/*.c)
 DAEMON_SRC = $(wildcard src/daemon/*.c)
+DAEMON_LIB_SRC = $(filter-out src/daemon/main.c,$(DAEMON_SRC))
+# The adapter to our users' platform, a daemon of its own.
+PLATFORM_SRC = $(wildcard platform/*.c)
+PLATFORM_LIB_SRC = $(filter-out platform/main.c,$(PLATFORM_SRC))
 CTL_SRC = $(wildcard src/ctl/*.c)
 FAKE_LIB_SRC = $(wildcard test/fakes/lib/*.c)
 FAKE_SRC = $(wildcard test/fakes/*.c)
@@ -11,25 +15,26 @@
 SUPPORT_SRC = $(wildcard test/support/*.c)
 BENCH_SRC = $(wildcard bench/*.c)
 CAPACITY_SRC = $(wildcard bench/capacity/*.c)
-ALL_C = $(CORE_SRC) $(IO_SRC) $(DAEMON_SRC) $(CTL_SRC) $(FAKE_LIB_SRC) \
+ALL_C = $(CORE_SRC) $(IO_SRC) $(DAEMON_SRC) $(PLATFORM_SRC) $(CTL_SRC) \
+	$(FAKE_LIB_SRC) \
 	$(FAKE_SRC) $(TEST_SRC) $(SUPPORT_SRC) $(BENCH_SRC) $(CAPACITY_SRC)
-ALL_H = $(wildcard include/ibisrail/*.h src/*/*.h test/*/*.h test/fakes/lib/*.h \
+ALL_H = $(wildcard include/ibisrail/*.h src/*/*.h platform/*.h test/*/*.h test/fakes/lib/*.h \
 	bench/*.h bench/capacity/*.h)
 GENERATED = src/link/peer.h src/link/peer_xdr.c
 WRITTEN_C = $(filter-out $(GENERATED),$(ALL_C))
 WRITTEN_H = $(filter-out $(GENERATED),$(ALL_H))
 
-CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc -Itest \
+CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc -Itest -I. \
 	$(shell pkg-config --cflags $(PKGS) cmocka)
 CFLAGS = $(OPT) $(WARN) $(SAN)
 LDFLAGS = $(SAN)
-LDLIBS = $(shell pkg-config --libs $(PKGS)) -lpthread -lm
+LDLIBS = $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lpthread -lm
 
 obj = $(patsubst %.c,$(BUILD)/obj/%.o,$1)
 TESTS = $(patsubst test/%.c,$(BUILD)/test/%,$(TEST_SRC))
 FAKES = $(patsubst test/fakes/%.c,$(BUILD)/test/%,$(FAKE_SRC))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
-PROGRAMS = $(BUILD)/ibisraild $(BUILD)/ibisrailctl
+PROGRAMS = $(BUILD)/ibisraild $(BUILD)/ibisrailctl $(BUILD)/ibisraild-platform
 
 .PHONY: all check demo bench capacity lint tidy format format-check \
 	generate clean install-packages matrix mutations process
@@ -51,12 +56,16 @@
 $(BUILD)/ibisraild: $(call obj,$(DAEMON_SRC) $(IO_SRC)) $(BUILD)/libcore.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/ibisraild-platform: $(call obj,$(PLATFORM_SRC) $(DAEMON_LIB_SRC)) \
+    $(call obj,$(IO_SRC)) $(BUILD)/libcore.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/ibisrailctl: $(call obj,$(CTL_SRC) src/io/store_text.c) \
     $(BUILD)/libcore.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/test/test_%: $(BUILD)/obj/test/test_%.o $(call obj,$(SUPPORT_SRC)) \
-    $(call obj,$(IO_SRC) $(FAKE_LIB_SRC)) $(BUILD)/libcore.a
+    $(call obj,$(IO_SRC) $(PLATFORM_LIB_SRC) $(FAKE_LIB_SRC)) $(BUILD)/libcore.a
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
--- a/include/ibisrail/limits.h
+++ b/include/ibisrail/limits.h
@@ -23,6 +23,8 @@
 /* A gate remembers an answered attempt this long; over any deadline. */
 #define IR_ATTEMPT_KEEP_US (60 * IR_US_PER_S)
 #define IR_MAX_DEADLINE_MS 30000
+/* Of a route; a call is cut to IR_MAX_DEADLINE_MS. */
+#define IR_MAX_ROUTE_DEADLINE_MS 600000
 /* Attempts that a gate remembers; work beyond it is refused. */
 #define IR_MAX_ATTEMPTS 65536
 /* Bytes of answers that a gate holds for late repeats. */
--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -31,8 +31,10 @@
 struct ir_call {
 	uint64_t id; /* chosen by the I/O side, unique in the process */
 	bool egress;
-	const char *parent; /* egress: the attempt it belongs to */
-	const char *service;
+	const char *parent;    /* egress: the attempt it belongs to */
+	const char *service;   /* NULL: the route of authority and path tells */
+	const char *authority; /* host name asked for, or NULL */
+	const char *attempt;   /* the caller's own id of it, or NULL */
 	const char *method;
 	const char *path;	     /* with its query */
 	const char *key;	     /* NULL without one */
@@ -62,6 +64,10 @@
 	const char *attempt; /* opaque text that egress calls give as parent */
 	const char *request; /* request id, hexadecimal */
 	const char *account;
+	const char *authority;	    /* "" without one */
+	const char *caller_attempt; /* "" without one */
+	const char *origin;	    /* service beside which the call began */
+	const char *upstream_id;    /* of the upstream meant, or "" */
 	uint32_t importance;
 	uint32_t remaining_ms;
 	bool idempotent; /* may be sent on a connection used before */
--- a/src/conf/label.c
+++ b/src/conf/label.c
@@ -11,18 +11,43 @@
 	return n > 0 && n <= IR_LABEL_MAX_BYTES && s[n] == '\0';
 }
 
-const char *
-ir_label(struct ir_json_in *in, struct json_object *obj, const char *path,
-    const char *key)
+bool
+ir_is_host_name(const char *s)
+{
+	size_t n = strspn(s, "abcdefghijklmnopqrstuvwxyz0123456789-.");
+
+	return n > 0 && n <= IR_LABEL_MAX_BYTES && s[n] == '\0' &&
+	       s[0] != '.' && s[n - 1] != '.' && strstr(s, "..") == NULL;
+}
+
+static const char *
+read_name(struct ir_json_in *in, struct json_object *obj, const char *path,
+    const char *key, bool (*is_good)(const char *s), const char *wanted)
 {
 	const char *s;
 
 	s = ir_json_string(in, obj, path, key, 1, IR_LABEL_MAX_BYTES);
-	if (in->error != NULL || ir_is_label(s))
+	if (in->error != NULL || is_good(s))
 		return s;
 	ir_json_error(in,
 	    talloc_asprintf(
 		in->mem, "%s%s%s", path, path[0] == '\0' ? "" : ".", key),
-	    "must consist of a to z, 0 to 9 and '-'");
+	    "must consist of %s", wanted);
 	return "";
 }
+
+const char *
+ir_label(struct ir_json_in *in, struct json_object *obj, const char *path,
+    const char *key)
+{
+	return read_name(
+	    in, obj, path, key, ir_is_label, "a to z, 0 to 9 and '-'");
+}
+
+const char *
+ir_host_name(struct ir_json_in *in, struct json_object *obj, const char *path,
+    const char *key)
+{
+	return read_name(in, obj, path, key, ir_is_host_name,
+	    "a to z, 0 to 9, '-' and single '.' inside");
+}
--- a/src/conf/publication.c
+++ b/src/conf/publication.c
@@ -9,6 +9,7 @@
 #include "conf/label.h"
 #include "conf/publication.h"
 #include "ibisrail/limits.h"
+#include "link/peer.h"
 
 #define MT_PER_TOKEN 1000
 #define MAX_METHOD_BYTES 16
@@ -113,9 +114,9 @@
 read_account(struct ir_json_in *in, struct json_object *obj, const char *path,
     struct ir_account *a)
 {
-	static const char *const known[] = {
-	    "name", "rate_per_s", "burst", "weight", "key_digests", NULL};
-	double rate, burst;
+	static const char *const known[] = {"name", "rate_per_s", "burst",
+	    "weight", "importance", "key_digests", NULL};
+	double rate = 1, burst = 1;
 
 	if (!json_object_is_type(obj, json_type_object)) {
 		ir_json_error(in, path, "must be an object");
@@ -123,9 +124,17 @@
 	}
 	ir_json_known(in, obj, path, known);
 	a->name = ir_label(in, obj, path, "name");
-	rate = ir_json_number(
-	    in, obj, path, "rate_per_s", 0.001, IR_MAX_RATE_PER_S);
-	burst = ir_json_number(in, obj, path, "burst", 1, IR_MAX_RATE_PER_S);
+	a->unlimited = !ir_json_has(obj, "rate_per_s");
+	if (!a->unlimited) {
+		rate = ir_json_number(
+		    in, obj, path, "rate_per_s", 0.001, IR_MAX_RATE_PER_S);
+		burst = ir_json_number(
+		    in, obj, path, "burst", 1, IR_MAX_RATE_PER_S);
+	}
+	a->importance = -1;
+	if (ir_json_has(obj, "importance"))
+		a->importance = (int8_t)ir_json_int(
+		    in, obj, path, "importance", 0, IR_MAX_IMPORTANCE);
 	a->rate_mt_per_s = (uint64_t)llround(rate * MT_PER_TOKEN);
 	a->burst_mt = (uint64_t)llround(burst * MT_PER_TOKEN);
 	a->weight = (uint32_t)ir_json_int(in, obj, path, "weight", 1, 1000);
@@ -316,6 +325,140 @@
 	}
 }
 
+static void
+read_part(struct ir_json_in *in, struct json_object *obj, const char *path,
+    struct ir_route_part *p)
+{
+	static const char *const known[] = {"service", "weight", NULL};
+
+	if (!json_object_is_type(obj, json_type_object)) {
+		ir_json_error(in, path, "must be an object");
+		return;
+	}
+	ir_json_known(in, obj, path, known);
+	p->service = ir_label(in, obj, path, "service");
+	p->weight = (uint32_t)ir_json_int(in, obj, path, "weight", 0, 1000000);
+}
+
+static void
+read_parts(struct ir_json_in *in, struct json_object *obj, const char *path,
+    struct ir_route *r)
+{
+	struct json_object *list =
+	    ir_json_array(in, obj, path, "parts", IR_MAX_ROUTE_PARTS);
+	size_t n = list == NULL ? 0 : json_object_array_length(list);
+	struct ir_route_part *parts =
+	    talloc_zero_array(in->mem, struct ir_route_part, n + 1);
+	uint64_t sum = 0;
+
+	for (size_t i = 0; i < n && in->error == NULL; i++) {
+		read_part(in, json_object_array_get_idx(list, i),
+		    item_path(in->mem, below(in->mem, path, "parts"), i),
+		    &parts[i]);
+		sum += parts[i].weight;
+	}
+	if (sum == 0)
+		ir_json_error(in, below(in->mem, path, "parts"),
+		    "must have a weight above 0");
+	r->parts = parts;
+	r->part_count = n;
+}
+
+/* A path that stands for all below it. */
+static bool
+is_prefix(const char *s)
+{
+	size_t n = strlen(s);
+
+	if (n == 0 || s[0] != '/' || s[n - 1] != '/')
+		return false;
+	return strpbrk(s, " ?#") == NULL;
+}
+
+static void
+read_fleet_route(struct ir_json_in *in, struct json_object *obj,
+    const char *path, struct ir_route *r)
+{
+	static const char *const known[] = {"authority", "path", "importance",
+	    "deadline_ms", "target_ms", "idempotent", "open", "retries",
+	    "parts", NULL};
+
+	if (!json_object_is_type(obj, json_type_object)) {
+		ir_json_error(in, path, "must be an object");
+		return;
+	}
+	ir_json_known(in, obj, path, known);
+	r->authority =
+	    ir_json_string(in, obj, path, "authority", 1, IR_MAX_AUTHORITY);
+	r->path =
+	    ir_json_string(in, obj, path, "path", 1, IR_MAX_ROUTE_PATH_BYTES);
+	if (in->error == NULL && !is_prefix(r->path))
+		ir_json_error(in, below(in->mem, path, "path"),
+		    "must begin and end with '/'");
+	r->importance = (uint8_t)ir_json_int(
+	    in, obj, path, "importance", 0, IR_MAX_IMPORTANCE);
+	r->deadline_ms = (uint32_t)ir_json_int(
+	    in, obj, path, "deadline_ms", 1, IR_MAX_ROUTE_DEADLINE_MS);
+	r->target_ms = (uint32_t)ir_json_int(
+	    in, obj, path, "target_ms", 0, IR_MAX_ROUTE_DEADLINE_MS);
+	r->idempotent = ir_json_bool(in, obj, path, "idempotent");
+	r->open = ir_json_bool(in, obj, path, "open");
+	r->retries = (uint8_t)ir_json_int(in, obj, path, "retries", 0, 10);
+	read_parts(in, obj, path, r);
+}
+
+static int
+compare_fleet_route(const void *a, const void *b)
+{
+	const struct ir_route *x = a, *y = b;
+	int c = strcmp(x->authority, y->authority);
+	size_t m = strlen(x->path), n = strlen(y->path);
+
+	if (c != 0)
+		return c;
+	if (m != n)
+		return m > n ? -1 : 1;
+	return strcmp(x->path, y->path);
+}
+
+static void
+read_fleet_routes(
+    struct ir_json_in *in, struct json_object *top, struct ir_route_list *l)
+{
+	struct json_object *list =
+	    ir_json_array(in, top, "", "routes", IR_MAX_FLEET_ROUTES);
+	size_t n = list == NULL ? 0 : json_object_array_length(list);
+
+	l->routes = talloc_zero_array(l, struct ir_route, n);
+	l->route_count = n;
+	for (size_t i = 0; i < n && in->error == NULL; i++)
+		read_fleet_route(in, json_object_array_get_idx(list, i),
+		    item_path(in->mem, "routes", i), &l->routes[i]);
+	if (in->error != NULL || n == 0)
+		return;
+	qsort(l->routes, n, sizeof *l->routes, compare_fleet_route);
+	for (size_t i = 1; i < n; i++) {
+		const struct ir_route *r = &l->routes[i];
+
+		if (compare_fleet_route(r - 1, r) == 0)
+			ir_json_error(in, "routes", "two routes for %s%s",
+			    r->authority, r->path);
+	}
+}
+
+struct ir_route_list *
+ir_routes_parse(struct ir_json_in *in, const char *text, size_t size_bytes)
+{
+	static const char *const known[] = {"generation", "routes", NULL};
+	struct ir_route_list *l = talloc_zero(in->mem, struct ir_route_list);
+	struct json_object *top = ir_json_parse(in, text, size_bytes);
+
+	ir_json_known(in, top, "", known);
+	l->generation = read_generation(in, top);
+	read_fleet_routes(in, top, l);
+	return finish(in, top, l);
+}
+
 static void
 check_name(struct ir_json_in *in, const char *expected, const char *name)
 {
@@ -338,7 +481,8 @@
 	s->generation = read_generation(in, top);
 	s->name = ir_label(in, top, "", "name");
 	check_name(in, name, s->name);
-	s->slots = (uint32_t)ir_json_int(in, top, "", "slots", 1, 4096);
+	if (ir_json_has(top, "slots"))
+		s->slots = (uint32_t)ir_json_int(in, top, "", "slots", 1, 4096);
 	read_routes(in, top, s);
 	return finish(in, top, s);
 }
@@ -366,12 +510,13 @@
     size_t size_bytes)
 {
 	static const char *const known[] = {"name", "service", "region", "zone",
-	    "address", "peer_port", "caller_port", "state", NULL};
+	    "address", "peer_port", "caller_port", "state", "slots",
+	    "upstream_id", NULL};
 	struct ir_host *h = talloc_zero(in->mem, struct ir_host);
 	struct json_object *top = ir_json_parse(in, text, size_bytes);
 
 	ir_json_known(in, top, "", known);
-	h->name = ir_label(in, top, "", "name");
+	h->name = ir_host_name(in, top, "", "name");
 	check_name(in, name, h->name);
 	h->service = ir_label(in, top, "", "service");
 	h->region = ir_label(in, top, "", "region");
@@ -382,6 +527,12 @@
 	h->caller_port =
 	    (uint16_t)ir_json_int(in, top, "", "caller_port", 1, UINT16_MAX);
 	h->leaving = read_either(in, top, "state", "live", "leaving");
+	if (ir_json_has(top, "slots"))
+		h->slots = (uint32_t)ir_json_int(in, top, "", "slots", 1, 4096);
+	h->upstream_id = "";
+	if (ir_json_has(top, "upstream_id"))
+		h->upstream_id =
+		    ir_json_string(in, top, "", "upstream_id", 1, IR_MAX_NAME);
 	h->hash = XXH64(h->name, strlen(h->name), 0);
 	return finish(in, top, h);
 }
--- a/src/conf/publication.h
+++ b/src/conf/publication.h
@@ -16,6 +16,9 @@
 #define IR_MAX_ACCOUNTS 4096
 #define IR_MAX_KEYS_PER_ACCOUNT 64
 #define IR_MAX_ROUTES 256
+/* Of the fleet: what a configuration of IR_JSON_MAX_BYTES can hold. */
+#define IR_MAX_FLEET_ROUTES 16384
+#define IR_MAX_ROUTE_PARTS 64
 #define IR_MAX_ROUTE_PATH_BYTES 1024
 #define IR_MAX_RATE_PER_S 1e9
 
@@ -26,6 +29,13 @@
 	bool serve_unconfirmed;
 };
 
+/* Routes that are found by host name, for all services. */
+struct ir_route_list {
+	uint64_t generation;
+	struct ir_route *routes; /* by host name, longest path first */
+	size_t route_count;
+};
+
 struct ir_account_list {
 	uint64_t generation;
 	struct ir_account *accounts; /* by name */
@@ -38,6 +48,8 @@
     struct ir_json_in *in, const char *text, size_t size_bytes);
 struct ir_account_list *ir_accounts_parse(
     struct ir_json_in *in, const char *text, size_t size_bytes);
+struct ir_route_list *ir_routes_parse(
+    struct ir_json_in *in, const char *text, size_t size_bytes);
 /* name: what the text must name, or NULL for any. hosts stays empty. */
 struct ir_service *ir_service_parse(struct ir_json_in *in, const char *name,
     const char *text, size_t size_bytes);
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -1,6 +1,7 @@
 /* Reading of a node's settings. */
 #include <arpa/inet.h>
 #include <json.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "conf/file.h"
@@ -12,7 +13,7 @@
 
 static const char *const known[] = {"host", "service", "region", "zone",
     "callers", "egress", "peers", "admin", "upstream", "platform", "slots",
-    "upstream_connections", "drain_ms", "log_level", "policy", NULL};
+    "upstream_connections", "drain_ms", "log_level", "policy", "zones", NULL};
 static const char *const known_endpoint[] = {"address", "port", NULL};
 
 static bool
@@ -24,12 +25,40 @@
 	       inet_pton(AF_INET6, address, buf) == 1;
 }
 
+/* The short form, "ADDRESS:PORT". */
+static void
+read_short_endpoint(struct ir_json_in *in, struct json_object *top,
+    const char *key, uint16_t min_port, struct ir_endpoint *e)
+{
+	const char *s =
+	    ir_json_string(in, top, "", key, 1, INET6_ADDRSTRLEN + 8);
+	const char *colon = strrchr(s, ':');
+	char *end = NULL;
+	unsigned long port;
+
+	if (colon != NULL && colon[1] >= '0' && colon[1] <= '9') {
+		port = strtoul(colon + 1, &end, 10);
+		e->address = talloc_strndup(in->mem, s, (size_t)(colon - s));
+		e->port = (uint16_t)port;
+		if (*end == '\0' && port >= min_port && port <= UINT16_MAX &&
+		    is_ip_number(e->address))
+			return;
+	}
+	ir_json_error(in, key, "must be \"ADDRESS:PORT\" with a number each");
+}
+
 static void
 read_endpoint(struct ir_json_in *in, struct json_object *top, const char *key,
     uint16_t min_port, struct ir_endpoint *e)
 {
-	struct json_object *obj = ir_json_object(in, top, "", key);
+	struct json_object *obj, *value = NULL;
 
+	if (top != NULL && json_object_object_get_ex(top, key, &value) &&
+	    json_object_is_type(value, json_type_string)) {
+		read_short_endpoint(in, top, key, min_port, e);
+		return;
+	}
+	obj = ir_json_object(in, top, "", key);
 	ir_json_known(in, obj, key, known_endpoint);
 	e->address =
 	    ir_json_string(in, obj, key, "address", 1, INET6_ADDRSTRLEN);
@@ -78,16 +107,54 @@
 	s->plain = read_word(in, top, "policy", policies, 2, 0) == 1;
 }
 
+/* Which region a zone is in, of all zones. */
+static void
+read_zones(
+    struct ir_json_in *in, struct json_object *top, struct ir_settings *s)
+{
+	struct json_object *obj;
+	size_t i = 0;
+
+	if (in->error != NULL || !ir_json_has(top, "zones"))
+		return;
+	obj = ir_json_object(in, top, "", "zones");
+	if (obj == NULL)
+		return;
+	s->zones = talloc_zero_array(in->mem, struct ir_zone_region,
+	    (size_t)json_object_object_length(obj) + 1);
+	json_object_object_foreach(obj, zone, value)
+	{
+		(void)value;
+		if (!ir_is_label(zone))
+			ir_json_error(in, "zones", "%s is no label", zone);
+		s->zones[i].zone = talloc_strdup(s->zones, zone);
+		s->zones[i++].region = ir_label(in, obj, "zones", zone);
+	}
+	s->zone_count = i;
+}
+
+const char *
+ir_settings_region(const struct ir_settings *s, const char *zone)
+{
+	for (size_t i = 0; i < s->zone_count; i++) {
+		if (strcmp(s->zones[i].zone, zone) == 0)
+			return s->zones[i].region;
+	}
+	return NULL;
+}
+
 static void
 read_all(struct ir_json_in *in, struct json_object *top, struct ir_settings *s)
 {
 	ir_json_known(in, top, "", known);
-	s->host = ir_label(in, top, "", "host");
+	s->host = ir_host_name(in, top, "", "host");
 	s->service = ir_label(in, top, "", "service");
 	s->region = ir_label(in, top, "", "region");
 	s->zone = ir_label(in, top, "", "zone");
 	read_endpoint(in, top, "callers", 0, &s->callers);
-	read_endpoint(in, top, "egress", 0, &s->egress);
+	s->has_egress = top != NULL && ir_json_has(top, "egress");
+	if (s->has_egress)
+		read_endpoint(in, top, "egress", 0, &s->egress);
 	read_endpoint(in, top, "peers", 0, &s->peers);
 	read_endpoint(in, top, "admin", 0, &s->admin);
 	read_endpoint(in, top, "upstream", 1, &s->upstream);
@@ -96,6 +163,7 @@
 	s->upstream_connections = (uint32_t)ir_json_int(
 	    in, top, "", "upstream_connections", 1, 65535);
 	read_options(in, top, s);
+	read_zones(in, top, s);
 }
 
 static struct ir_settings *
--- a/src/conf/settings.h
+++ b/src/conf/settings.h
@@ -18,25 +18,36 @@
 	uint16_t port;	     /* 0 on a listener: chosen by the kernel */
 };
 
+struct ir_zone_region {
+	const char *zone;
+	const char *region;
+};
+
 /* Source: "host", "service", "region", "zone", ... of the file. */
 struct ir_settings {
 	const char *host;
 	const char *service;
 	const char *region;
 	const char *zone;
-	struct ir_endpoint callers;    /* listener for callers */
-	struct ir_endpoint egress;     /* listener for the local upstream */
+	struct ir_endpoint callers; /* listener for callers */
+	struct ir_endpoint egress;  /* listener for the local upstream */
+	bool has_egress; /* else its calls come to callers, without parent */
 	struct ir_endpoint peers;      /* listener for other nodes */
 	struct ir_endpoint admin;      /* listener for operators */
 	struct ir_endpoint upstream;   /* the local upstream */
 	struct ir_endpoint platform;   /* the configuration service */
 	uint32_t slots;		       /* 1 to 4096 */
 	uint32_t upstream_connections; /* 1 to 65535 */
-	uint32_t drain_ms;	 /* SIGTERM to forced end, 100 to 120000 */
-	enum ir_level log_level; /* "error".."debug" */
-	bool plain;		 /* "policy": "plain" or "full" */
+	uint32_t drain_ms;	      /* SIGTERM to forced end, 100 to 120000 */
+	enum ir_level log_level;      /* "error".."debug" */
+	bool plain;		      /* "policy": "plain" or "full" */
+	struct ir_zone_region *zones; /* of the fleet, where they are needed */
+	size_t zone_count;
 };
 
+/* The region of a zone that the settings name, or NULL. */
+const char *ir_settings_region(const struct ir_settings *s, const char *zone);
+
 /* NULL with *error set to a talloc'd text under mem. */
 struct ir_settings *ir_settings_read(
     TALLOC_CTX *mem, const char *file, char **error);
--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -35,7 +35,11 @@
 		return NULL;
 	c->id = in->id;
 	c->egress = in->egress;
-	c->service = talloc_strdup(c, in->service);
+	c->service = talloc_strdup(c, in->service != NULL ? in->service : "");
+	c->authority =
+	    talloc_strdup(c, in->authority != NULL ? in->authority : "");
+	c->caller_attempt =
+	    talloc_strdup(c, in->attempt != NULL ? in->attempt : "");
 	c->method = talloc_strdup(c, in->method);
 	c->path = talloc_strdup(c, in->path);
 	c->idempotency_key = talloc_strdup(
@@ -45,7 +49,8 @@
 	c->body_bytes = (uint32_t)in->body_bytes;
 	if (in->body_bytes != 0)
 		c->body = talloc_memdup(c, in->body, in->body_bytes);
-	if (c->service == NULL || c->method == NULL || c->path == NULL ||
+	if (c->service == NULL || c->authority == NULL ||
+	    c->caller_attempt == NULL || c->method == NULL || c->path == NULL ||
 	    c->idempotency_key == NULL || !copy_headers(c, in) ||
 	    (in->body_bytes != 0 && c->body == NULL)) {
 		talloc_free(c);
@@ -54,11 +59,19 @@
 	return c;
 }
 
+static size_t
+text_bytes(const char *text)
+{
+	return text != NULL ? strlen(text) : 0;
+}
+
 enum ir_error
 admit_check(const struct ir_call *in)
 {
-	if (strlen(in->service) > IR_MAX_NAME || strlen(in->method) > 16 ||
-	    strlen(in->path) > IR_MAX_PATH ||
+	if (text_bytes(in->service) > IR_MAX_NAME ||
+	    text_bytes(in->authority) > IR_MAX_AUTHORITY ||
+	    text_bytes(in->attempt) > IR_MAX_CALLER_ATTEMPT ||
+	    strlen(in->method) > 16 || strlen(in->path) > IR_MAX_PATH ||
 	    in->header_count > IR_MAX_HEADERS || in->body_bytes > IR_MAX_BODY)
 		return IR_E_TOO_LARGE;
 	if (in->idempotency_key != NULL &&
@@ -79,6 +92,8 @@
 
 	if (asked_ms != 0 && asked_ms < ms)
 		ms = asked_ms;
+	if (ms > IR_MAX_DEADLINE_MS)
+		ms = IR_MAX_DEADLINE_MS;
 	c->deadline_us = c->start_us + ms * IR_US_PER_MS;
 }
 
@@ -113,9 +128,46 @@
 		return IR_E_KEY_UNKNOWN;
 	c->account = talloc_strdup(c, a->name);
 	c->key_digest = talloc_strdup(c, digest);
+	if (a->importance >= 0)
+		c->importance = (uint32_t)a->importance;
 	return IR_OK;
 }
 
+/* One of a route's services, as often as its weight says. */
+static const char *
+draw_part(struct ir_node *n, const struct ir_route *route)
+{
+	uint64_t sum = 0, at;
+	size_t i;
+
+	for (i = 0; i < route->part_count; i++)
+		sum += route->parts[i].weight;
+	at = node_random(n) % sum;
+	for (i = 0; at >= route->parts[i].weight; i++)
+		at -= route->parts[i].weight;
+	return route->parts[i].service;
+}
+
+static const struct ir_route *
+find_route(struct ir_node *n, struct call *c, const struct ir_call *in)
+{
+	const struct ir_view *v = node_view(n);
+	const struct ir_service *s;
+	const struct ir_route *route;
+
+	if (in->service != NULL) {
+		s = ir_view_service(v, in->service);
+		return s != NULL ? ir_service_route(s, in->method, in->path)
+				 : NULL;
+	}
+	route = ir_view_route(v, c->authority, in->path);
+	if (route != NULL) {
+		talloc_free(c->service);
+		c->service = talloc_strdup(c, draw_part(n, route));
+	}
+	return route;
+}
+
 static enum ir_error
 admit_egress(struct ir_node *n, struct call *c, const struct ir_call *in,
     const struct ir_route *route)
@@ -148,16 +200,14 @@
     struct ir_node *n, int64_t now, struct call *c, const struct ir_call *in)
 {
 	const struct ir_view *v = node_view(n);
-	const struct ir_service *s = ir_view_service(v, in->service);
-	const struct ir_route *route = NULL;
+	const struct ir_route *route = find_route(n, c, in);
 	enum ir_error e;
 
-	if (s != NULL)
-		route = ir_service_route(s, in->method, in->path);
 	if (route == NULL && v->config_revision == 0)
 		return IR_E_VIEW_UNCONFIRMED;
 	if (route == NULL)
 		return IR_E_NO_ROUTE;
+	c->config_revision = v->config_revision;
 	c->idempotent = route->idempotent;
 	set_deadline(c, route, in->deadline_ms);
 	e = in->egress ? admit_egress(n, c, in, route)
--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "core/internal.h"
+#include "core/unconst.h"
 
 /* Part of the remaining time kept back for the answer's way. */
 #define WAY_SHARE 16
@@ -48,12 +49,12 @@
 }
 
 static void
-fill_forward(struct ir_forward *f, const struct attempt *a, int64_t now,
-    uint64_t incarnation)
+fill_forward(struct ir_node *n, struct ir_forward *f, const struct attempt *a,
+    int64_t now)
 {
 	struct call *c = a->call;
 
-	f->attempt.incarnation = incarnation;
+	f->attempt.incarnation = n->settings.incarnation;
 	f->attempt.sequence = a->sequence;
 	f->request = c->request;
 	f->service = c->service;
@@ -66,8 +67,12 @@
 	f->idempotent = c->idempotent;
 	f->open = c->open;
 	f->first_attempt = c->first_attempt;
+	f->config_revision = c->config_revision;
 	f->remaining_us = remaining_us(c, now);
 	f->idempotency_key = c->idempotency_key;
+	f->authority = c->authority;
+	f->caller_attempt = c->caller_attempt;
+	f->origin = ir_unconst(n->settings.service);
 	f->method = c->method;
 	f->path = c->path;
 	f->headers.headers_val = c->headers;
@@ -96,7 +101,7 @@
 	a->gate_incarnation = peer_is_self(n, a->peer)
 				  ? n->settings.incarnation
 				  : a->peer->link.incarnation;
-	fill_forward(&m.ir_msg_u.forward, a, now, n->settings.incarnation);
+	fill_forward(n, &m.ir_msg_u.forward, a, now);
 	c->sent_count++;
 	ir_count(&n->counters, IR_ATTEMPTS, 1);
 	ir_chooser_sent(n->chooser, now, a->peer->name,
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -89,7 +89,8 @@
 
 	if (e == IR_E_KEY_UNKNOWN || e == IR_E_NO_KEY)
 		node_log(n, IR_EVENT_KEY_REFUSED, "error=%s service=%s",
-		    ir_error_info(e)->name, in->service);
+		    ir_error_info(e)->name,
+		    in->service != NULL ? in->service : in->authority);
 	if (e == IR_E_VIEW_UNCONFIRMED)
 		retry_ms = node_jitter_ms(n, VIEW_RETRY_MS);
 	answer_error(n, in->id, e, retry_ms);
@@ -158,7 +159,7 @@
 
 	*retry_ms = 0;
 	/* A host that the list no longer names serves no one. */
-	if (node_self(n) == NULL) {
+	if (node_self(n) == NULL && !node_serves_unlisted(n)) {
 		*e = IR_E_STOPPING;
 		return NULL;
 	}
@@ -180,7 +181,8 @@
 	w.request_bytes = c->body_bytes + (uint32_t)strlen(c->path) + 256;
 	w.exclude = c->tried;
 	w.exclude_count = c->tried_count;
-	switch (ir_choose(n->chooser, now, v, node_self(n), &w, &h, retry_ms)) {
+	switch (
+	    ir_choose(n->chooser, now, v, node_place(n), &w, &h, retry_ms)) {
 	case IR_CHOSEN:
 		return h;
 	case IR_CHOICE_SHED:
@@ -233,10 +235,12 @@
 		return IR_TAKEN;
 	if (a == NULL)
 		return IR_TAKE_DENIED;
+	if (a->unlimited)
+		return IR_TAKEN;
 	if (n->settings.plain)
 		return take_static_share(n, now, a, retry_ms);
 	return ir_wallet_take(
-	    n->wallet, now, node_view(n), node_self(n), a, retry_ms);
+	    n->wallet, now, node_view(n), node_place(n), a, retry_ms);
 }
 
 static void
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -338,13 +338,20 @@
 }
 
 static void
-follow_own_service(struct ir_node *n, int64_t now, const struct ir_view *v)
+follow_own_service(struct ir_node *n, int64_t now, const struct ir_view *v,
+    const struct ir_host *self)
 {
 	const struct ir_service *s = ir_view_service(v, n->settings.service);
 	uint64_t changes;
 
-	if (s != NULL && !n->settings.plain)
-		ir_gate_set_slots(n->gate, s->slots);
+	if (s != NULL && !n->settings.plain) {
+		uint32_t slots = s->slots;
+
+		if (self != NULL && self->slots != 0)
+			slots = self->slots;
+		ir_gate_set_slots(
+		    n->gate, slots != 0 ? slots : n->settings.slots);
+	}
 	changes = ir_sections_host_changes(n->sections, n->settings.service);
 	if (changes != n->hosts_changes)
 		n->hosts_changed_us = now;
@@ -379,7 +386,7 @@
 	    (unsigned long long)v->list_revision, v->host_count);
 	follow_own_state(n, now, self);
 	ir_chooser_trim(n->chooser, v);
-	follow_own_service(n, now, v);
+	follow_own_service(n, now, v, self);
 	ir_mint_view(n->mint, now, v, self, send_handover, n);
 }
 
@@ -442,7 +449,7 @@
 	const struct ir_host *self = node_self(n);
 
 	poll_view(n, now);
-	if (self != NULL && !n->settings.plain)
-		ir_wallet_tick(n->wallet, now, node_view(n), self);
+	if ((self != NULL || node_serves_unlisted(n)) && !n->settings.plain)
+		ir_wallet_tick(n->wallet, now, node_view(n), node_place(n));
 	log_view_state(n, now);
 }
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -43,6 +43,9 @@
 	uint64_t id;
 	bool egress;
 	char *service;
+	char *authority;
+	char *caller_attempt;
+	uint64_t config_revision; /* by which it was admitted */
 	char *method;
 	char *path;
 	char *account; /* "" on open routes */
@@ -140,6 +143,7 @@
 
 struct ir_node {
 	struct ir_node_settings settings;
+	struct ir_host place; /* stands for this host while it is not listed */
 	struct ir_node_ops ops;
 	void *ctx;
 	struct ir_counters counters;
@@ -185,7 +189,15 @@
 
 /* node.c */
 const struct ir_view *node_view(struct ir_node *n);
+/* This host as the list has it, or NULL. */
 const struct ir_host *node_self(struct ir_node *n);
+/* The same, or a stand-in that tells where this host is. */
+const struct ir_host *node_place(struct ir_node *n);
+/*
+ * Whether hosts that the list does not name serve their callers all the same:
+ * a host whose upstream has ended is no place for work, but still an entry.
+ */
+bool node_serves_unlisted(struct ir_node *n);
 uint64_t node_random(struct ir_node *n);
 uint32_t node_jitter_ms(struct ir_node *n, uint32_t base_ms);
 enum ir_view_state node_view_state(struct ir_node *n, int64_t now);
@@ -240,6 +252,9 @@
 struct ir_retry_budget *attempt_budget(struct ir_node *n, const char *service);
 
 /* serve.c */
+/* Whether the key that came with the request still stands. */
+enum ir_error serve_key_check(
+    struct ir_node *n, int64_t now, const struct ir_forward *f);
 void serve_child_began(struct ir_record *r, int64_t now, struct call *c);
 void serve_child_ended(struct ir_record *r, int64_t now, struct call *c);
 extern const struct ir_gate_ops serve_gate_ops;
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -31,6 +31,13 @@
 	n->settings.service = talloc_strdup(n, s->service);
 	n->settings.region = talloc_strdup(n, s->region);
 	n->settings.zone = talloc_strdup(n, s->zone);
+	n->place.name = n->settings.host;
+	n->place.service = n->settings.service;
+	n->place.region = n->settings.region;
+	n->place.zone = n->settings.zone;
+	n->place.address = "";
+	n->place.upstream_id = "";
+	n->place.leaving = true;
 	return n->settings.host != NULL && n->settings.service != NULL &&
 	       n->settings.region != NULL && n->settings.zone != NULL;
 }
@@ -87,6 +94,20 @@
 	return ir_sections_view(n->sections);
 }
 
+const struct ir_host *
+node_place(struct ir_node *n)
+{
+	const struct ir_host *self = node_self(n);
+
+	return self != NULL ? self : &n->place;
+}
+
+bool
+node_serves_unlisted(struct ir_node *n)
+{
+	return node_view(n)->serve_unconfirmed;
+}
+
 const struct ir_host *
 node_self(struct ir_node *n)
 {
@@ -202,7 +223,11 @@
 bool
 ir_node_ready(struct ir_node *n, int64_t now)
 {
-	return !n->stopping && node_self(n) != NULL &&
+	if (n->stopping)
+		return false;
+	if (node_serves_unlisted(n))
+		return true;
+	return node_self(n) != NULL &&
 	       node_view_state(n, now) != IR_VIEW_UNCONFIRMED;
 }
 
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -341,7 +341,8 @@
 	default:
 		break;
 	}
-	return ir_view_host(node_view(n), from) != NULL;
+	return node_serves_unlisted(n) ||
+	       ir_view_host(node_view(n), from) != NULL;
 }
 
 void
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -22,6 +22,10 @@
 	out.attempt = r->attempt_text;
 	out.request = request;
 	out.account = f->account;
+	out.authority = f->authority;
+	out.caller_attempt = f->caller_attempt;
+	out.origin = f->origin;
+	out.upstream_id = node_self(n) != NULL ? node_self(n)->upstream_id : "";
 	out.importance = f->importance;
 	out.remaining_ms =
 	    (uint32_t)((r->work.deadline_us - now) / IR_US_PER_MS);
@@ -53,8 +57,7 @@
 
 	if (r->state != IR_RECORD_STARTING)
 		return;
-	e = node_key_check(
-	    n, now, r->forward->open, r->account, r->forward->key_digest);
+	e = serve_key_check(n, now, r->forward);
 	if (e == IR_OK && now >= r->work.deadline_us)
 		e = IR_E_DEADLINE;
 	if (e == IR_OK && has_left(n, now))
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -154,6 +154,9 @@
 	c->account = talloc_strdup(c, f->account);
 	c->key_digest = talloc_strdup(c, f->key_digest);
 	c->idempotency_key = talloc_strdup(c, f->idempotency_key);
+	c->authority = talloc_strdup(c, f->authority);
+	c->caller_attempt = talloc_strdup(c, f->caller_attempt);
+	c->origin = talloc_strdup(c, f->origin);
 	c->method = talloc_strdup(c, f->method);
 	c->path = talloc_strdup(c, f->path);
 	h = talloc_array(c, struct ir_header, f->headers.headers_len);
@@ -169,6 +172,19 @@
 	return c;
 }
 
+enum ir_error
+serve_key_check(struct ir_node *n, int64_t now, const struct ir_forward *f)
+{
+	enum ir_error e =
+	    node_key_check(n, now, f->open, f->account, f->key_digest);
+
+	/* The origin knows a later configuration, with a new key. */
+	if (e == IR_E_KEY_UNKNOWN &&
+	    f->config_revision > node_view(n)->config_revision)
+		return IR_OK;
+	return e;
+}
+
 /* Whether this gate may run the request at all, now. */
 static enum ir_error
 check_forward(struct ir_node *n, int64_t now, const struct ir_forward *f)
@@ -189,7 +205,7 @@
 		route = ir_service_route(s, f->method, f->path);
 	if (route != NULL && f->open && !route->open)
 		return IR_E_NO_KEY;
-	return node_key_check(n, now, f->open, f->account, f->key_digest);
+	return serve_key_check(n, now, f);
 }
 
 static uint64_t
@@ -323,7 +339,7 @@
 		offer(n, now, conn, xid, f);
 		return;
 	}
-	e = node_key_check(n, now, f->open, f->account, f->key_digest);
+	e = serve_key_check(n, now, f);
 	if (e == IR_OK && r->fingerprint != fingerprint(f))
 		e = IR_E_BAD_REQUEST;
 	if (e != IR_OK)
--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -48,6 +48,8 @@
 
 struct ir_process {
 	const struct ir_settings *settings;
+	const struct ir_dialect *dialect;
+	struct ir_descriptors descriptors;
 	struct ir_log *log;
 	struct ir_core_loop loop;
 	int listen_fds[LISTENER_COUNT];
@@ -84,7 +86,8 @@
 
 	if (listen_one(p, LISTENER_CALLERS, "callers", &s->callers) != 0)
 		return -1;
-	if (listen_one(p, LISTENER_EGRESS, "egress", &s->egress) != 0)
+	if (s->has_egress &&
+	    listen_one(p, LISTENER_EGRESS, "egress", &s->egress) != 0)
 		return -1;
 	if (listen_one(p, LISTENER_PEERS, "peers", &s->peers) != 0)
 		return -1;
@@ -141,14 +144,14 @@
 	int callers_fd = take_fd(p, LISTENER_CALLERS);
 	int egress_fd = take_fd(p, LISTENER_EGRESS);
 
-	p->callers =
-	    ir_callers_new(p, ch[IR_DUTY_CALLERS], callers_fd, egress_fd);
-	p->upstream = ir_upstream_new(p, ch[IR_DUTY_UPSTREAM],
-	    &p->settings->upstream, p->settings->upstream_connections);
-	p->peers =
-	    ir_peers_new(p, ch[IR_DUTY_PEERS], take_fd(p, LISTENER_PEERS));
-	p->platform =
-	    ir_platform_new(p, ch[IR_DUTY_PLATFORM], &p->settings->platform);
+	p->callers = ir_callers_new(p, ch[IR_DUTY_CALLERS], p->dialect,
+	    p->descriptors.callers, callers_fd, egress_fd);
+	p->upstream = ir_upstream_new(p, ch[IR_DUTY_UPSTREAM], p->dialect,
+	    &p->settings->upstream, p->descriptors.upstream);
+	p->peers = ir_peers_new(p, ch[IR_DUTY_PEERS], p->descriptors.peers,
+	    take_fd(p, LISTENER_PEERS));
+	p->platform = ir_platform_new(
+	    p, ch[IR_DUTY_PLATFORM], p->settings, &p->dialect->store);
 	if (p->callers == NULL || p->upstream == NULL || p->peers == NULL ||
 	    p->platform == NULL)
 		return -1;
@@ -176,7 +179,7 @@
 	    start_thread(p, ir_platform_run, p->platform) != 0)
 		return -1;
 	p->admin = ir_admin_start(p, ch[IR_DUTY_ADMIN], p->settings->host,
-	    take_fd(p, LISTENER_ADMIN));
+	    p->dialect->ready_path, take_fd(p, LISTENER_ADMIN));
 	return p->admin != NULL ? 0 : -1;
 }
 
@@ -196,15 +199,16 @@
 }
 
 static void
-raise_descriptors(struct ir_process *p)
+divide_descriptors(struct ir_process *p)
 {
 	uint64_t limit = ir_descriptors_raise();
-	uint64_t wanted =
-	    ir_descriptors_wanted(p->settings->upstream_connections);
+	uint32_t wanted = p->settings->upstream_connections;
 
-	if (limit < wanted)
+	p->descriptors = ir_descriptors_divide(limit, wanted);
+	if (p->descriptors.upstream < wanted)
 		ir_report(p->log, IR_EVENT_DESCRIPTORS_FEW, NULL,
-		    "limit=%" PRIu64 " wanted=%" PRIu64, limit, wanted);
+		    "limit=%" PRIu64 " wanted=%" PRIu32 " upstream=%" PRIu32,
+		    limit, wanted, p->descriptors.upstream);
 }
 
 static void
@@ -219,7 +223,8 @@
 }
 
 struct ir_process *
-ir_process_start(TALLOC_CTX *mem, const struct ir_settings *settings)
+ir_process_start(TALLOC_CTX *mem, const struct ir_settings *settings,
+    const struct ir_dialect *dialect)
 {
 	struct ir_process *p = talloc_zero(mem, struct ir_process);
 
@@ -229,11 +234,12 @@
 		p->listen_fds[i] = -1;
 	talloc_set_destructor(p, free_process);
 	p->settings = settings;
+	p->dialect = dialect;
 	p->log =
 	    ir_log_new(p, STDERR_FILENO, settings->host, settings->log_level);
 	if (p->log == NULL)
 		goto fail;
-	raise_descriptors(p);
+	divide_descriptors(p);
 	if (listen_all(p) != 0 || make_loop(p) != 0 || make_duties(p) != 0)
 		goto fail;
 	/* Threads cannot be taken back: the process ends without clean-up. */
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -8,12 +8,13 @@
 #define IR_DAEMON_PROCESS_H
 
 #include "conf/settings.h"
+#include "ibisrail/dialect.h"
 
 struct ir_process;
 
 /* NULL with the cause logged. Signals are to be blocked before. */
-struct ir_process *ir_process_start(
-    TALLOC_CTX *mem, const struct ir_settings *settings);
+struct ir_process *ir_process_start(TALLOC_CTX *mem,
+    const struct ir_settings *settings, const struct ir_dialect *dialect);
 
 /*
  * Serves until a signal: SIGTERM and SIGINT end it gracefully, SIGUSR1 writes
--- a/src/host/compile.c
+++ b/src/host/compile.c
@@ -177,6 +177,10 @@
 	}
 	if (p->accounts != NULL)
 		add_accounts(v, p->accounts);
+	if (p->routes != NULL) {
+		v->routes = p->routes->routes;
+		v->route_count = p->routes->route_count;
+	}
 	add_hosts(v, p);
 	add_services(v, p);
 	add_zones(v);
--- a/src/host/compile.h
+++ b/src/host/compile.h
@@ -21,6 +21,7 @@
 	uint64_t list_revision;
 	const struct ir_fleet *fleet;		/* or NULL */
 	const struct ir_account_list *accounts; /* or NULL */
+	const struct ir_route_list *routes;	/* or NULL */
 	const struct ir_service **services;	/* will be sorted */
 	size_t service_count;
 	struct ir_host_part *hosts; /* will be sorted */
--- a/src/host/section.c
+++ b/src/host/section.c
@@ -27,11 +27,11 @@
 }
 
 static const char *
-after(const char *name, const char *prefix)
+after(const char *name, const char *prefix, bool (*is_good)(const char *s))
 {
 	size_t n = strlen(prefix);
 
-	if (strncmp(name, prefix, n) != 0 || !ir_is_label(name + n))
+	if (strncmp(name, prefix, n) != 0 || !is_good(name + n))
 		return NULL;
 	return name + n;
 }
@@ -43,9 +43,11 @@
 		return IR_SECTION_FLEET;
 	if (strcmp(name, "accounts") == 0)
 		return IR_SECTION_ACCOUNTS;
-	if (after(name, "service/") != NULL)
+	if (strcmp(name, "routes") == 0)
+		return IR_SECTION_ROUTES;
+	if (after(name, "service/", ir_is_label) != NULL)
 		return IR_SECTION_SERVICE;
-	if (after(name, "host/") != NULL)
+	if (after(name, "host/", ir_is_host_name) != NULL)
 		return IR_SECTION_HOST;
 	return IR_SECTION_BAD;
 }
@@ -64,6 +66,7 @@
 	size_t n = strlen(text);
 	struct ir_fleet *f;
 	struct ir_account_list *l;
+	struct ir_route_list *routes;
 	struct ir_service *s;
 
 	*generation = 0;
@@ -76,12 +79,18 @@
 		l = ir_accounts_parse(in, text, n);
 		*generation = l == NULL ? 0 : l->generation;
 		return l;
+	case IR_SECTION_ROUTES:
+		routes = ir_routes_parse(in, text, n);
+		*generation = routes == NULL ? 0 : routes->generation;
+		return routes;
 	case IR_SECTION_SERVICE:
-		s = ir_service_parse(in, after(name, "service/"), text, n);
+		s = ir_service_parse(
+		    in, after(name, "service/", ir_is_label), text, n);
 		*generation = s == NULL ? 0 : s->generation;
 		return s;
 	case IR_SECTION_HOST:
-		return ir_host_parse(in, after(name, "host/"), text, n);
+		return ir_host_parse(
+		    in, after(name, "host/", ir_is_host_name), text, n);
 	default:
 		ir_json_error(in, name, "no such section");
 		return NULL;
--- a/src/host/section_list.c
+++ b/src/host/section_list.c
@@ -86,6 +86,9 @@
 	case IR_SECTION_ACCOUNTS:
 		p->accounts = h->parsed;
 		break;
+	case IR_SECTION_ROUTES:
+		p->routes = h->parsed;
+		break;
 	case IR_SECTION_SERVICE:
 		p->services[p->service_count++] = h->parsed;
 		break;
--- a/src/host/view.c
+++ b/src/host/view.c
@@ -70,6 +70,39 @@
 	return path[n] == '\0' || path[n] == '/' || path[n] == '?';
 }
 
+/* The first of the fleet's routes whose host name is not below authority. */
+static size_t
+first_route(const struct ir_view *v, const char *authority)
+{
+	size_t low = 0, high = v->route_count;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		if (strcmp(v->routes[middle].authority, authority) < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+const struct ir_route *
+ir_view_route(const struct ir_view *v, const char *authority, const char *path)
+{
+	size_t i = first_route(v, authority);
+
+	for (; i < v->route_count; i++) {
+		const struct ir_route *r = &v->routes[i];
+
+		if (strcmp(r->authority, authority) != 0)
+			return NULL;
+		if (path_has_prefix(path, r->path))
+			return r;
+	}
+	return NULL;
+}
+
 const struct ir_route *
 ir_service_route(
     const struct ir_service *s, const char *method, const char *path)
--- a/src/host/view.h
+++ b/src/host/view.h
@@ -17,10 +17,16 @@
  *                     "routes":[{"method":"GET", "path":"/x",
  *                     "importance":0..3, "deadline_ms":500,
  *                     "idempotent":true, "open":false, "retries":2}]}
+ *   routes           {"generation":1, "routes":[{"authority":"a.example",
+ *                     "path":"/x/", "importance":0..3, "deadline_ms":500,
+ *                     "target_ms":300, "idempotent":true, "open":false,
+ *                     "retries":2, "parts":[{"service":"s","weight":1}]}]}
  *   host/NAME        {"name":"h1", "service":"s", "region":"r1",
  *                     "zone":"z1", "address":"127.0.0.1",
  *                     "peer_port":7001, "caller_port":7002,
  *                     "state":"live"|"leaving"}
+ * Optional: "slots" of a service or host, "upstream_id" of a host,
+ * "importance" of an account. An account without "rate_per_s" has no limit.
  */
 #ifndef IR_HOST_VIEW_H
 #define IR_HOST_VIEW_H
@@ -37,13 +43,28 @@
 	IR_SECTION_FLEET,
 	IR_SECTION_ACCOUNTS,
 	IR_SECTION_SERVICE,
+	IR_SECTION_ROUTES,
 	IR_SECTION_HOST,
 	IR_SECTION_BAD
 };
 
+/* A service that gets a part of a route's requests. */
+struct ir_route_part {
+	const char *service;
+	uint32_t weight;
+};
+
+/*
+ * A route of one service, found by method and path; or one of the fleet,
+ * found by host name and path, which names the services itself.
+ */
 struct ir_route {
-	const char *method;
-	const char *path;   /* prefix of the path, whole components */
+	const char *method;    /* NULL: any */
+	const char *path;      /* prefix of the path, whole components */
+	const char *authority; /* of the fleet's routes: host name */
+	const struct ir_route_part *parts;
+	size_t part_count;
+	uint32_t target_ms; /* answers are wanted within; 0: the deadline */
 	uint8_t importance; /* 0 to 3; 3 is shed last */
 	bool idempotent;
 	bool open;	 /* needs no key */
@@ -67,6 +88,8 @@
 	uint64_t rate_mt_per_s; /* thousandths of a token a second */
 	uint64_t burst_mt;	/* thousandths of a token */
 	uint32_t weight;
+	int8_t importance;	  /* of its requests; -1: that of the route */
+	bool unlimited;		  /* has no rate */
 	const char **key_digests; /* lower-case hexadecimal SHA-256 */
 	size_t key_digest_count;
 };
@@ -80,7 +103,9 @@
 	uint16_t peer_port;
 	uint16_t caller_port;
 	bool leaving;
-	uint64_t hash; /* XXH64 of the name, seed 0 */
+	uint32_t slots;		 /* of its upstream; 0: the service's */
+	const char *upstream_id; /* of this start of its upstream, or "" */
+	uint64_t hash;		 /* XXH64 of the name, seed 0 */
 };
 
 struct ir_zone {
@@ -111,6 +136,9 @@
 	size_t host_count;
 	struct ir_zone *zones;
 	size_t zone_count;
+	/* The fleet's routes, by host name, then longest path first. */
+	const struct ir_route *routes;
+	size_t route_count;
 };
 
 const struct ir_service *ir_view_service(
@@ -126,4 +154,12 @@
 const struct ir_route *ir_service_route(
     const struct ir_service *s, const char *method, const char *path);
 
+/*
+ * The fleet's route of a host name, in lower case and without port, with the
+ * longest prefix of the path; NULL without one. O(log n) and the routes of
+ * that name.
+ */
+const struct ir_route *ir_view_route(
+    const struct ir_view *v, const char *authority, const char *path);
+
 #endif
--- a/src/io/admin.c
+++ b/src/io/admin.c
@@ -16,6 +16,7 @@
 struct ir_admin {
 	struct ir_channel *channel;
 	const char *host;
+	const char *ready_path;
 	struct MHD_Daemon *daemon;
 };
 
@@ -148,7 +149,7 @@
 		return ask_and_respond(a, connection, IR_REPORT_STATE);
 	if (strcmp(url, "/counters") == 0)
 		return ask_and_respond(a, connection, IR_REPORT_COUNTERS);
-	if (strcmp(url, "/ready") == 0)
+	if (strcmp(url, a->ready_path) == 0)
 		return ask_and_respond(a, connection, IR_REPORT_READY);
 	if (strcmp(url, "/version") == 0)
 		return respond_text(connection, MHD_HTTP_OK, IR_VERSION "\n");
@@ -157,7 +158,7 @@
 
 struct ir_admin *
 ir_admin_start(TALLOC_CTX *mem, struct ir_channel *channel, const char *host,
-    int listen_fd)
+    const char *ready_path, int listen_fd)
 {
 	struct ir_admin *a = talloc_zero(mem, struct ir_admin);
 
@@ -165,6 +166,7 @@
 		return NULL;
 	a->channel = channel;
 	a->host = host;
+	a->ready_path = ready_path;
 	a->daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL,
 	    NULL, on_request, a, MHD_OPTION_LISTEN_SOCKET, listen_fd,
 	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)IR_MAX_ADMIN_CONNECTIONS,
--- a/src/io/admin.h
+++ b/src/io/admin.h
@@ -14,10 +14,10 @@
 
 /*
  * Takes the listening socket over and starts. NULL when it cannot. host names
- * the process in its counters and must outlive the thread.
+ * the process in its counters; it and ready_path must outlive the thread.
  */
 struct ir_admin *ir_admin_start(TALLOC_CTX *mem, struct ir_channel *channel,
-    const char *host, int listen_fd);
+    const char *host, const char *ready_path, int listen_fd);
 /* Ends the thread. */
 void ir_admin_stop(struct ir_admin *a);
 
--- a/src/io/caller_answer.c
+++ b/src/io/caller_answer.c
@@ -1,102 +1,128 @@
-/* Answers to callers as HTTP responses. */
+/* Answers to callers as bytes of HTTP/1.1. */
 #include <inttypes.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "io/caller_answer.h"
+#include "io/http_head.h"
+#include "io/message.h"
 
 #define MS_PER_S 1000
+#define HTTP_NO_CONTENT 204
+#define HTTP_NOT_MODIFIED 304
 
-static void
-add_number(struct MHD_Response *response, const char *name, uint32_t value)
+static char *
+begin(TALLOC_CTX *mem, unsigned status)
 {
-	char text[16];
+	return ir_must(talloc_asprintf(
+	    mem, "HTTP/1.1 %u %s\r\n", status, ir_http_phrase(status)));
+}
 
-	snprintf(text, sizeof(text), "%" PRIu32, value);
-	MHD_add_response_header(response, name, text);
+static char *
+add_field(char *text, const char *name, const char *value)
+{
+	return ir_must(
+	    talloc_asprintf_append_buffer(text, "%s: %s\r\n", name, value));
 }
 
-static void
-add_outcome(
-    struct MHD_Response *response, enum ir_error error, uint32_t retry_after_ms)
+static char *
+add_number(char *text, const char *name, uint32_t value)
 {
-	const struct ir_error_info *i = ir_error_info(error);
+	return ir_must(talloc_asprintf_append_buffer(
+	    text, "%s: %" PRIu32 "\r\n", name, value));
+}
 
-	MHD_add_response_header(
-	    response, "Ibisrail-Outcome", ir_outcome_name(i->outcome));
-	if (error != IR_OK)
-		MHD_add_response_header(response, "Ibisrail-Error", i->name);
-	if (error == IR_E_STOPPING)
-		MHD_add_response_header(
-		    response, MHD_HTTP_HEADER_CONNECTION, "close");
+static char *
+add_retry_after(
+    char *text, const struct ir_answer_form *form, uint32_t retry_after_ms)
+{
 	if (retry_after_ms == 0)
-		return;
-	add_number(response, "Ibisrail-Retry-After-Ms", retry_after_ms);
-	add_number(response, MHD_HTTP_HEADER_RETRY_AFTER,
-	    (retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+		return text;
+	if (form->dialect->retry_after_fraction)
+		return ir_must(talloc_asprintf_append_buffer(text,
+		    "Retry-After: %" PRIu32 ".%03" PRIu32 "\r\n",
+		    retry_after_ms / MS_PER_S, retry_after_ms % MS_PER_S));
+	text = add_number(text, "Ibisrail-Retry-After-Ms", retry_after_ms);
+	return add_number(
+	    text, "Retry-After", (retry_after_ms + MS_PER_S - 1) / MS_PER_S);
 }
 
-static enum MHD_Result
-queue(struct MHD_Connection *connection, unsigned status,
-    struct MHD_Response *response)
+static char *
+add_outcome(char *text, const struct ir_answer_form *form, enum ir_error error,
+    uint32_t retry_after_ms)
 {
-	enum MHD_Result result;
+	const struct ir_error_info *i = ir_error_info(error);
 
-	result = MHD_queue_response(connection, status, response);
-	MHD_destroy_response(response);
-	return result;
+	text = add_field(text, "Ibisrail-Outcome", ir_outcome_name(i->outcome));
+	if (error != IR_OK)
+		text = add_field(text, "Ibisrail-Error", i->name);
+	return add_retry_after(text, form, retry_after_ms);
 }
 
-/* A copied text with a line's end. */
-static struct MHD_Response *
-text_response(const char *text)
+static bool
+has_no_body(unsigned status)
 {
-	char line[256];
-	int n = snprintf(line, sizeof(line), "%s\n", text);
-	struct MHD_Response *response;
-
-	response = MHD_create_response_from_buffer(
-	    (size_t)n, line, MHD_RESPMEM_MUST_COPY);
-	if (response != NULL)
-		MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
-		    "text/plain; charset=utf-8");
-	return response;
+	return status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED;
 }
 
-enum MHD_Result
-ir_caller_refuse(struct MHD_Connection *connection, const struct ir_refusal *r)
+static uint8_t *
+end(char *text, const struct ir_answer_form *form, unsigned status,
+    const uint8_t *body, size_t body_bytes)
 {
-	struct MHD_Response *response = text_response(r->text);
+	size_t head_bytes;
+	uint8_t *out;
 
-	if (response == NULL)
-		return MHD_NO;
-	add_outcome(response, r->error, r->retry_after_ms);
-	return queue(connection, r->http_status, response);
+	if (!has_no_body(status))
+		text = add_number(text, "Content-Length", (uint32_t)body_bytes);
+	if (form->close)
+		text = add_field(text, "Connection", "close");
+	text = ir_must(talloc_strdup_append_buffer(text, "\r\n"));
+	head_bytes = strlen(text);
+	if (form->head || has_no_body(status))
+		body_bytes = 0;
+	out = ir_must(talloc_realloc_size(NULL, text, head_bytes + body_bytes));
+	if (body_bytes > 0)
+		memcpy(out + head_bytes, body, body_bytes);
+	return out;
 }
 
-static struct MHD_Response *
-body_response(const struct ir_answer *a)
+static uint8_t *
+end_text(char *text, const struct ir_answer_form *form, unsigned status,
+    const char *line)
 {
-	if (a->error != IR_OK && a->body_bytes == 0)
-		return text_response(ir_error_info(a->error)->text);
-	/* The body is only read: the library has no const. */
-	return MHD_create_response_from_buffer(
-	    a->body_bytes, (void *)a->body, MHD_RESPMEM_PERSISTENT);
+	char *body = ir_must(talloc_asprintf(text, "%s\n", line));
+	uint8_t *out;
+
+	text = add_field(text, "Content-Type", "text/plain; charset=utf-8");
+	out = end(text, form, status, (uint8_t *)body, strlen(body));
+	talloc_free(body);
+	return out;
 }
 
-enum MHD_Result
-ir_caller_answer(struct MHD_Connection *connection, const struct ir_answer *a)
+uint8_t *
+ir_caller_refusal_bytes(TALLOC_CTX *mem, const struct ir_answer_form *form,
+    const struct ir_refusal *r)
+{
+	char *text = begin(mem, r->http_status);
+
+	text = add_outcome(text, form, r->error, r->retry_after_ms);
+	return end_text(text, form, r->http_status, r->text);
+}
+
+uint8_t *
+ir_caller_answer_bytes(TALLOC_CTX *mem, const struct ir_answer_form *form,
+    const struct ir_answer *a)
 {
-	struct MHD_Response *response = body_response(a);
 	unsigned status = a->status;
+	char *text;
 
-	if (response == NULL)
-		return MHD_NO;
-	if (status == 0)
-		status = ir_error_info(a->error)->http_status;
+	if (a->error != IR_OK)
+		status = ir_dialect_status(form->dialect, a->error);
+	text = begin(mem, status);
 	for (size_t i = 0; i < a->header_count; i++)
-		MHD_add_response_header(
-		    response, a->headers[i].name, a->headers[i].value);
-	add_outcome(response, a->error, a->retry_after_ms);
-	return queue(connection, status, response);
+		text = add_field(text, a->headers[i].name, a->headers[i].value);
+	text = add_outcome(text, form, a->error, a->retry_after_ms);
+	if (a->error != IR_OK && a->body_bytes == 0)
+		return end_text(
+		    text, form, status, ir_error_info(a->error)->text);
+	return end(text, form, status, a->body, a->body_bytes);
 }
--- /dev/null
+++ b/src/io/caller_conn.h
@@ -0,0 +1,115 @@
+/*
+ * Private to the callers' thread: its state, a caller's connection and the
+ * requests on it.
+ *
+ * A connection is read on while earlier requests of it are still out, up to
+ * MAX_OPEN of them; answers are written in the order of the requests. An
+ * ambiguous head is refused, and nothing behind it is read.
+ */
+#ifndef IR_IO_CALLER_CONN_H
+#define IR_IO_CALLER_CONN_H
+
+#include <http_parser.h>
+#include <tevent.h>
+
+#include "core/table.h"
+#include "io/caller_answer.h"
+#include "io/caller_headers.h"
+#include "io/callers.h"
+
+enum request_state {
+	REQUEST_RECEIVING,
+	REQUEST_WAITING, /* for the core's answer */
+	REQUEST_ANSWERED
+};
+
+struct caller_conn;
+
+struct request {
+	uint64_t id; /* 0 until the core has it */
+	enum request_state state;
+	struct caller_conn *conn;
+	char *method;
+	char *target;
+	struct ir_raw_headers raw;
+	struct ir_to_core *call; /* until it is handed over */
+	uint8_t *body;
+	size_t body_bytes;
+	struct ir_refusal refusal;
+	bool wants_continue;  /* until the provisional answer was written */
+	bool last;	      /* the connection ends with its answer */
+	uint8_t *answer;      /* bytes, when answered */
+	struct request *prev; /* of the connection, in order */
+	struct request *next;
+	UT_hash_handle hh;
+};
+
+struct listener {
+	struct ir_callers *callers;
+	struct tevent_fd *event;
+	int fd;
+	bool egress;
+};
+
+struct caller_conn {
+	struct listener *listener;
+	int fd;
+	struct tevent_fd *event;
+	http_parser parser;
+	uint8_t *in;
+	size_t in_bytes;
+	struct request *requests; /* oldest first */
+	uint32_t request_count;
+	struct request *reading; /* its head came, its end has not */
+	char *field;		 /* name of the header being read */
+	uint8_t *out;		 /* unsent bytes of answers, or NULL */
+	size_t out_sent;
+	bool ending;	 /* no further request is read */
+	bool lingering;	 /* all was sent; reads until the caller closes */
+	bool dead;	 /* to be freed */
+	int64_t used_us; /* last progress */
+	struct caller_conn *prev;
+	struct caller_conn *next;
+};
+
+struct ir_callers {
+	struct ir_channel *channel;
+	const struct ir_dialect *dialect;
+	struct ir_outbox out; /* only what must not be lost */
+	struct tevent_context *loop;
+	struct listener callers;
+	struct listener egress;
+	uint32_t max_connections;
+	struct caller_conn *conns;
+	uint32_t conn_count;
+	struct caller_conn *dead; /* freed at the end of the turn */
+	uint64_t last_id;
+	struct request *waiting; /* by id */
+	size_t open_requests;
+	bool closing;	      /* answers end their connections */
+	int64_t flush_end_us; /* 0: not stopping */
+	bool sweep_set;
+};
+
+/* Takes the socket over. */
+void ir_caller_conn_new(struct listener *l, int fd);
+/* Ends the connection; requests out are reported gone. */
+void ir_caller_conn_end(struct caller_conn *c);
+/* Writes the answers that are next in order. */
+void ir_caller_conn_write(struct caller_conn *c);
+/* Ends connections that make no progress or were idle for long. */
+void ir_caller_conn_sweep(struct ir_callers *c, int64_t now);
+
+/* caller_request.c: the head of a request was read. */
+void ir_request_begin(struct request *r);
+/* A piece of its body. */
+void ir_request_receive(struct request *r, const uint8_t *data, size_t size);
+/* All of it came: hands it to the core, or refuses it. */
+void ir_request_submit(struct request *r);
+/* The answer of the core, or a refusal, as bytes. */
+void ir_request_answer(struct request *r, const struct ir_answer *a);
+void ir_request_refuse(struct request *r);
+/* Tells the core that the caller went away. */
+void ir_request_report_gone(struct ir_callers *c, uint64_t id);
+
+#endif
--- a/src/io/caller_headers.c
+++ b/src/io/caller_headers.c
@@ -1,4 +1,5 @@
 /* Reading a caller's request. */
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -56,13 +57,22 @@
 	return true;
 }
 
+static bool
+is_named(const struct ir_header *h, const char *name)
+{
+	return name != NULL && strcasecmp(h->name, name) == 0;
+}
+
 /* Whether the header is one for keys; *key is then what it carries. */
 static bool
-is_key_header(const struct ir_header *h, const char **key)
+is_key_header(
+    const struct ir_dialect *d, const struct ir_header *h, const char **key)
 {
 	const char *p = h->value;
 
 	*key = p;
+	if (d->headers.key != NULL)
+		return is_named(h, d->headers.key);
 	if (strcasecmp(h->name, KEY_HEADER) == 0)
 		return true;
 	if (strcasecmp(h->name, AUTHORIZATION) != 0)
@@ -88,14 +98,14 @@
 }
 
 static struct ir_refusal
-read_key(
-    TALLOC_CTX *mem, const struct ir_raw_headers *raw, struct ir_call *call)
+read_key(TALLOC_CTX *mem, const struct ir_dialect *d,
+    const struct ir_raw_headers *raw, struct ir_call *call)
 {
 	for (size_t i = 0; i < raw->count; i++) {
 		const char *value;
 		char *key;
 
-		if (!is_key_header(&raw->headers[i], &value))
+		if (!is_key_header(d, &raw->headers[i], &value))
 			continue;
 		key = trimmed(mem, value);
 		if (key == NULL)
@@ -130,7 +140,7 @@
 
 bad:
 	return ir_refuse(IR_E_BAD_REQUEST, "deadline",
-	    "Ibisrail-Deadline-Ms is not a whole number above 0.");
+	    "The deadline is not a whole number above 0.");
 }
 
 static struct ir_refusal
@@ -151,10 +161,26 @@
 }
 
 static struct ir_refusal
-read_one(const struct ir_header *h, struct ir_call *call)
+read_attempt(const char *value, struct ir_call *call)
+{
+	if (value[0] == '\0' || strlen(value) > IR_MAX_CALLER_ATTEMPT ||
+	    (call->attempt != NULL && strcmp(call->attempt, value) != 0))
+		return ir_refuse(IR_E_BAD_REQUEST, "attempt",
+		    "The attempt's id is empty, too long or given twice.");
+	call->attempt = value;
+	return accepted;
+}
+
+static struct ir_refusal
+read_one(
+    const struct ir_dialect *d, const struct ir_header *h, struct ir_call *call)
 {
-	if (strcasecmp(h->name, "ibisrail-deadline-ms") == 0)
+	if (is_named(h, d->headers.deadline))
 		return read_deadline(h->value, call);
+	if (is_named(h, d->headers.attempt))
+		return read_attempt(h->value, call);
+	if (d->routes_by_host)
+		return accepted;
 	if (strcasecmp(h->name, "idempotency-key") == 0)
 		return read_idempotency_key(h->value, call);
 	if (strcasecmp(h->name, "ibisrail-first-attempt") == 0)
@@ -164,21 +190,26 @@
 	return accepted;
 }
 
+/* What callers say of what this system says itself, or keeps to itself. */
 static bool
-is_ours(const struct ir_header *h)
+is_ours(const struct ir_dialect *d, const struct ir_header *h)
 {
+	const struct ir_header_names *n = &d->headers;
 	const char *key;
 
-	return is_key_header(h, &key) || strcasecmp(h->name, "cookie2") == 0;
+	return is_key_header(d, h, &key) || is_named(h, "cookie2") ||
+	       is_named(h, n->deadline) || is_named(h, n->attempt) ||
+	       is_named(h, n->account) || is_named(h, n->origin) ||
+	       is_named(h, n->expected_upstream);
 }
 
 static size_t
-drop_ours(struct ir_header *headers, size_t count)
+drop_ours(const struct ir_dialect *d, struct ir_header *headers, size_t count)
 {
 	size_t kept = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		if (!is_ours(&headers[i]))
+		if (!is_ours(d, &headers[i]))
 			headers[kept++] = headers[i];
 	}
 	return ir_hop_headers_drop(headers, kept);
@@ -203,14 +234,14 @@
 }
 
 struct ir_refusal
-ir_caller_headers_read(
-    TALLOC_CTX *mem, struct ir_raw_headers *raw, struct ir_call *call)
+ir_caller_headers_read(TALLOC_CTX *mem, const struct ir_dialect *d,
+    struct ir_raw_headers *raw, struct ir_call *call)
 {
-	struct ir_refusal r = read_key(mem, raw, call);
+	struct ir_refusal r = read_key(mem, d, raw, call);
 	struct ir_header *rest;
 
 	for (size_t i = 0; i < raw->count && r.error == IR_OK; i++)
-		r = read_one(&raw->headers[i], call);
+		r = read_one(d, &raw->headers[i], call);
 	if (r.error != IR_OK)
 		return r;
 	rest = talloc_array(mem, struct ir_header, raw->count + 1);
@@ -218,7 +249,7 @@
 		return ir_refuse(IR_E_OVERLOAD, "memory", NULL);
 	memcpy(rest, raw->headers, raw->count * sizeof(*rest));
 	call->headers = rest;
-	call->header_count = drop_ours(rest, raw->count);
+	call->header_count = drop_ours(d, rest, raw->count);
 	return check_sizes(call);
 }
 
@@ -232,22 +263,27 @@
 	return false;
 }
 
-struct ir_refusal
-ir_caller_target_read(TALLOC_CTX *mem, const char *target, struct ir_call *call)
+static struct ir_refusal
+check_target(const char *target)
 {
-	size_t size;
-	const char *rest;
-
 	if (target[0] != '/' || has_bad_byte(target))
 		return ir_refuse(IR_E_BAD_REQUEST, "target",
 		    "The request target is not a path.");
-	size = strcspn(target + 1, "/?#");
-	rest = target + 1 + size;
-	if (size == 0 || size > IR_MAX_NAME)
-		return ir_refuse(IR_E_NO_ROUTE, "service", NULL);
-	if (strchr(rest, '#') != NULL)
+	if (strchr(target, '#') != NULL)
 		return ir_refuse(IR_E_BAD_REQUEST, "target",
 		    "The request target has a fragment.");
+	return accepted;
+}
+
+/* The service is the first part of the path. */
+static struct ir_refusal
+read_service(TALLOC_CTX *mem, const char *target, struct ir_call *call)
+{
+	size_t size = strcspn(target + 1, "/?#");
+	const char *rest = target + 1 + size;
+
+	if (size == 0 || size > IR_MAX_NAME)
+		return ir_refuse(IR_E_NO_ROUTE, "service", NULL);
 	if (strlen(rest) + 1 > IR_MAX_PATH)
 		return ir_refuse(
 		    IR_E_TOO_LARGE, "path", "The path is too long.");
@@ -259,6 +295,52 @@
 	return accepted;
 }
 
+static const char *
+host_field(const struct ir_raw_headers *raw)
+{
+	for (size_t i = 0; i < raw->count; i++) {
+		if (strcasecmp(raw->headers[i].name, "host") == 0)
+			return raw->headers[i].value;
+	}
+	return "";
+}
+
+/* The host name in lower case; a port is not part of it. */
+static struct ir_refusal
+read_authority(TALLOC_CTX *mem, const char *target,
+    const struct ir_raw_headers *raw, struct ir_call *call)
+{
+	const char *host = host_field(raw);
+	char *name = talloc_strndup(mem, host, strcspn(host, ":"));
+
+	call->path = talloc_strdup(mem, target);
+	if (name == NULL || call->path == NULL)
+		return ir_refuse(IR_E_OVERLOAD, "memory", NULL);
+	if (name[0] == '\0' || strlen(name) > IR_MAX_AUTHORITY)
+		return ir_refuse(
+		    IR_E_BAD_REQUEST, "host", "The Host header names no host.");
+	if (strlen(target) > IR_MAX_PATH)
+		return ir_refuse(
+		    IR_E_TOO_LARGE, "path", "The path is too long.");
+	for (char *p = name; *p != '\0'; p++)
+		*p = (char)tolower((unsigned char)*p);
+	call->authority = name;
+	return accepted;
+}
+
+struct ir_refusal
+ir_caller_target_read(TALLOC_CTX *mem, const struct ir_dialect *d,
+    const char *target, const struct ir_raw_headers *raw, struct ir_call *call)
+{
+	struct ir_refusal r = check_target(target);
+
+	if (r.error != IR_OK)
+		return r;
+	if (d->routes_by_host)
+		return read_authority(mem, target, raw, call);
+	return read_service(mem, target, call);
+}
+
 static int
 hex_value(char c)
 {
@@ -325,8 +407,8 @@
 }
 
 struct ir_refusal
-ir_caller_key_check(const struct ir_call *call, const char *target,
-    const struct ir_raw_headers *raw)
+ir_caller_key_check(const struct ir_dialect *d, const struct ir_call *call,
+    const char *target, const struct ir_raw_headers *raw)
 {
 	bool found;
 
@@ -340,7 +422,7 @@
 		const char *key;
 
 		found = has_key(h->name, strlen(h->name), call->key) ||
-			(!is_key_header(h, &key) &&
+			(!is_key_header(d, h, &key) &&
 			    text_has_key(h->value, call->key));
 	}
 	if (!found)
--- a/src/io/caller_headers.h
+++ b/src/io/caller_headers.h
@@ -6,6 +6,7 @@
 #ifndef IR_IO_CALLER_HEADERS_H
 #define IR_IO_CALLER_HEADERS_H
 
+#include "ibisrail/dialect.h"
 #include "ibisrail/node.h"
 #include "link/peer.h"
 
@@ -37,16 +38,22 @@
  * of the call, strings not copied, the array and a key under mem. The array
  * of raw is changed.
  */
-struct ir_refusal ir_caller_headers_read(
-    TALLOC_CTX *mem, struct ir_raw_headers *raw, struct ir_call *call);
+struct ir_refusal ir_caller_headers_read(TALLOC_CTX *mem,
+    const struct ir_dialect *d, struct ir_raw_headers *raw,
+    struct ir_call *call);
 
-/* Splits the request target into service and path with query, under mem. */
-struct ir_refusal ir_caller_target_read(
-    TALLOC_CTX *mem, const char *target, struct ir_call *call);
+/*
+ * Splits the request target into service and path with query, under mem; or,
+ * where routes are found by host, fills authority and path.
+ */
+struct ir_refusal ir_caller_target_read(TALLOC_CTX *mem,
+    const struct ir_dialect *d, const char *target,
+    const struct ir_raw_headers *raw, struct ir_call *call);
 
 /* Refuses a call whose key stands in its target, other headers or body. */
-struct ir_refusal ir_caller_key_check(const struct ir_call *call,
-    const char *target, const struct ir_raw_headers *raw);
+struct ir_refusal ir_caller_key_check(const struct ir_dialect *d,
+    const struct ir_call *call, const char *target,
+    const struct ir_raw_headers *raw);
 
 struct ir_refusal ir_refuse(
     enum ir_error error, const char *reason, const char *text);
--- a/src/io/caller_request.c
+++ b/src/io/caller_request.c
@@ -1,40 +1,13 @@
-/* One request of a caller, from its first line to its answer. */
-#include <sys/epoll.h>
-
-#include <stdlib.h>
+/* One request of a caller, from its head to its answer. */
 #include <string.h>
+#include <strings.h>
 
-#include "io/caller_request.h"
+#include "io/caller_conn.h"
 #include "io/report.h"
 
 #define RING_FULL_RETRY_MS 1000
 #define MAX_METHOD_BYTES 16
 
-void *
-ir_request_new(void *cls, const char *target, struct MHD_Connection *connection)
-{
-	struct listener *l = cls;
-	struct request *r = talloc_zero(NULL, struct request);
-
-	if (r == NULL)
-		return NULL;
-	r->listener = l;
-	r->connection = connection;
-	r->target = ir_text_copy(r, target);
-	r->call = ir_to_core_new(IR_TO_CORE_CALL);
-	l->callers->open_requests++;
-	return r;
-}
-
-void
-ir_request_unwatch(struct request *r)
-{
-	struct ir_callers *c = r->listener->callers;
-
-	HASH_DEL(c->waiting, r);
-	epoll_ctl(c->epoll_fd, EPOLL_CTL_DEL, r->fd, NULL);
-}
-
 void
 ir_request_report_gone(struct ir_callers *c, uint64_t id)
 {
@@ -44,25 +17,6 @@
 	ir_outbox_push(&c->out, m);
 }
 
-void
-ir_request_completed(void *cls, struct MHD_Connection *connection,
-    void **con_cls, enum MHD_RequestTerminationCode toe)
-{
-	struct request *r = *con_cls;
-
-	*con_cls = NULL;
-	if (r == NULL)
-		return;
-	r->listener->callers->open_requests--;
-	if (r->state == REQUEST_WAITING) {
-		ir_request_unwatch(r);
-		ir_request_report_gone(r->listener->callers, r->id);
-	}
-	talloc_free(r->call);
-	talloc_free(r->answer);
-	talloc_free(r);
-}
-
 static bool
 is_callers_fault(enum ir_error error)
 {
@@ -73,7 +27,7 @@
 static void
 note_refusal(const struct request *r)
 {
-	struct ir_channel *ch = r->listener->callers->channel;
+	struct ir_channel *ch = r->conn->listener->callers->channel;
 	const struct ir_error_info *i = ir_error_info(r->refusal.error);
 
 	if (i->outcome == IR_OUTCOME_UNKNOWN) {
@@ -82,206 +36,142 @@
 		    "error=%s", i->name);
 		return;
 	}
-	ir_count(
-	    &ch->counters, r->listener->egress ? IR_EGRESS_CALLS : IR_CALLS, 1);
+	ir_count(&ch->counters,
+	    r->conn->listener->egress ? IR_EGRESS_CALLS : IR_CALLS, 1);
 	ir_count(&ch->counters, IR_REFUSED, 1);
 	if (is_callers_fault(r->refusal.error))
 		ir_report(ch->log, IR_EVENT_REQUEST_BAD, r->refusal.reason,
 		    "error=%s", i->name);
 }
 
-static enum MHD_Result
-respond(struct request *r)
-{
-	if (r->refusal.error == IR_OK)
-		return ir_caller_answer(r->connection, &r->answer->u.answer);
-	note_refusal(r);
-	return ir_caller_refuse(r->connection, &r->refusal);
-}
-
-static enum MHD_Result
-add_header(void *cls, enum MHD_ValueKind kind, const char *name,
-    size_t name_size, const char *value, size_t value_size)
+static struct ir_answer_form
+form_of(struct request *r)
 {
-	struct request *r = cls;
+	const struct ir_callers *c = r->conn->listener->callers;
+	struct ir_answer_form form = {
+	    .dialect = c->dialect,
+	    .head = r->method != NULL && strcmp(r->method, "HEAD") == 0,
+	};
 
-	if (value == NULL)
-		value = "";
-	if (strlen(name) != name_size || strlen(value) != value_size) {
-		r->refusal = ir_refuse(IR_E_BAD_REQUEST, "header",
-		    "A header contains a zero byte.");
-		return MHD_NO;
-	}
-	if (ir_raw_headers_add(&r->raw, name, value))
-		return MHD_YES;
-	r->refusal =
-	    ir_refuse(IR_E_TOO_LARGE, "headers", "The headers are too large.");
-	r->refusal.http_status = MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
-	return MHD_NO;
+	if (c->closing)
+		r->last = true;
+	form.close = r->last;
+	return form;
 }
 
-static const char *
-raw_value(const struct request *r, const char *name)
+void
+ir_request_refuse(struct request *r)
 {
-	return MHD_lookup_connection_value(
-	    r->connection, MHD_HEADER_KIND, name);
+	struct ir_answer_form form = form_of(r);
+
+	note_refusal(r);
+	r->answer = ir_caller_refusal_bytes(r, &form, &r->refusal);
+	r->state = REQUEST_ANSWERED;
 }
 
-static void
-check_body_size(struct request *r)
+void
+ir_request_answer(struct request *r, const struct ir_answer *a)
 {
-	const char *length = raw_value(r, MHD_HTTP_HEADER_CONTENT_LENGTH);
+	struct ir_answer_form form;
 
-	if (length == NULL || strtoull(length, NULL, 10) <= IR_MAX_BODY)
-		return;
-	r->refusal =
-	    ir_refuse(IR_E_TOO_LARGE, "body", "The body is too large.");
+	if (a->error == IR_E_STOPPING)
+		r->last = true;
+	form = form_of(r);
+	r->answer = ir_caller_answer_bytes(r, &form, a);
+	r->state = REQUEST_ANSWERED;
 }
 
-static void
-begin(struct request *r, const char *method)
+void
+ir_request_begin(struct request *r)
 {
+	const struct ir_callers *callers = r->conn->listener->callers;
 	struct ir_call *call = &r->call->u.call;
 
-	r->begun = true;
-	call->egress = r->listener->egress;
-	call->method = ir_text_copy(r->call, method);
-	if (r->listener->callers->flush_end_us != 0)
+	call->egress = r->conn->listener->egress;
+	call->method = r->method;
+	if (callers->flush_end_us != 0)
 		r->refusal = ir_refuse(IR_E_STOPPING, "stopping", NULL);
-	if (strlen(method) > MAX_METHOD_BYTES)
+	if (strlen(r->method) > MAX_METHOD_BYTES ||
+	    strcmp(r->method, "CONNECT") == 0)
 		r->refusal = ir_refuse(
-		    IR_E_BAD_REQUEST, "method", "The method is too long.");
-	if (r->refusal.error == IR_OK)
-		MHD_get_connection_values_n(
-		    r->connection, MHD_HEADER_KIND, add_header, r);
+		    IR_E_BAD_REQUEST, "method", "The method is not served.");
 	if (r->refusal.error == IR_OK)
-		r->refusal = ir_caller_target_read(r->call, r->target, call);
+		r->refusal = ir_caller_target_read(
+		    r->call, callers->dialect, r->target, &r->raw, call);
 	if (r->refusal.error == IR_OK)
-		r->refusal = ir_caller_headers_read(r->call, &r->raw, call);
-	if (r->refusal.error == IR_OK)
-		check_body_size(r);
-}
-
-static bool
-has_body(const struct request *r)
-{
-	const char *length = raw_value(r, MHD_HTTP_HEADER_CONTENT_LENGTH);
-
-	if (raw_value(r, MHD_HTTP_HEADER_TRANSFER_ENCODING) != NULL)
-		return true;
-	return length != NULL && strtoull(length, NULL, 10) > 0;
+		r->refusal = ir_caller_headers_read(
+		    r->call, callers->dialect, &r->raw, call);
 }
 
-/* A body without a length that grows too large is read for a while. */
-static enum MHD_Result
-receive(struct request *r, const char *data, size_t size)
+void
+ir_request_receive(struct request *r, const uint8_t *data, size_t size)
 {
-	if (r->refusal.error == IR_OK && r->body_bytes + size > IR_MAX_BODY)
+	if (r->refusal.error != IR_OK && r->body_bytes == 0)
+		return;
+	if (r->body_bytes + size > IR_MAX_BODY) {
 		r->refusal =
 		    ir_refuse(IR_E_TOO_LARGE, "body", "The body is too large.");
-	if (r->refusal.error != IR_OK) {
-		r->excess_bytes += size;
-		return r->excess_bytes > IR_MAX_BODY ? MHD_NO : MHD_YES;
+		return;
+	}
+	if (!ir_bytes_grow(r->call, &r->body, r->body_bytes + size)) {
+		r->refusal = ir_refuse(IR_E_OVERLOAD, "memory", NULL);
+		return;
 	}
-	if (!ir_bytes_grow(r->call, &r->body, r->body_bytes + size))
-		return MHD_NO;
 	memcpy(r->body + r->body_bytes, data, size);
 	r->body_bytes += size;
-	return MHD_YES;
-}
-
-static void
-watch(struct request *r)
-{
-	struct ir_callers *c = r->listener->callers;
-	struct epoll_event e = {.events = EPOLLRDHUP, .data.u64 = r->id};
-
-	r->fd = MHD_get_connection_info(
-	    r->connection, MHD_CONNECTION_INFO_CONNECTION_FD)
-		    ->connect_fd;
-	epoll_ctl(c->epoll_fd, EPOLL_CTL_ADD, r->fd, &e);
-	HASH_ADD(hh, c->waiting, id, sizeof(r->id), r);
 }
 
 static void
 refuse_ring_full(struct request *r)
 {
-	struct ir_channel *ch = r->listener->callers->channel;
+	struct ir_channel *ch = r->conn->listener->callers->channel;
 
 	r->refusal = ir_refuse(IR_E_OVERLOAD, "ring-full", NULL);
 	r->refusal.retry_after_ms = RING_FULL_RETRY_MS;
 	ir_count(&ch->counters, IR_RING_FULL, 1);
 	ir_report(ch->log, IR_EVENT_RING_FULL, NULL, "ring=callers");
+	ir_request_refuse(r);
 }
 
-/* The strings still point into the connection: they are copied here. */
+/* The strings still belong to the request: they are copied here. */
 static void
 own_strings(struct request *r)
 {
 	struct ir_call *call = &r->call->u.call;
 
+	call->method = ir_text_copy(r->call, call->method);
 	call->headers =
 	    ir_headers_copy(r->call, call->headers, call->header_count);
 	call->idempotency_key = ir_text_copy(r->call, call->idempotency_key);
 	call->parent = ir_text_copy(r->call, call->parent);
+	call->attempt = ir_text_copy(r->call, call->attempt);
 }
 
-static enum MHD_Result
-submit(struct request *r)
+void
+ir_request_submit(struct request *r)
 {
-	struct ir_callers *c = r->listener->callers;
+	struct ir_callers *c = r->conn->listener->callers;
 	struct ir_call *call = &r->call->u.call;
 
 	call->body = r->body;
 	call->body_bytes = r->body_bytes;
 	if (r->refusal.error == IR_OK)
-		r->refusal = ir_caller_key_check(call, r->target, &r->raw);
-	if (r->refusal.error != IR_OK)
-		return respond(r);
+		r->refusal =
+		    ir_caller_key_check(c->dialect, call, r->target, &r->raw);
+	if (r->refusal.error != IR_OK) {
+		ir_request_refuse(r);
+		return;
+	}
 	r->id = ++c->last_id;
 	call->id = r->id;
 	own_strings(r);
 	if (!ir_outbox_flush(&c->out) ||
 	    !ir_ring_push(c->channel->to_core, r->call)) {
 		refuse_ring_full(r);
-		return respond(r);
+		return;
 	}
 	r->call = NULL;
+	r->body = NULL;
 	r->state = REQUEST_WAITING;
-	watch(r);
-	MHD_suspend_connection(r->connection);
-	return MHD_YES;
-}
-
-enum MHD_Result
-ir_request_take(void *cls, struct MHD_Connection *connection, const char *url,
-    const char *method, const char *version, const char *data, size_t *size,
-    void **con_cls)
-{
-	struct request *r = *con_cls;
-	enum MHD_Result result;
-
-	if (r == NULL)
-		return MHD_NO;
-	if (!r->begun) {
-		begin(r, method);
-		if (r->refusal.error != IR_OK && has_body(r))
-			return respond(r);
-		return MHD_YES;
-	}
-	if (*size > 0) {
-		result = receive(r, data, *size);
-		*size = 0;
-		return result;
-	}
-	switch (r->state) {
-	case REQUEST_RECEIVING:
-		return submit(r);
-	case REQUEST_ANSWERED:
-		return respond(r);
-	case REQUEST_WAITING:
-		return MHD_YES;
-	default:
-		return MHD_NO;
-	}
+	HASH_ADD(hh, c->waiting, id, sizeof(r->id), r);
 }
--- a/src/io/callers.c
+++ b/src/io/callers.c
@@ -1,29 +1,18 @@
 /* The callers' thread. */
-#include <sys/epoll.h>
+#include <sys/socket.h>
 
+#include <errno.h>
 #include <unistd.h>
+#include <utlist.h>
 
-#include "io/caller_request.h"
+#include "io/caller_conn.h"
 #include "io/clock.h"
 
-#define CONNECTION_MEMORY_BYTES (256 * 1024)
-#define IDLE_TIMEOUT_S 60
 #define FLUSH_US (500 * IR_US_PER_MS)
-#define POLL_MS 1000
-#define BACKLOG_POLL_MS 1
-#define EVENTS_MAX 128
-/* Keys of the epoll set; others are ids of calls, counted from 1. */
-#define KEY_WAKE UINT64_MAX
-#define KEY_LISTENER 0
-
-static void
-resume(struct request *r, enum request_state state)
-{
-	ir_request_unwatch(r);
-	r->state = state;
-	r->listener->run_now = true;
-	MHD_resume_connection(r->connection);
-}
+#define BACKLOG_RETRY_US 1000
+#define ACCEPT_BATCH 32
+#define ACCEPT_RETRY_US (100 * IR_US_PER_MS)
+#define SWEEP_US IR_US_PER_S
 
 static struct request *
 find(const struct ir_callers *c, uint64_t id)
@@ -35,16 +24,15 @@
 }
 
 static void
-take_answer(struct ir_callers *c, struct ir_from_core *m)
+take_answer(struct ir_callers *c, const struct ir_from_core *m)
 {
 	struct request *r = find(c, m->id);
 
-	if (r == NULL) {
-		talloc_free(m);
+	if (r == NULL)
 		return;
-	}
-	r->answer = m;
-	resume(r, REQUEST_ANSWERED);
+	HASH_DEL(c->waiting, r);
+	ir_request_answer(r, &m->u.answer);
+	ir_caller_conn_write(r->conn);
 }
 
 /* What the core left unanswered at its end may have run. */
@@ -54,9 +42,12 @@
 	struct request *r, *next;
 
 	c->flush_end_us = ir_clock_now() + FLUSH_US;
+	c->closing = true;
 	HASH_ITER (hh, c->waiting, r, next) {
+		HASH_DEL(c->waiting, r);
 		r->refusal = ir_refuse(IR_E_HOST_LOST, "drain-ended", NULL);
-		resume(r, REQUEST_ANSWERED);
+		ir_request_refuse(r);
+		ir_caller_conn_write(r->conn);
 	}
 }
 
@@ -66,10 +57,10 @@
 	struct ir_from_core *m;
 
 	while ((m = ir_ring_pop(c->channel->from_core)) != NULL) {
-		if (m->kind == IR_FROM_CORE_ANSWER) {
+		if (m->kind == IR_FROM_CORE_ANSWER)
 			take_answer(c, m);
-			continue;
-		}
+		if (m->kind == IR_FROM_CORE_LEAVING)
+			c->closing = true;
 		if (m->kind == IR_FROM_CORE_STOP)
 			begin_flush(c);
 		talloc_free(m);
@@ -77,81 +68,110 @@
 }
 
 static void
-take_gone(struct ir_callers *c, uint64_t id)
+free_dead(struct ir_callers *c)
 {
-	struct request *r = find(c, id);
+	struct caller_conn *d;
 
-	if (r == NULL)
-		return;
-	resume(r, REQUEST_GONE);
-	ir_request_report_gone(c, id);
+	while ((d = c->dead) != NULL) {
+		LL_DELETE(c->dead, d);
+		talloc_free(d);
+	}
 }
 
-static bool
-is_due(const struct listener *l)
+static void
+accept_again(struct tevent_context *loop, struct tevent_timer *timer,
+    struct timeval now, void *ctx)
 {
-	MHD_UNSIGNED_LONG_LONG ms;
+	struct listener *l = ctx;
 
-	return l->run_now ||
-	       (MHD_get_timeout(l->daemon, &ms) == MHD_YES && ms == 0);
+	TEVENT_FD_READABLE(l->event);
 }
 
+/* Out of descriptors: the listener would stay readable without end. */
 static void
-run_listener(struct listener *l)
+pause_accepting(struct listener *l)
 {
-	if (!is_due(l))
-		return;
-	l->run_now = false;
-	MHD_run(l->daemon);
+	TEVENT_FD_NOT_READABLE(l->event);
+	ir_must(tevent_add_timer(l->callers->loop, l->callers,
+	    tevent_timeval_current_ofs(0, ACCEPT_RETRY_US), accept_again, l));
 }
 
-static int
-timeout_ms(struct ir_callers *c)
+static void
+on_listen(struct tevent_context *loop, struct tevent_fd *event, uint16_t flags,
+    void *ctx)
 {
-	struct listener *both[] = {&c->callers, &c->egress};
-	int least = POLL_MS;
+	struct listener *l = ctx;
 
-	if (!ir_outbox_flush(&c->out) || c->flush_end_us != 0)
-		least = BACKLOG_POLL_MS;
-	for (int i = 0; i < 2; i++) {
-		MHD_UNSIGNED_LONG_LONG ms;
+	for (int i = 0; i < ACCEPT_BATCH; i++) {
+		int fd;
 
-		if (both[i]->run_now)
-			return 0;
-		if (MHD_get_timeout(both[i]->daemon, &ms) == MHD_YES &&
-		    ms < (MHD_UNSIGNED_LONG_LONG)least)
-			least = (int)ms;
+		if (l->callers->conn_count >= l->callers->max_connections) {
+			pause_accepting(l);
+			return;
+		}
+		fd = accept4(l->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0 && errno != EAGAIN && errno != ECONNABORTED)
+			pause_accepting(l);
+		if (fd < 0)
+			return;
+		ir_caller_conn_new(l, fd);
 	}
-	return least;
 }
 
+static void set_sweep(struct ir_callers *c);
+
 static void
-take_event(struct ir_callers *c, const struct epoll_event *e)
+sweep(struct tevent_context *loop, struct tevent_timer *timer,
+    struct timeval at, void *ctx)
 {
-	if (e->data.u64 == KEY_WAKE)
-		return;
-	if (e->data.u64 != KEY_LISTENER) {
-		take_gone(c, e->data.u64);
+	struct ir_callers *c = ctx;
+
+	c->sweep_set = false;
+	ir_caller_conn_sweep(c, ir_clock_now());
+}
+
+/* While there is a connection. */
+static void
+set_sweep(struct ir_callers *c)
+{
+	if (c->sweep_set || c->conns == NULL)
 		return;
-	}
-	c->callers.run_now = true;
-	c->egress.run_now = true;
+	c->sweep_set = true;
+	ir_must(tevent_add_timer(c->loop, c,
+	    tevent_timeval_current_ofs(SWEEP_US / IR_US_PER_S, 0), sweep, c));
+}
+
+static void
+on_wake(struct tevent_context *loop, struct tevent_fd *event, uint16_t flags,
+    void *ctx)
+{
+	/* The ring is read by the loop. */
+}
+
+static void
+on_turn(struct tevent_context *loop, struct tevent_timer *timer,
+    struct timeval now, void *ctx)
+{
+	/* Ends one turn of the loop. */
 }
 
 static void
-wait_for_events(struct ir_callers *c)
+set_turn(struct ir_callers *c)
+{
+	ir_must(tevent_add_timer(c->loop, c,
+	    tevent_timeval_current_ofs(0, BACKLOG_RETRY_US), on_turn, NULL));
+}
+
+static bool
+is_flushed(const struct ir_callers *c)
 {
-	struct epoll_event events[EVENTS_MAX];
-	int timeout = timeout_ms(c);
-	int n;
+	const struct caller_conn *conn;
 
-	ir_wake_arm(c->channel->wake);
-	if (!ir_ring_empty(c->channel->from_core))
-		timeout = 0;
-	n = epoll_wait(c->epoll_fd, events, EVENTS_MAX, timeout);
-	ir_wake_disarm(c->channel->wake);
-	for (int i = 0; i < n; i++)
-		take_event(c, &events[i]);
+	DL_FOREACH (c->conns, conn) {
+		if (conn->out != NULL || conn->requests != NULL)
+			return false;
+	}
+	return true;
 }
 
 static bool
@@ -159,7 +179,7 @@
 {
 	if (c->flush_end_us == 0)
 		return false;
-	return c->open_requests == 0 || ir_clock_now() >= c->flush_end_us;
+	return is_flushed(c) || ir_clock_now() >= c->flush_end_us;
 }
 
 void *
@@ -167,72 +187,71 @@
 {
 	struct ir_callers *c = ctx;
 
-	while (!is_ended(c)) {
+	for (;;) {
 		take_messages(c);
-		run_listener(&c->callers);
-		run_listener(&c->egress);
-		wait_for_events(c);
+		free_dead(c);
+		if (is_ended(c))
+			break;
+		if (!ir_outbox_flush(&c->out) || c->flush_end_us != 0)
+			set_turn(c);
+		set_sweep(c);
+		ir_wake_arm(c->channel->wake);
+		if (!ir_ring_empty(c->channel->from_core))
+			ir_wake_signal(c->channel->wake);
+		tevent_loop_once(c->loop);
+		ir_wake_disarm(c->channel->wake);
 	}
-	/* A stopped server wants no suspended connections. */
-	begin_flush(c);
-	MHD_stop_daemon(c->callers.daemon);
-	MHD_stop_daemon(c->egress.daemon);
-	c->callers.daemon = NULL;
-	c->egress.daemon = NULL;
-	ir_outbox_clear(&c->out);
 	return NULL;
 }
 
 static bool
 start(struct ir_callers *c, struct listener *l, int fd)
 {
-	struct epoll_event e = {.events = EPOLLIN, .data.u64 = KEY_LISTENER};
-	const union MHD_DaemonInfo *info;
-
 	l->callers = c;
-	l->run_now = true;
-	l->daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME |
-					 MHD_USE_SUPPRESS_DATE_NO_CLOCK,
-	    0, NULL, NULL, ir_request_take, l, MHD_OPTION_LISTEN_SOCKET, fd,
-	    MHD_OPTION_URI_LOG_CALLBACK, ir_request_new, l,
-	    MHD_OPTION_NOTIFY_COMPLETED, ir_request_completed, l,
-	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)IR_MAX_CALLER_CONNECTIONS,
-	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
-	    MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
-	if (l->daemon == NULL)
-		return false;
-	info = MHD_get_daemon_info(l->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-	return epoll_ctl(c->epoll_fd, EPOLL_CTL_ADD, info->epoll_fd, &e) == 0;
+	l->fd = fd;
+	if (fd < 0)
+		return true;
+	l->event = tevent_add_fd(c->loop, c, fd, TEVENT_FD_READ, on_listen, l);
+	return l->event != NULL;
 }
 
 static int
 free_callers(struct ir_callers *c)
 {
-	if (c->callers.daemon != NULL)
-		MHD_stop_daemon(c->callers.daemon);
-	if (c->egress.daemon != NULL)
-		MHD_stop_daemon(c->egress.daemon);
-	close(c->epoll_fd);
+	while (c->conns != NULL)
+		ir_caller_conn_end(c->conns);
+	free_dead(c);
+	TALLOC_FREE(c->callers.event);
+	TALLOC_FREE(c->egress.event);
+	close(c->callers.fd);
+	if (c->egress.fd >= 0)
+		close(c->egress.fd);
+	ir_outbox_clear(&c->out);
 	return 0;
 }
 
 struct ir_callers *
-ir_callers_new(
-    TALLOC_CTX *mem, struct ir_channel *channel, int callers_fd, int egress_fd)
+ir_callers_new(TALLOC_CTX *mem, struct ir_channel *channel,
+    const struct ir_dialect *dialect, uint32_t max_connections, int callers_fd,
+    int egress_fd)
 {
 	struct ir_callers *c = talloc_zero(mem, struct ir_callers);
-	struct epoll_event e = {.events = EPOLLIN, .data.u64 = KEY_WAKE};
 
 	if (c == NULL)
 		return NULL;
 	c->channel = channel;
+	c->dialect = dialect;
+	c->max_connections = max_connections;
+	c->callers.fd = callers_fd;
+	c->egress.fd = egress_fd;
 	ir_outbox_init(&c->out, channel->to_core);
 	c->egress.egress = true;
-	c->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	talloc_set_destructor(c, free_callers);
-	if (epoll_ctl(
-		c->epoll_fd, EPOLL_CTL_ADD, ir_wake_fd(channel->wake), &e) != 0)
+	c->loop = tevent_context_init(c);
+	if (c->loop == NULL)
+		goto fail;
+	if (tevent_add_fd(c->loop, c, ir_wake_fd(channel->wake), TEVENT_FD_READ,
+		on_wake, c) == NULL)
 		goto fail;
 	if (!start(c, &c->callers, callers_fd))
 		goto fail;
--- a/src/io/descriptors.c
+++ b/src/io/descriptors.c
@@ -6,17 +6,32 @@
 #include "io/descriptors.h"
 #include "io/peers.h"
 
-/* Callers' and egress listener. */
-#define CALLER_LISTENERS 2
-/* Reads of the platform, listeners, loops, wake-ups, standard streams. */
-#define OWN_DESCRIPTORS 128
+/* Not for connections: files (200 where sockets share the limit with them),
+ * listeners, loops, wake-ups, standard streams, reads of the platform. */
+#define OWN_DESCRIPTORS 264
+#define MIN_CONNECTIONS 16
+#define QUARTER 4
 
-uint64_t
-ir_descriptors_wanted(uint32_t upstream_connections)
+static uint32_t
+at_most(uint64_t n, uint32_t most)
 {
-	return (uint64_t)CALLER_LISTENERS * IR_MAX_CALLER_CONNECTIONS +
-	       IR_MAX_PEER_CONNECTIONS + IR_MAX_ADMIN_CONNECTIONS +
-	       upstream_connections + OWN_DESCRIPTORS;
+	if (n < MIN_CONNECTIONS)
+		return MIN_CONNECTIONS;
+	return n < most ? (uint32_t)n : most;
+}
+
+struct ir_descriptors
+ir_descriptors_divide(uint64_t limit, uint32_t upstream_connections)
+{
+	uint64_t own = OWN_DESCRIPTORS + IR_MAX_ADMIN_CONNECTIONS;
+	uint64_t left = limit > own ? limit - own : 0;
+	struct ir_descriptors d;
+
+	d.upstream = at_most(left / QUARTER, upstream_connections);
+	d.peers = at_most(left / QUARTER, IR_MAX_PEER_CONNECTIONS);
+	d.callers =
+	    at_most(left - d.upstream - d.peers, IR_MAX_CALLER_CONNECTIONS);
+	return d;
 }
 
 uint64_t
--- /dev/null
+++ b/src/io/http_head.c
@@ -0,0 +1,178 @@
+/* Strict checks of the head of an HTTP/1.1 message. */
+#include <http_parser.h>
+#include <string.h>
+#include <strings.h>
+
+#include "io/http_head.h"
+
+#define HEAD_END "\r\n\r\n"
+#define HEAD_END_BYTES 4
+#define LINE_END_BYTES 2
+#define MAX_LENGTH_DIGITS 18
+#define CHUNKED "chunked"
+
+/* What the fields of one head said so far. */
+struct fields {
+	const uint8_t *length;
+	size_t length_bytes;
+	bool coded;
+	bool host;
+};
+
+size_t
+ir_http_head_size(const uint8_t *data, size_t size_bytes)
+{
+	const uint8_t *end = memmem(data, size_bytes, HEAD_END, HEAD_END_BYTES);
+
+	return end == NULL ? 0 : (size_t)(end - data) + HEAD_END_BYTES;
+}
+
+static bool
+is_token_byte(uint8_t c)
+{
+	if ((c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+	    (c >= '0' && c <= '9'))
+		return true;
+	return c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL;
+}
+
+static bool
+is_token(const uint8_t *p, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (!is_token_byte(p[i]))
+			return false;
+	}
+	return n > 0;
+}
+
+static bool
+has_control(const uint8_t *p, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		if ((p[i] < ' ' && p[i] != '\t') || p[i] == 0x7f)
+			return true;
+	}
+	return false;
+}
+
+static void
+trim(const uint8_t **p, size_t *n)
+{
+	while (*n > 0 && (**p == ' ' || **p == '\t')) {
+		(*p)++;
+		(*n)--;
+	}
+	while (*n > 0 && ((*p)[*n - 1] == ' ' || (*p)[*n - 1] == '\t'))
+		(*n)--;
+}
+
+static bool
+is_name(const uint8_t *p, size_t n, const char *name)
+{
+	return n == strlen(name) && strncasecmp((const char *)p, name, n) == 0;
+}
+
+static const char *
+note_length(struct fields *f, const uint8_t *value, size_t n)
+{
+	if (n == 0 || n > MAX_LENGTH_DIGITS)
+		return "content-length";
+	for (size_t i = 0; i < n; i++) {
+		if (value[i] < '0' || value[i] > '9')
+			return "content-length";
+	}
+	if (f->length != NULL &&
+	    (f->length_bytes != n || memcmp(f->length, value, n) != 0))
+		return "content-lengths-differ";
+	f->length = value;
+	f->length_bytes = n;
+	return NULL;
+}
+
+static const char *
+note_field(struct fields *f, const uint8_t *line, size_t n)
+{
+	const uint8_t *colon = memchr(line, ':', n);
+	const uint8_t *value;
+	size_t name_bytes, value_bytes;
+
+	if (line[0] == ' ' || line[0] == '\t')
+		return "folded-line";
+	if (colon == NULL)
+		return "no-colon";
+	name_bytes = (size_t)(colon - line);
+	if (!is_token(line, name_bytes))
+		return "field-name";
+	value = colon + 1;
+	value_bytes = n - name_bytes - 1;
+	trim(&value, &value_bytes);
+	if (is_name(line, name_bytes, "content-length"))
+		return note_length(f, value, value_bytes);
+	if (is_name(line, name_bytes, "transfer-encoding")) {
+		if (f->coded || !is_name(value, value_bytes, CHUNKED))
+			return "transfer-encoding";
+		f->coded = true;
+	}
+	if (is_name(line, name_bytes, "host")) {
+		if (f->host)
+			return "host-twice";
+		f->host = true;
+	}
+	return NULL;
+}
+
+static bool
+is_http_1_1(const uint8_t *line, size_t n)
+{
+	static const char version[] = " HTTP/1.1";
+	size_t size = sizeof(version) - 1;
+
+	return n > size && memcmp(line + n - size, version, size) == 0;
+}
+
+const char *
+ir_http_head_fault(const uint8_t *head, size_t size_bytes)
+{
+	const uint8_t *line = head;
+	const uint8_t *end = head + size_bytes - LINE_END_BYTES;
+	struct fields f = {0};
+	bool current = false;
+
+	while (line < end) {
+		const uint8_t *stop =
+		    memmem(line, (size_t)(end - line) + LINE_END_BYTES, "\r\n",
+			LINE_END_BYTES);
+		size_t n = (size_t)(stop - line);
+		const char *fault = NULL;
+
+		if (has_control(line, n))
+			return "control-character";
+		if (line == head)
+			current = is_http_1_1(line, n);
+		else
+			fault = note_field(&f, line, n);
+		if (fault != NULL)
+			return fault;
+		line = stop + LINE_END_BYTES;
+	}
+	if (f.coded && f.length != NULL)
+		return "length-and-coding";
+	if (f.coded && !current)
+		return "coding-before-1.1";
+	return NULL;
+}
+
+const char *
+ir_http_phrase(unsigned status)
+{
+	switch (status) {
+#define XX(number, name, text) \
+	case number:           \
+		return #text;
+		HTTP_STATUS_MAP(XX)
+#undef XX
+	default:
+		return "Status";
+	}
+}
--- a/src/io/message.h
+++ b/src/io/message.h
@@ -56,7 +56,8 @@
 	IR_FROM_CORE_SEND,
 	IR_FROM_CORE_STORE,
 	IR_FROM_CORE_REPORT,
-	IR_FROM_CORE_STOP /* the node is idle: flush and end the thread */
+	IR_FROM_CORE_LEAVING, /* callers' answers end their connections */
+	IR_FROM_CORE_STOP     /* the node is idle: flush and end the thread */
 };
 
 struct ir_from_core {
--- /dev/null
+++ b/src/io/own_dialect.c
@@ -0,0 +1,80 @@
+/* The product's own dialect. */
+#include <inttypes.h>
+
+#include "conf/settings.h"
+#include "ibisrail/dialect.h"
+#include "ibisrail/node.h"
+#include "io/store_text.h"
+#include "link/peer.h"
+
+#define HTTP_OK 200
+/* Under IR_VIEW_POLL_US, so that each read confirms in time. */
+#define WAIT_MS 350
+
+static char *
+target(const struct ir_settings *s, TALLOC_CTX *mem,
+    const struct ir_store_ask *ask)
+{
+	return talloc_asprintf(mem, "/v1/%s?after=%" PRIu64 "&wait_ms=%" PRIu32,
+	    ask->hosts ? "hosts" : "config", ask->revision, ask->wait_ms);
+}
+
+static enum ir_store_result
+read_page(const struct ir_settings *s, TALLOC_CTX *mem,
+    const struct ir_store_ask *ask, uint16_t status, const char *text,
+    size_t size_bytes, struct ir_store_page *page, const char **error)
+{
+	struct ir_store_read r = {0};
+
+	*error = "another status than 200";
+	if (status != HTTP_OK || text == NULL)
+		return IR_STORE_BAD;
+	if (ir_store_text_read(mem, text, size_bytes, &r, error) != 0)
+		return IR_STORE_BAD;
+	page->whole = r.whole;
+	page->revision = r.revision;
+	page->items =
+	    talloc_zero_array(mem, struct ir_store_item, r.section_count + 1);
+	*error = "out of memory";
+	if (page->items == NULL)
+		return IR_STORE_BAD;
+	for (size_t i = 0; i < r.section_count; i++) {
+		struct ir_store_item *to = &page->items[i];
+
+		to->key = r.sections[i].name;
+		to->section = r.sections[i].name;
+		to->text = r.sections[i].text;
+		to->revision = r.sections[i].revision;
+	}
+	page->item_count = r.section_count;
+	return IR_STORE_OK;
+}
+
+const struct ir_dialect ir_own_dialect = {
+    .headers =
+	{
+	    .deadline = "Ibisrail-Deadline-Ms",
+	    .account = "Ibisrail-Account",
+	    .run = "Ibisrail-Attempt",
+	    .request = "Ibisrail-Request",
+	    .importance = "Ibisrail-Importance",
+	    .not_run = "Ibisrail-Outcome",
+	},
+    .store =
+	{
+	    .target = target,
+	    .read = read_page,
+	    .config_wait_ms = WAIT_MS,
+	    .hosts_wait_ms = WAIT_MS,
+	    .hosts_period_ms = 0,
+	},
+    .ready_path = "/ready",
+};
+
+uint16_t
+ir_dialect_status(const struct ir_dialect *d, enum ir_error kind)
+{
+	if (d->error_status != NULL && d->error_status[kind] != 0)
+		return d->error_status[kind];
+	return ir_error_info(kind)->http_status;
+}
--- a/src/io/peers.c
+++ b/src/io/peers.c
@@ -26,6 +26,7 @@
 	struct tevent_context *loop;
 	struct tevent_fd *listen_event;
 	int listen_fd;
+	uint32_t max_connections;
 	struct ir_peer_conn *conns; /* by number */
 	uint32_t last_accepted;
 	int64_t sweep_us; /* when the next sweep is due */
@@ -160,7 +161,7 @@
 static void
 accept_one(struct ir_peers *p, int fd)
 {
-	if (HASH_COUNT(p->conns) >= IR_MAX_PEER_CONNECTIONS) {
+	if (HASH_COUNT(p->conns) >= p->max_connections) {
 		close(fd);
 		return;
 	}
@@ -220,7 +221,7 @@
 	int fd;
 
 	size = ir_socket_address(m->u.connect.address, m->u.connect.port, &s);
-	if (size == 0 || HASH_COUNT(p->conns) >= IR_MAX_PEER_CONNECTIONS)
+	if (size == 0 || HASH_COUNT(p->conns) >= p->max_connections)
 		goto fail;
 	fd = socket(s.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
@@ -382,7 +383,8 @@
 }
 
 struct ir_peers *
-ir_peers_new(TALLOC_CTX *mem, struct ir_channel *channel, int listen_fd)
+ir_peers_new(TALLOC_CTX *mem, struct ir_channel *channel,
+    uint32_t max_connections, int listen_fd)
 {
 	struct ir_peers *p = talloc_zero(mem, struct ir_peers);
 
@@ -390,6 +392,7 @@
 		return NULL;
 	p->channel = channel;
 	p->listen_fd = listen_fd;
+	p->max_connections = max_connections;
 	p->last_accepted = UINT32_MAX;
 	ir_outbox_init(&p->out, channel->to_core);
 	talloc_set_destructor(p, free_peers);
--- a/src/io/peers.h
+++ b/src/io/peers.h
@@ -15,8 +15,8 @@
 struct ir_peers;
 
 /* Takes the listening socket over. NULL when the loop cannot be made. */
-struct ir_peers *ir_peers_new(
-    TALLOC_CTX *mem, struct ir_channel *channel, int listen_fd);
+struct ir_peers *ir_peers_new(TALLOC_CTX *mem, struct ir_channel *channel,
+    uint32_t max_connections, int listen_fd);
 
 /* The thread's start routine: ctx is the struct ir_peers. */
 void *ir_peers_run(void *ctx);
--- a/src/io/platform.c
+++ b/src/io/platform.c
@@ -7,24 +7,31 @@
 #include "io/clock.h"
 #include "io/curl_finished.h"
 #include "io/platform.h"
+#include "io/report.h"
+#include "io/store_book.h"
 #include "io/store_text.h"
 
-#define WAIT_MS 350
-#define TIMEOUT_MS 700L
+/* For an answer, beyond the wait for a change: under IR_VIEW_POLL_US. */
+#define ANSWER_MS 350
 #define BACK_OFF_MIN_US (200 * IR_US_PER_MS)
 #define BACK_OFF_MAX_US (1000 * IR_US_PER_MS)
 /* Between reads that bring something, and after one that brought nothing. */
 #define READ_GAP_US (10 * IR_US_PER_MS)
-#define READ_PERIOD_US (WAIT_MS * IR_US_PER_MS)
 #define POLL_MS 1000
 #define BACKLOG_POLL_MS 1
-#define HTTP_OK 200
 
 struct watch {
 	struct ir_platform *owner;
 	bool hosts;
-	uint64_t revision; /* the highest held or read */
-	CURL *easy;	   /* NULL: no read is out */
+	uint64_t revision;	    /* the highest held or read */
+	char *next;		    /* of a whole read: the page to come */
+	uint64_t whole_revision;    /* of its first page */
+	struct ir_store_book *book; /* or NULL */
+	uint64_t told_revision;	    /* highest of a section passed on */
+	char *last_error;	    /* reported */
+	bool failed;		    /* the last read */
+	int64_t flush_us;	    /* removals held back end then; 0 */
+	CURL *easy;		    /* NULL: no read is out */
 	int64_t asked_us;
 	int64_t next_us;
 	int64_t back_off_us;
@@ -37,7 +44,9 @@
 	struct ir_channel *channel;
 	struct ir_outbox out;
 	CURLM *multi;
-	char *base; /* "http://ADDRESS:PORT/v1/" */
+	char *base; /* "http://ADDRESS:PORT" */
+	const struct ir_settings *settings;
+	const struct ir_store_dialect *dialect;
 	struct watch config;
 	struct watch hosts;
 	bool wanted;
@@ -80,24 +89,46 @@
 	TALLOC_FREE(w->answer);
 }
 
+static uint32_t
+wait_ms(const struct watch *w)
+{
+	const struct ir_store_dialect *d = w->owner->dialect;
+
+	return w->hosts ? d->hosts_wait_ms : d->config_wait_ms;
+}
+
+static struct ir_store_ask
+ask_of(const struct watch *w)
+{
+	struct ir_store_ask ask = {
+	    .hosts = w->hosts,
+	    .revision = w->revision,
+	    .after = w->next,
+	    .wait_ms = wait_ms(w),
+	};
+
+	return ask;
+}
+
 static void
 set_options(struct watch *w)
 {
+	struct ir_platform *p = w->owner;
+	struct ir_store_ask ask = ask_of(w);
 	CURL *e = w->easy;
-	char url[256];
+	char *path = p->dialect->target(p->settings, w->answer, &ask);
+	char *url = ir_must(talloc_asprintf(w->answer, "%s%s", p->base, path));
 
-	snprintf(url, sizeof(url), "%s%s?after=%" PRIu64 "&wait_ms=%d",
-	    w->owner->base, w->hosts ? "hosts" : "config", w->revision,
-	    WAIT_MS);
 	curl_easy_setopt(e, CURLOPT_URL, url);
 	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(e, CURLOPT_PROXY, "");
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)wait_ms(w) + ANSWER_MS);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, w);
 	curl_easy_setopt(e, CURLOPT_PRIVATE, w);
+	talloc_free(path);
 }
 
 static void
@@ -108,6 +139,7 @@
 	m->asked_us = w->asked_us;
 	ir_outbox_push(&w->owner->out, m);
 	end_read(w);
+	w->failed = true;
 	w->next_us = now + w->back_off_us;
 	w->back_off_us *= 2;
 	if (w->back_off_us > BACK_OFF_MAX_US)
@@ -130,41 +162,178 @@
 		fail_read(w, now);
 }
 
+/* The sections of a page that needs no book. */
+static void
+take_items(struct watch *w, const struct ir_store_page *page)
+{
+	struct ir_store_read *r = &w->answer->u.store;
+	struct ir_section *list = ir_must(talloc_zero_array(
+	    w->answer, struct ir_section, page->item_count + 1));
+
+	for (size_t i = 0; i < page->item_count; i++) {
+		list[i].name = page->items[i].section;
+		list[i].text = page->items[i].text;
+		list[i].revision = page->items[i].revision;
+	}
+	r->sections = list;
+	r->section_count = page->item_count;
+	r->whole = page->whole;
+	r->revision = page->revision;
+	if (!w->owner->dialect->hosts_by_item)
+		return;
+	/* The store's revision rises all the time, the configuration's not. */
+	for (size_t i = 0; i < page->item_count; i++) {
+		if (page->items[i].revision > w->told_revision)
+			w->told_revision = page->items[i].revision;
+	}
+	r->revision = w->told_revision;
+}
+
+static void
+report_unreadable(struct watch *w, const struct ir_store_item *item)
+{
+	ir_report(w->owner->channel->log, IR_EVENT_SECTION_REFUSED,
+	    "unreadable", "key=%s revision=%" PRIu64, item->key,
+	    item->revision);
+}
+
+/* Once for each kind of fault in a row. */
 static void
-pass_on(struct watch *w, int64_t now)
+report_bad(struct watch *w, const char *error)
+{
+	if (w->last_error != NULL && strcmp(w->last_error, error) == 0)
+		return;
+	talloc_free(w->last_error);
+	w->last_error = ir_text_copy(w->owner, error);
+	ir_report(w->owner->channel->log, IR_EVENT_SECTION_REFUSED, error,
+	    "part=%s revision=%" PRIu64, w->hosts ? "hosts" : "config",
+	    w->revision);
+}
+
+/* False while pages of a whole read are to come. */
+static bool
+take_page(struct watch *w, int64_t now, const struct ir_store_page *page)
+{
+	struct ir_store_read *r = &w->answer->u.store;
+	bool first = page->whole && w->next == NULL;
+
+	if (w->book == NULL) {
+		take_items(w, page);
+		return true;
+	}
+	if (first) {
+		ir_store_book_begin_whole(w->book);
+		w->whole_revision = page->revision;
+	}
+	for (size_t i = 0; i < page->item_count; i++) {
+		if (page->items[i].section == NULL)
+			report_unreadable(w, &page->items[i]);
+		ir_store_book_put(w->book, now, &page->items[i]);
+	}
+	TALLOC_FREE(w->next);
+	if (page->whole && page->next != NULL) {
+		w->next = ir_text_copy(w->owner, page->next);
+		return false;
+	}
+	if (page->whole)
+		ir_store_book_end_whole(w->book, now);
+	r->revision = page->whole ? w->whole_revision : page->revision;
+	return true;
+}
+
+/* What was read since the last failure ended goes to the core. */
+static void
+pass_on(struct watch *w, int64_t now, uint64_t reached)
 {
 	struct ir_store_read *r = &w->answer->u.store;
-	size_t brought = r->section_count;
 
 	r->asked_us = w->asked_us;
 	r->hosts = w->hosts;
-	if (r->revision > w->revision)
-		w->revision = r->revision;
+	if (reached > w->revision)
+		w->revision = reached;
 	TALLOC_FREE(w->text);
 	ir_outbox_push(&w->owner->out, w->answer);
 	w->answer = NULL;
-	end_read(w);
+}
+
+static void
+note_return(struct watch *w, int64_t now)
+{
+	if (w->failed && w->book != NULL) {
+		ir_store_book_returned(w->book, now);
+		w->flush_us = now + IR_RETURN_GRACE_US;
+	}
+	w->failed = false;
+	TALLOC_FREE(w->last_error);
 	w->back_off_us = BACK_OFF_MIN_US;
+}
+
+/* A store that does not wait must not be asked all the time. */
+static void
+set_next(struct watch *w, int64_t now, bool brought)
+{
+	int64_t period_us = wait_ms(w) * IR_US_PER_MS;
+
+	if (w->hosts && w->owner->dialect->hosts_period_ms != 0)
+		period_us = w->owner->dialect->hosts_period_ms * IR_US_PER_MS;
+	else if (brought)
+		period_us = 0;
 	w->next_us = now + READ_GAP_US;
-	/* A store that does not wait must not be asked all the time. */
-	if (brought == 0 && w->asked_us + READ_PERIOD_US > w->next_us)
-		w->next_us = w->asked_us + READ_PERIOD_US;
+	if (w->asked_us + period_us > w->next_us)
+		w->next_us = w->asked_us + period_us;
+}
+
+static void
+take_read(struct watch *w, int64_t now, const struct ir_store_page *page)
+{
+	bool all = page->whole;
+	struct ir_store_read *r = &w->answer->u.store;
+
+	note_return(w, now);
+	if (!take_page(w, now, page)) {
+		end_read(w);
+		w->next_us = now;
+		return;
+	}
+	if (w->book != NULL) {
+		uint64_t reached = r->revision;
+
+		ir_store_book_take(w->book, now, w->answer, all, r);
+		pass_on(w, now, reached);
+	} else {
+		pass_on(w, now, page->revision);
+	}
+	end_read(w);
+	set_next(w, now, page->item_count != 0);
 }
 
 static void
 finish_read(struct watch *w, CURLcode code)
 {
+	struct ir_platform *p = w->owner;
+	struct ir_store_ask ask = ask_of(w);
+	struct ir_store_page page = {0};
 	int64_t now = ir_clock_now();
-	const char *error;
+	const char *error = "no answer";
+	enum ir_store_result result = IR_STORE_BAD;
 	long status = 0;
 
 	curl_easy_getinfo(w->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (code != CURLE_OK || status != HTTP_OK || w->text == NULL ||
-	    ir_store_text_read(w->answer, w->text, w->text_bytes,
-		&w->answer->u.store, &error) != 0)
-		fail_read(w, now);
-	else
-		pass_on(w, now);
+	if (code == CURLE_OK)
+		result = p->dialect->read(p->settings, w->answer, &ask,
+		    (uint16_t)status, w->text, w->text_bytes, &page, &error);
+	if (result == IR_STORE_OK) {
+		take_read(w, now, &page);
+		return;
+	}
+	if (result == IR_STORE_EXPIRED) {
+		w->revision = 0;
+		end_read(w);
+		w->next_us = now;
+		return;
+	}
+	report_bad(w, code == CURLE_OK ? error : curl_easy_strerror(code));
+	fail_read(w, now);
 }
 
 static void
@@ -193,7 +362,10 @@
 		if (m->kind == IR_FROM_CORE_STORE) {
 			p->wanted = m->u.store.wanted;
 			raise_revision(&p->config, m->u.store.config_revision);
-			raise_revision(&p->hosts, m->u.store.list_revision);
+			/* A book has to see each change itself. */
+			if (p->hosts.book == NULL)
+				raise_revision(
+				    &p->hosts, m->u.store.list_revision);
 		}
 		if (m->kind == IR_FROM_CORE_STOP)
 			p->stopping = true;
@@ -201,6 +373,23 @@
 	}
 }
 
+/* Ends the hold of removals also when no read comes in. */
+static void
+flush_held(struct watch *w, int64_t now)
+{
+	struct ir_to_core *m;
+
+	if (w->flush_us == 0 || now < w->flush_us || w->failed)
+		return;
+	w->flush_us = 0;
+	m = ir_to_core_new(IR_TO_CORE_STORE_READ);
+	m->u.store.asked_us = w->asked_us;
+	m->u.store.hosts = w->hosts;
+	m->u.store.revision = w->revision;
+	ir_store_book_take(w->book, now, m, false, &m->u.store);
+	ir_outbox_push(&w->owner->out, m);
+}
+
 static void
 drive(struct watch *w, int64_t now)
 {
@@ -208,6 +397,7 @@
 		end_read(w);
 		return;
 	}
+	flush_held(w, now);
 	if (w->easy == NULL && now >= w->next_us)
 		begin_read(w, now);
 }
@@ -280,8 +470,9 @@
 
 struct ir_platform *
 ir_platform_new(TALLOC_CTX *mem, struct ir_channel *channel,
-    const struct ir_endpoint *platform)
+    const struct ir_settings *settings, const struct ir_store_dialect *dialect)
 {
+	const struct ir_endpoint *platform = &settings->platform;
 	struct ir_platform *p = talloc_zero(mem, struct ir_platform);
 	bool v6 = strchr(platform->address, ':') != NULL;
 
@@ -289,16 +480,24 @@
 		return NULL;
 	talloc_set_destructor(p, free_platform);
 	p->channel = channel;
+	p->settings = settings;
+	p->dialect = dialect;
 	ir_outbox_init(&p->out, channel->to_core);
 	init_watch(p, &p->config, false);
 	init_watch(p, &p->hosts, true);
-	p->multi = curl_multi_init();
-	p->base =
-	    talloc_asprintf(p, v6 ? "http://[%s]:%u/v1/" : "http://%s:%u/v1/",
-		platform->address, platform->port);
-	if (p->multi == NULL || p->base == NULL) {
-		talloc_free(p);
-		return NULL;
+	if (dialect->hosts_by_item) {
+		p->hosts.book = ir_store_book_new(p);
+		if (p->hosts.book == NULL)
+			goto fail;
 	}
+	p->multi = curl_multi_init();
+	p->base = talloc_asprintf(p, v6 ? "http://[%s]:%u" : "http://%s:%u",
+	    platform->address, platform->port);
+	if (p->multi == NULL || p->base == NULL)
+		goto fail;
 	return p;
+
+fail:
+	talloc_free(p);
+	return NULL;
 }
--- a/src/io/platform.h
+++ b/src/io/platform.h
@@ -10,13 +10,14 @@
 #define IR_IO_PLATFORM_H
 
 #include "conf/settings.h"
+#include "ibisrail/dialect.h"
 #include "io/message.h"
 
 struct ir_platform;
 
 /* NULL when libcurl cannot be set up. */
 struct ir_platform *ir_platform_new(TALLOC_CTX *mem, struct ir_channel *channel,
-    const struct ir_endpoint *platform);
+    const struct ir_settings *settings, const struct ir_store_dialect *dialect);
 
 /* The thread's start routine: ctx is the struct ir_platform. */
 void *ir_platform_run(void *ctx);
--- /dev/null
+++ b/src/io/store_book.h
@@ -0,0 +1,38 @@
+/*
+ * What the last reads of the host list brought, by key, where items are
+ * rewritten without telling anything new (heartbeats) and several items may
+ * tell of one host (an ended upstream's, and its successor's).
+ *
+ * Of several, the one that was created last counts. Only what changes a
+ * section goes on. After a failure of the store, removals wait: upstreams
+ * whose item lapsed meanwhile write it again within the grace time.
+ */
+#ifndef IR_IO_STORE_BOOK_H
+#define IR_IO_STORE_BOOK_H
+
+#include "ibisrail/dialect.h"
+#include "ibisrail/node.h"
+
+/* Upstreams are back in the list so long after the store's return. */
+#define IR_RETURN_GRACE_US (2 * IR_US_PER_S)
+
+struct ir_store_book;
+
+struct ir_store_book *ir_store_book_new(TALLOC_CTX *mem);
+
+/* A read of the whole list begins; what it does not name is gone. */
+void ir_store_book_begin_whole(struct ir_store_book *b);
+void ir_store_book_put(
+    struct ir_store_book *b, int64_t now, const struct ir_store_item *item);
+void ir_store_book_end_whole(struct ir_store_book *b, int64_t now);
+/* The store answers again after a failure. */
+void ir_store_book_returned(struct ir_store_book *b, int64_t now);
+
+/*
+ * Moves the sections that changed since the last call, or with all every
+ * section, to r, under mem; r->revision is at least theirs.
+ */
+void ir_store_book_take(struct ir_store_book *b, int64_t now, TALLOC_CTX *mem,
+    bool all, struct ir_store_read *r);
+
+#endif
--- a/src/io/upstream_answer.c
+++ b/src/io/upstream_answer.c
@@ -5,93 +5,74 @@
 #include "io/hop_headers.h"
 #include "io/upstream_answer.h"
 
-#define HTTP_NO_CONTENT 204
-#define HTTP_NOT_MODIFIED 304
+#define HTTP_SUCCESS 2
+#define HTTP_CLASS 100
+#define HTTP_TIMEOUT 408
+#define HTTP_MISDIRECTED 421
+#define HTTP_TOO_MANY 429
 #define HTTP_UNAVAILABLE 503
+#define NOT_RUN "not-run"
 
-static bool
-is_blank(char c)
-{
-	return c == ' ' || c == '\t' || c == '\r' || c == '\n';
-}
-
-static char *
-trimmed(TALLOC_CTX *mem, const char *p, size_t size)
-{
-	while (size > 0 && is_blank(*p)) {
-		p++;
-		size--;
-	}
-	while (size > 0 && is_blank(p[size - 1]))
-		size--;
-	return talloc_strndup(mem, p, size);
-}
-
-/* A status line starts an answer; earlier ones were provisional. */
-static void
-begin(struct ir_upstream_answer *a)
+void
+ir_upstream_answer_reset(struct ir_upstream_answer *a)
 {
 	for (size_t i = 0; i < a->header_count; i++) {
 		talloc_free(a->headers[i].name);
 		talloc_free(a->headers[i].value);
 	}
 	a->header_count = 0;
-	a->delimited = false;
+	TALLOC_FREE(a->body);
+	a->body_bytes = 0;
+	a->in_body = false;
 	a->not_run = false;
+	a->digest = false;
+	a->encoded = false;
+	a->named = false;
+	a->other = false;
+	a->over = false;
 }
 
-static void
-note_header(struct ir_upstream_answer *a, const struct ir_header *h)
+static bool
+is_named(const char *name, const char *wanted)
 {
-	if (strcasecmp(h->name, "content-length") == 0)
-		a->delimited = true;
-	if (strcasecmp(h->name, "transfer-encoding") == 0 &&
-	    ir_header_list_has(h->value, "chunked"))
-		a->delimited = true;
-	if (strcasecmp(h->name, "ibisrail-outcome") == 0 &&
-	    strcasecmp(h->value, "not-run") == 0)
-		a->not_run = true;
+	return wanted != NULL && strcasecmp(name, wanted) == 0;
 }
 
 static void
-add_header(struct ir_upstream_answer *a, const char *line, size_t name_size,
-    size_t size)
+note_header(struct ir_upstream_answer *a, const char *name, const char *value)
 {
-	struct ir_header *h;
+	const struct ir_header_names *n = &a->dialect->headers;
 
-	if (a->header_count == IR_MAX_HEADERS) {
-		a->over = true;
-		return;
+	if (is_named(name, n->not_run))
+		a->not_run = a->dialect != &ir_own_dialect ||
+			     strcasecmp(value, NOT_RUN) == 0;
+	if (is_named(name, n->digest))
+		a->digest = true;
+	if (is_named(name, "content-encoding"))
+		a->encoded = true;
+	if (is_named(name, n->attempt)) {
+		a->named = true;
+		a->other = strcmp(value, a->attempt) != 0;
 	}
-	h = &a->headers[a->header_count];
-	h->name = trimmed(a->message, line, name_size);
-	h->value =
-	    trimmed(a->message, line + name_size + 1, size - name_size - 1);
-	if (h->name == NULL || h->value == NULL ||
-	    strlen(h->name) > IR_MAX_NAME ||
-	    strlen(h->value) > IR_MAX_HEADER_VALUE) {
-		a->over = true;
-		return;
-	}
-	a->header_count++;
-	note_header(a, h);
 }
 
 void
-ir_upstream_answer_line(
-    struct ir_upstream_answer *a, const char *line, size_t size)
+ir_upstream_answer_header(
+    struct ir_upstream_answer *a, const char *name, const char *value)
 {
-	const char *colon;
+	struct ir_header *h;
 
 	if (a->in_body)
 		return;
-	if (size >= 5 && memcmp(line, "HTTP/", 5) == 0) {
-		begin(a);
+	if (a->header_count == IR_MAX_HEADERS || strlen(name) > IR_MAX_NAME ||
+	    strlen(value) > IR_MAX_HEADER_VALUE) {
+		a->over = true;
 		return;
 	}
-	colon = memchr(line, ':', size);
-	if (colon != NULL)
-		add_header(a, line, (size_t)(colon - line), size);
+	h = &a->headers[a->header_count++];
+	h->name = ir_text_copy(a->message, name);
+	h->value = ir_text_copy(a->message, value);
+	note_header(a, name, value);
 }
 
 bool
@@ -113,22 +94,58 @@
 }
 
 static bool
-has_no_body(const struct ir_upstream_answer *a, uint16_t status)
+is_success(uint16_t status)
+{
+	return status / HTTP_CLASS == HTTP_SUCCESS;
+}
+
+bool
+ir_upstream_answer_is_spare(const struct ir_upstream_answer *a, uint16_t status)
+{
+	if (a->dialect->headers.attempt == NULL)
+		return false;
+	return a->other || (!a->named && is_success(status));
+}
+
+/* Statuses that promise callers that a request was not run. */
+static bool
+promises_not_run(uint16_t status)
 {
-	return a->head || status == HTTP_NO_CONTENT ||
-	       status == HTTP_NOT_MODIFIED;
+	return status == HTTP_TIMEOUT || status == HTTP_MISDIRECTED ||
+	       status == HTTP_TOO_MANY || status == HTTP_UNAVAILABLE;
+}
+
+static bool
+was_shed(const struct ir_upstream_answer *a, uint16_t status)
+{
+	if (a->dialect == &ir_own_dialect)
+		return a->not_run && status == HTTP_UNAVAILABLE;
+	return a->not_run || (status == HTTP_MISDIRECTED &&
+				 a->dialect->headers.expected_upstream != NULL);
+}
+
+static bool
+is_whole(const struct ir_upstream_answer *a, uint16_t status)
+{
+	if (a->over)
+		return false;
+	if (!a->dialect->digest_is_required)
+		return true;
+	if (is_success(status))
+		return a->digest && !a->encoded;
+	/* The upstream did not say so: it must not be said for it. */
+	return !promises_not_run(status);
 }
 
-/* Without a length, the end of a crashed upstream's answer looks the same. */
 void
 ir_upstream_answer_end(struct ir_upstream_answer *a, uint16_t status)
 {
 	struct ir_run_result *r = &a->message->u.result;
 
 	r->status = status;
-	if (status == HTTP_UNAVAILABLE && a->not_run) {
+	if (was_shed(a, status)) {
 		r->end = IR_RUN_SHED;
-	} else if (a->over || (!a->delimited && !has_no_body(a, status))) {
+	} else if (!is_whole(a, status)) {
 		r->end = IR_RUN_BROKEN;
 		return;
 	} else {
--- a/src/io/upstream_answer.h
+++ b/src/io/upstream_answer.h
@@ -1,29 +1,38 @@
-/* Collects an upstream's answer and judges whether it is whole. */
+/* Collects an upstream's answer and judges what it says of its request. */
 #ifndef IR_IO_UPSTREAM_ANSWER_H
 #define IR_IO_UPSTREAM_ANSWER_H
 
+#include "ibisrail/dialect.h"
 #include "io/message.h"
 
 struct ir_upstream_answer {
+	const struct ir_dialect *dialect;
+	const char *attempt;	    /* the caller's id of the request, or "" */
 	struct ir_to_core *message; /* owns what is collected */
 	struct ir_header headers[IR_MAX_HEADERS];
 	size_t header_count;
 	uint8_t *body;
 	size_t body_bytes;
-	bool head;	/* of a HEAD request: no body follows */
-	bool in_body;	/* trailers are ignored */
-	bool delimited; /* by Content-Length or chunks, not by the close */
-	bool not_run;	/* the upstream says that it did not run it */
-	bool over;	/* a bound was exceeded */
+	bool in_body; /* trailers are ignored */
+	bool not_run; /* the upstream says that it did not run it */
+	bool digest;  /* it bears one */
+	bool encoded; /* its body is not the upstream's own */
+	bool named;   /* it names an attempt */
+	bool other;   /* and that is another one */
+	bool over;    /* a bound was exceeded */
 };
 
-/* One line of the header, with or without its end. */
-void ir_upstream_answer_line(
-    struct ir_upstream_answer *a, const char *line, size_t size);
+/* Forgets what was collected: a provisional or a spare answer. */
+void ir_upstream_answer_reset(struct ir_upstream_answer *a);
+void ir_upstream_answer_header(
+    struct ir_upstream_answer *a, const char *name, const char *value);
 /* False when the body grows over IR_MAX_BODY. */
 bool ir_upstream_answer_body(
     struct ir_upstream_answer *a, const uint8_t *data, size_t size);
-/* Fills the message's result from a transfer that ended without error. */
+/* Whether a whole answer of that status belongs to another request. */
+bool ir_upstream_answer_is_spare(
+    const struct ir_upstream_answer *a, uint16_t status);
+/* Fills the message's result from an answer that is whole. */
 void ir_upstream_answer_end(struct ir_upstream_answer *a, uint16_t status);
 
 #endif
--- /dev/null
+++ b/src/io/upstream_conn.c
@@ -0,0 +1,409 @@
+/* A connection to the local upstream. */
+#include <sys/socket.h>
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <unistd.h>
+#include <utlist.h>
+
+#include "io/clock.h"
+#include "io/listen.h"
+#include "io/upstream_conn.h"
+
+#define READ_BYTES 16384
+#define CONNECT_TIMEOUT_US IR_US_PER_S
+/* Idle time of a connection whose upstream tells none: half of the 10 s
+ * after which upstreams usually close. */
+#define KEEP_IDLE_US (5 * IR_US_PER_S)
+/* Share of the time that the upstream tells, so that it does not close just
+ * when a request is sent. */
+#define KEEP_SHARE_PERCENT 80
+#define HTTP_FIRST_FINAL 200
+
+void
+ir_upstream_conn_close(struct upstream_conn *c)
+{
+	struct ir_upstream *u = c->owner;
+
+	if (c->transfer != NULL) {
+		DL_DELETE(u->busy, c);
+		c->transfer->conn = NULL;
+	} else {
+		DL_DELETE(u->idle, c);
+	}
+	u->conn_count--;
+	TALLOC_FREE(c->event);
+	TALLOC_FREE(c->timer);
+	close(c->fd);
+	talloc_free(c);
+}
+
+static void
+make_idle(struct upstream_conn *c)
+{
+	struct ir_upstream *u = c->owner;
+
+	DL_DELETE(u->busy, c);
+	c->transfer->conn = NULL;
+	c->transfer = NULL;
+	c->idle_us = ir_clock_now();
+	DL_PREPEND(u->idle, c);
+}
+
+/* The connection failed the transfer, if it has one. */
+static void
+fail(struct upstream_conn *c, const char *reason)
+{
+	struct transfer *t = c->transfer;
+
+	ir_upstream_conn_close(c);
+	if (t != NULL)
+		ir_upstream_finish(t, reason);
+}
+
+static int
+on_field(http_parser *p, const char *at, size_t size)
+{
+	struct upstream_conn *c = p->data;
+
+	talloc_free(c->field);
+	c->field = ir_must(talloc_strndup(c, at, size));
+	return 0;
+}
+
+/* "timeout=N" of a Keep-Alive header, in seconds. */
+static void
+note_keep_alive(struct upstream_conn *c, const char *value)
+{
+	const char *p = strcasestr(value, "timeout=");
+	unsigned long s;
+
+	if (p == NULL)
+		return;
+	s = strtoul(p + strlen("timeout="), NULL, 10);
+	c->keep_idle_us = (int64_t)s * IR_US_PER_S * KEEP_SHARE_PERCENT / 100;
+}
+
+static int
+on_value(http_parser *p, const char *at, size_t size)
+{
+	struct upstream_conn *c = p->data;
+	char *value = ir_must(talloc_strndup(c, at, size));
+
+	ir_upstream_answer_header(&c->transfer->answer, c->field, value);
+	if (strcasecmp(c->field, "keep-alive") == 0)
+		note_keep_alive(c, value);
+	talloc_free(value);
+	return 0;
+}
+
+static int
+on_head(http_parser *p)
+{
+	struct upstream_conn *c = p->data;
+
+	p->upgrade = 0;
+	return strcmp(c->transfer->order->u.run.method, "HEAD") == 0 ? 1 : 0;
+}
+
+static int
+on_body(http_parser *p, const char *at, size_t size)
+{
+	struct upstream_conn *c = p->data;
+	struct ir_upstream_answer *a = &c->transfer->answer;
+
+	return ir_upstream_answer_body(a, (const uint8_t *)at, size) ? 0 : -1;
+}
+
+/* A provisional answer and one of another request are passed over. */
+static int
+on_end(http_parser *p)
+{
+	struct upstream_conn *c = p->data;
+	struct ir_upstream_answer *a = &c->transfer->answer;
+	uint16_t status = (uint16_t)p->status_code;
+
+	if (status < HTTP_FIRST_FINAL ||
+	    ir_upstream_answer_is_spare(a, status)) {
+		ir_upstream_answer_reset(a);
+		return 0;
+	}
+	c->whole = true;
+	c->keep = http_should_keep_alive(p) != 0;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_end,
+};
+
+/* An answer that came before its request was sent, or with more behind it,
+ * leaves the connection in an unknown state. */
+static void
+answered(struct upstream_conn *c, size_t left_bytes)
+{
+	struct transfer *t = c->transfer;
+	uint16_t status = (uint16_t)c->parser.status_code;
+
+	if (c->keep && c->out == NULL && left_bytes == 0)
+		make_idle(c);
+	else
+		ir_upstream_conn_close(c);
+	ir_upstream_answer_end(&t->answer, status);
+	ir_upstream_finish(t, NULL);
+}
+
+static void
+parse(struct upstream_conn *c, const uint8_t *data, size_t size)
+{
+	size_t n = http_parser_execute(
+	    &c->parser, &callbacks, (const char *)data, size);
+
+	if (c->whole) {
+		answered(c, size - n);
+		return;
+	}
+	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
+		fail(c, http_errno_name(HTTP_PARSER_ERRNO(&c->parser)));
+}
+
+/* An answer without a length ends with its connection, where it may. */
+static void
+on_eof(struct upstream_conn *c)
+{
+	if (c->transfer != NULL && c->heard &&
+	    c->owner->dialect->close_ends_answer) {
+		(void)http_parser_execute(&c->parser, &callbacks, "", 0);
+		if (c->whole) {
+			c->keep = false;
+			answered(c, 0);
+			return;
+		}
+	}
+	fail(c, "closed");
+}
+
+static void
+read_some(struct upstream_conn *c)
+{
+	uint8_t data[READ_BYTES];
+	ssize_t n = recv(c->fd, data, sizeof(data), 0);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n < 0) {
+		fail(c, strerror(errno));
+		return;
+	}
+	if (n == 0) {
+		on_eof(c);
+		return;
+	}
+	/* Nothing is asked: these bytes belong to no request. */
+	if (c->transfer == NULL) {
+		ir_upstream_conn_close(c);
+		return;
+	}
+	c->heard = true;
+	parse(c, data, (size_t)n);
+}
+
+/* False when the connection failed. */
+static bool
+send_some(struct upstream_conn *c)
+{
+	size_t size = talloc_get_size(c->out);
+
+	while (c->out_sent < size) {
+		ssize_t n = send(c->fd, c->out + c->out_sent,
+		    size - c->out_sent, MSG_NOSIGNAL);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && errno == EAGAIN) {
+			TEVENT_FD_WRITEABLE(c->event);
+			return true;
+		}
+		if (n < 0) {
+			fail(c, strerror(errno));
+			return false;
+		}
+		c->transfer->sent = true;
+		c->out_sent += (size_t)n;
+	}
+	TALLOC_FREE(c->out);
+	TEVENT_FD_NOT_WRITEABLE(c->event);
+	return true;
+}
+
+static void
+on_connected(struct upstream_conn *c)
+{
+	int error = 0;
+	socklen_t size = sizeof(error);
+
+	if (getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0)
+		error = errno;
+	if (error != 0) {
+		fail(c, strerror(error));
+		return;
+	}
+	c->connecting = false;
+	TALLOC_FREE(c->timer);
+	(void)send_some(c);
+}
+
+static void
+on_event(struct tevent_context *loop, struct tevent_fd *event, uint16_t flags,
+    void *ctx)
+{
+	struct upstream_conn *c = ctx;
+
+	if (c->connecting) {
+		on_connected(c);
+		return;
+	}
+	if ((flags & TEVENT_FD_WRITE) != 0 && c->out != NULL && !send_some(c))
+		return;
+	if ((flags & TEVENT_FD_READ) != 0)
+		read_some(c);
+}
+
+static void
+on_connect_timeout(struct tevent_context *loop, struct tevent_timer *timer,
+    struct timeval now, void *ctx)
+{
+	struct upstream_conn *c = ctx;
+
+	c->timer = NULL;
+	fail(c, "connect-timeout");
+}
+
+/* The connection was closed, or says something unasked. */
+static bool
+is_disturbed(const struct upstream_conn *c)
+{
+	char byte;
+
+	return recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+	       errno != EAGAIN;
+}
+
+static struct upstream_conn *
+take_idle(struct ir_upstream *u, int64_t now)
+{
+	struct upstream_conn *c;
+
+	while ((c = u->idle) != NULL) {
+		if (now - c->idle_us < c->keep_idle_us && !is_disturbed(c)) {
+			DL_DELETE(u->idle, c);
+			return c;
+		}
+		ir_upstream_conn_close(c);
+	}
+	return NULL;
+}
+
+/* Leaves room for one more; false when all are busy. */
+static bool
+make_room(struct ir_upstream *u)
+{
+	if (u->conn_count < u->max_connections)
+		return true;
+	if (u->idle == NULL)
+		return false;
+	/* The list's head knows its tail: that one was used least lately. */
+	ir_upstream_conn_close(u->idle->prev);
+	return true;
+}
+
+static int
+open_socket(const struct ir_endpoint *e)
+{
+	struct sockaddr_storage s;
+	socklen_t size = ir_socket_address(e->address, e->port, &s);
+	int on = 1;
+	int fd =
+	    socket(s.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	if (connect(fd, (struct sockaddr *)&s, size) == 0 ||
+	    errno == EINPROGRESS)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+static struct upstream_conn *
+new_conn(struct ir_upstream *u)
+{
+	struct upstream_conn *c;
+	int fd;
+
+	if (!make_room(u))
+		return NULL;
+	fd = open_socket(&u->address);
+	if (fd < 0)
+		return NULL;
+	c = ir_must(talloc_zero(u, struct upstream_conn));
+	c->owner = u;
+	c->fd = fd;
+	c->connecting = true;
+	c->event = ir_must(tevent_add_fd(
+	    u->loop, c, fd, TEVENT_FD_READ | TEVENT_FD_WRITE, on_event, c));
+	c->timer = ir_must(tevent_add_timer(u->loop, c,
+	    tevent_timeval_current_ofs(CONNECT_TIMEOUT_US / IR_US_PER_S, 0),
+	    on_connect_timeout, c));
+	u->conn_count++;
+	return c;
+}
+
+void
+ir_upstream_conn_run(struct ir_upstream *u, struct transfer *t)
+{
+	const struct ir_run *r = &t->order->u.run;
+	struct upstream_conn *c = NULL;
+
+	if (r->idempotent)
+		c = take_idle(u, ir_clock_now());
+	if (c == NULL)
+		c = new_conn(u);
+	if (c == NULL) {
+		ir_upstream_finish(t, "no-connection");
+		return;
+	}
+	c->transfer = t;
+	c->heard = false;
+	c->whole = false;
+	c->keep_idle_us = KEEP_IDLE_US;
+	c->out_sent = 0;
+	c->out = ir_upstream_request_bytes(c, u->dialect, &u->address, r);
+	http_parser_init(&c->parser, HTTP_RESPONSE);
+	c->parser.data = c;
+	t->conn = c;
+	DL_APPEND(u->busy, c);
+	if (!c->connecting)
+		(void)send_some(c);
+}
+
+void
+ir_upstream_conn_sweep(struct ir_upstream *u, int64_t now)
+{
+	struct upstream_conn *c, *next;
+
+	DL_FOREACH_SAFE (u->idle, c, next) {
+		if (now - c->idle_us >= c->keep_idle_us)
+			ir_upstream_conn_close(c);
+	}
+}
--- a/src/link/peer.h
+++ b/src/link/peer.h
@@ -16,6 +16,8 @@
 #define IR_MAX_NAME 64
 #define IR_MAX_SECTION_NAME 80
 #define IR_MAX_PATH 4096
+#define IR_MAX_AUTHORITY 255
+#define IR_MAX_CALLER_ATTEMPT 512
 #define IR_MAX_HEADERS 64
 #define IR_MAX_HEADER_VALUE 8192
 #define IR_MAX_BODY 4194304
@@ -109,8 +111,12 @@
 	bool_t idempotent;
 	bool_t open;
 	bool_t first_attempt;
+	u_quad_t config_revision;
 	u_int remaining_us;
 	char *idempotency_key;
+	char *authority;
+	char *caller_attempt;
+	char *origin;
 	char *method;
 	char *path;
 	struct {
--- a/src/link/peer.x
+++ b/src/link/peer.x
@@ -6,6 +6,8 @@
 const IR_MAX_NAME = 64;
 const IR_MAX_SECTION_NAME = 80;
 const IR_MAX_PATH = 4096;
+const IR_MAX_AUTHORITY = 255;
+const IR_MAX_CALLER_ATTEMPT = 512;
 const IR_MAX_HEADERS = 64;
 const IR_MAX_HEADER_VALUE = 8192;
 const IR_MAX_BODY = 4194304;
@@ -93,8 +95,12 @@
 	bool idempotent;
 	bool open;
 	bool first_attempt;		/* the caller's word, for its key */
+	unsigned hyper config_revision;	/* by which the origin admitted it */
 	unsigned int remaining_us;
 	string idempotency_key<IR_MAX_NAME>;
+	string authority<IR_MAX_AUTHORITY>;	/* host name asked for, or empty */
+	string caller_attempt<IR_MAX_CALLER_ATTEMPT>;	/* the caller's own id, or empty */
+	string origin<IR_MAX_NAME>;	/* service beside which the call began */
 	string method<16>;
 	string path<IR_MAX_PATH>;
 	ir_header headers<IR_MAX_HEADERS>;
--- a/src/link/peer_xdr.c
+++ b/src/link/peer_xdr.c
@@ -195,7 +195,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->key_digest, IR_MAX_NAME))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->importance))
 				 return FALSE;
@@ -211,8 +211,6 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->first_attempt))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->remaining_us))
-				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->importance);
@@ -222,10 +220,19 @@
 		IXDR_PUT_BOOL(buf, objp->idempotent);
 		IXDR_PUT_BOOL(buf, objp->open);
 		IXDR_PUT_BOOL(buf, objp->first_attempt);
-		IXDR_PUT_U_LONG(buf, objp->remaining_us);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->remaining_us))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->idempotency_key, IR_MAX_NAME))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->authority, IR_MAX_AUTHORITY))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->caller_attempt, IR_MAX_CALLER_ATTEMPT))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->origin, IR_MAX_NAME))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->method, 16))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->path, IR_MAX_PATH))
@@ -247,7 +254,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->key_digest, IR_MAX_NAME))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->importance))
 				 return FALSE;
@@ -263,8 +270,6 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->first_attempt))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->remaining_us))
-				 return FALSE;
 
 		} else {
 		objp->importance = IXDR_GET_U_LONG(buf);
@@ -274,10 +279,19 @@
 		objp->idempotent = IXDR_GET_BOOL(buf);
 		objp->open = IXDR_GET_BOOL(buf);
 		objp->first_attempt = IXDR_GET_BOOL(buf);
-		objp->remaining_us = IXDR_GET_U_LONG(buf);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->remaining_us))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->idempotency_key, IR_MAX_NAME))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->authority, IR_MAX_AUTHORITY))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->caller_attempt, IR_MAX_CALLER_ATTEMPT))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->origin, IR_MAX_NAME))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->method, 16))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->path, IR_MAX_PATH))
@@ -314,10 +328,18 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->first_attempt))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->remaining_us))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->idempotency_key, IR_MAX_NAME))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->authority, IR_MAX_AUTHORITY))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->caller_attempt, IR_MAX_CALLER_ATTEMPT))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->origin, IR_MAX_NAME))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->method, 16))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->path, IR_MAX_PATH))
--- a/src/zone/choose.c
+++ b/src/zone/choose.c
@@ -129,7 +129,7 @@
 		c->shed = true;
 		return;
 	}
-	use = ir_seen_use(s, c->now, c->slots);
+	use = ir_seen_use(s, c->now, h->slots != 0 ? h->slots : c->slots);
 	add(use < 1 ? &c->open[tier] : &c->saturated[tier], &c->chooser->random,
 	    h, use);
 }
--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -46,7 +46,8 @@
 
 	f->core = ir_wake_new(NULL);
 	f->channel = ir_channel_new(f->core, f->core, NULL, RING_SLOTS);
-	f->callers = ir_callers_new(f->core, f->channel, callers_fd, egress_fd);
+	f->callers = ir_callers_new(f->core, f->channel, &ir_own_dialect,
+	    IR_MAX_CALLER_CONNECTIONS, callers_fd, egress_fd);
 	*state = f;
 	return pthread_create(&f->thread, NULL, ir_callers_run, f->callers);
 }
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -49,6 +49,9 @@
 	f->account = text("acme");
 	f->key_digest = text("00ff");
 	f->idempotency_key = text("");
+	f->authority = text("shop.example");
+	f->caller_attempt = text("9c41.07");
+	f->origin = text("stock");
 	f->method = text("POST");
 	f->path = text("/a?b=c");
 	f->headers.headers_len = 2;
--- a/test/test_descriptors.c
+++ b/test/test_descriptors.c
@@ -30,10 +30,19 @@
 }
 
 static void
-test_upstream_connections_count(void **state)
+test_division_stays_within_the_limit(void **state)
 {
-	assert_int_equal(
-	    ir_descriptors_wanted(300) - ir_descriptors_wanted(0), 300);
+	static const uint64_t limits[] = {1024, 4096, 4100, 8192, 1 << 20};
+
+	for (size_t i = 0; i < sizeof(limits) / sizeof(*limits); i++) {
+		struct ir_descriptors d = ir_descriptors_divide(limits[i], 600);
+
+		assert_true(d.callers > 0 && d.peers > 0 && d.upstream > 0);
+		assert_true(d.upstream <= 600);
+		/* 200 are for files where files and sockets share them. */
+		assert_true(d.callers + d.peers + d.upstream + 200 < limits[i]);
+	}
+	assert_int_equal(ir_descriptors_divide(UINT64_MAX, 300).upstream, 300);
 }
 
 int
@@ -41,7 +50,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_soft_limit_becomes_the_hard_one),
-	    cmocka_unit_test(test_upstream_connections_count),
+	    cmocka_unit_test(test_division_stays_within_the_limit),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_peer_conn.c
+++ b/test/test_peer_conn.c
@@ -40,7 +40,8 @@
 
 	f->core = ir_wake_new(NULL);
 	f->channel = ir_channel_new(f->core, f->core, NULL, RING_SLOTS);
-	f->peers = ir_peers_new(f->core, f->channel, fd);
+	f->peers =
+	    ir_peers_new(f->core, f->channel, IR_MAX_PEER_CONNECTIONS, fd);
 	*state = f;
 	return pthread_create(&f->thread, NULL, ir_peers_run, f->peers);
 }
--- a/test/test_store_watch.c
+++ b/test/test_store_watch.c
@@ -28,6 +28,7 @@
 struct fixture {
 	struct ir_wake *core;
 	struct ir_channel *channel;
+	struct ir_settings settings;
 	struct ir_platform *platform;
 	struct fake_server *server;
 	pthread_t thread;
@@ -81,13 +82,14 @@
 set_up(void **state)
 {
 	struct fixture *f = talloc_zero(NULL, struct fixture);
-	struct ir_endpoint e = {.address = "127.0.0.1"};
 
 	f->server = fake_server_start(0, &handler, f);
-	e.port = fake_server_port(f->server);
+	f->settings.platform.address = "127.0.0.1";
+	f->settings.platform.port = fake_server_port(f->server);
 	f->core = ir_wake_new(NULL);
 	f->channel = ir_channel_new(f->core, f->core, NULL, RING_SLOTS);
-	f->platform = ir_platform_new(f->core, f->channel, &e);
+	f->platform = ir_platform_new(
+	    f->core, f->channel, &f->settings, &ir_own_dialect.store);
 	*state = f;
 	return pthread_create(&f->thread, NULL, ir_platform_run, f->platform);
 }
--- a/test/test_upstream_run.c
+++ b/test/test_upstream_run.c
@@ -191,7 +191,8 @@
 
 	f->core = ir_wake_new(NULL);
 	f->channel = ir_channel_new(f->core, f->core, NULL, RING_SLOTS);
-	f->upstream = ir_upstream_new(f->core, f->channel, &e, CONNECTIONS);
+	f->upstream = ir_upstream_new(
+	    f->core, f->channel, &ir_own_dialect, &e, CONNECTIONS);
 	return pthread_create(&f->thread, NULL, ir_upstream_run, f->upstream);
 }
 
