Told slots, no heartbeats for token asks, tolerance of rates

Ruled out: buckets that wait for their minter (only the first 0.4 s).

Change: slots that an upstream itself tells are the limit; calls without key are taken for the upstream's own where it has no listener of its own, and go before fresh work; token asks keep a link without heartbeats; a link unused for 1 s sends none; a reader asks peers after two of its own periods; settings rate_tolerance, of which 0.8 is granted.

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -119,6 +119,12 @@
 	const char *region;
 	const char *zone;
 	uint32_t slots;	      /* until the publication tells */
+	/* What all hosts together may grant over an account's rate. */
+	double rate_share;
+	double rate_requests; /* in a window, over the share */
+	double rate_window_s;
+	int64_t read_period_us; /* of the store, by a reader; 0: the usual */
+	bool keyless_is_inner; /* calls without key are the upstream's own */
 	uint64_t incarnation; /* unique to this start of the process, above 0 */
 	uint64_t seed;
 	bool plain; /* baseline policy, for measurements only */
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -13,7 +13,8 @@
 
 static const char *const known[] = {"host", "service", "region", "zone",
     "callers", "egress", "peers", "admin", "upstream", "platform", "slots",
-    "upstream_connections", "drain_ms", "log_level", "policy", "zones", NULL};
+    "upstream_connections", "drain_ms", "log_level", "policy", "zones",
+    "rate_tolerance", NULL};
 static const char *const known_endpoint[] = {"address", "port", NULL};
 
 static bool
@@ -133,6 +134,26 @@
 	s->zone_count = i;
 }
 
+static void
+read_tolerance(
+    struct ir_json_in *in, struct json_object *top, struct ir_settings *s)
+{
+	static const char *const keys[] = {
+	    "share", "requests", "window_s", NULL};
+	struct ir_rate_tolerance *t = &s->rate_tolerance;
+	struct json_object *obj;
+
+	if (in->error != NULL || !ir_json_has(top, "rate_tolerance"))
+		return;
+	obj = ir_json_object(in, top, "", "rate_tolerance");
+	ir_json_known(in, obj, "rate_tolerance", keys);
+	t->share = ir_json_number(in, obj, "rate_tolerance", "share", 0, 1);
+	t->requests =
+	    ir_json_number(in, obj, "rate_tolerance", "requests", 0, 1e6);
+	t->window_s =
+	    ir_json_number(in, obj, "rate_tolerance", "window_s", 0.1, 3600);
+}
+
 const char *
 ir_settings_region(const struct ir_settings *s, const char *zone)
 {
@@ -164,6 +185,7 @@
 	    in, top, "", "upstream_connections", 1, 65535);
 	read_options(in, top, s);
 	read_zones(in, top, s);
+	read_tolerance(in, top, s);
 }
 
 static struct ir_settings *
--- a/src/conf/settings.h
+++ b/src/conf/settings.h
@@ -18,6 +18,16 @@
 	uint16_t port;	     /* 0 on a listener: chosen by the kernel */
 };
 
+/*
+ * By how much all hosts together may exceed an account's rate and burst in
+ * any window: by a share of both, and by some requests.
+ */
+struct ir_rate_tolerance {
+	double share;
+	double requests;
+	double window_s;
+};
+
 struct ir_zone_region {
 	const char *zone;
 	const char *region;
@@ -41,6 +51,7 @@
 	uint32_t drain_ms;	      /* SIGTERM to forced end, 100 to 120000 */
 	enum ir_level log_level;      /* "error".."debug" */
 	bool plain;		      /* "policy": "plain" or "full" */
+	struct ir_rate_tolerance rate_tolerance; /* zeroes: exact */
 	struct ir_zone_region *zones; /* of the fleet, where they are needed */
 	size_t zone_count;
 };
--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -107,6 +107,8 @@
 
 	c->open = route->open;
 	c->importance = route->importance;
+	if (n->settings.keyless_is_inner && c->open && in->key == NULL)
+		c->depth = 1;
 	c->own.tokens = route->retries;
 	c->ledger = &c->own;
 	c->request.high = node_random(n);
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -5,8 +5,12 @@
 
 #include "core/internal.h"
 
-/* A reader asks peers only when its own reads lag by this. */
-#define READER_LAG_US (2 * IR_VIEW_POLL_US)
+/* A reader asks peers only when its own reads lag by this: two of them. */
+static int64_t
+reader_lag_us(const struct ir_node *n)
+{
+	return 2 * n->settings.read_period_us;
+}
 
 static void
 log_view_state(struct ir_node *n, int64_t now)
@@ -237,7 +241,7 @@
 	    is_store_reader(n, p->name), m);
 	/* Not at the next poll: other regions wait for the evidence. */
 	if (is_store_reader(n, n->settings.host) &&
-	    ir_lease_age(n->lease, now) >= READER_LAG_US)
+	    ir_lease_age(n->lease, now) >= reader_lag_us(n))
 		judge_outage(n, now);
 }
 
@@ -344,14 +348,11 @@
 	const struct ir_service *s = ir_view_service(v, n->settings.service);
 	uint64_t changes;
 
-	if (s != NULL && !n->settings.plain) {
-		uint32_t slots = s->slots;
-
-		if (self != NULL && self->slots != 0)
-			slots = self->slots;
+	if (s != NULL && !n->settings.plain)
 		ir_gate_set_slots(
-		    n->gate, slots != 0 ? slots : n->settings.slots);
-	}
+		    n->gate, s->slots != 0 ? s->slots : n->settings.slots);
+	if (self != NULL && !n->settings.plain)
+		ir_gate_set_told_slots(n->gate, self->slots);
 	changes = ir_sections_host_changes(n->sections, n->settings.service);
 	if (changes != n->hosts_changes)
 		n->hosts_changed_us = now;
@@ -435,7 +436,7 @@
 	n->view_poll_us = now;
 	reader = ir_is_reader(v, self);
 	if (reader && n->heard_view &&
-	    ir_lease_age(n->lease, now) < READER_LAG_US)
+	    ir_lease_age(n->lease, now) < reader_lag_us(n))
 		return;
 	if (is_store_reader(n, self->name))
 		ask_store_readers(n, now, v);
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -27,6 +27,8 @@
 copy_settings(struct ir_node *n, const struct ir_node_settings *s)
 {
 	n->settings = *s;
+	if (n->settings.read_period_us == 0)
+		n->settings.read_period_us = IR_VIEW_POLL_US;
 	n->settings.host = talloc_strdup(n, s->host);
 	n->settings.service = talloc_strdup(n, s->service);
 	n->settings.region = talloc_strdup(n, s->region);
@@ -42,10 +44,33 @@
 	       n->settings.region != NULL && n->settings.zone != NULL;
 }
 
+/*
+ * Of the tolerance, so much is granted; the rest is for tokens that are
+ * granted twice around a restart.
+ */
+#define TOLERANCE_USED 0.8
+
+/* Half of the requests go to the burst and half, over a window, to the rate. */
+static struct ir_rate_margin
+rate_margin(const struct ir_node_settings *s)
+{
+	struct ir_rate_margin m = {.share = TOLERANCE_USED * s->rate_share};
+
+	if (s->rate_window_s <= 0)
+		return m;
+	m.burst_tokens = TOLERANCE_USED * s->rate_requests / 2;
+	m.rate_per_s = m.burst_tokens / s->rate_window_s;
+	return m;
+}
+
 static bool
 make_parts(struct ir_node *n, int64_t now)
 {
+	struct ir_rate_margin margin = rate_margin(&n->settings);
+
 	n->sections = ir_sections_new(n);
+	if (n->sections != NULL)
+		ir_sections_set_margin(n->sections, &margin);
 	n->lease = ir_lease_new(n);
 	n->chooser = ir_chooser_new(n, n->settings.seed ^ 1);
 	n->wallet = ir_wallet_new(n, &wallet_ops, n, n->settings.incarnation);
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -133,7 +133,8 @@
 {
 	struct pending *q;
 
-	if (peer_want(n, now, p)) {
+	/* Their senders wait for an answer themselves, or need none. */
+	if (peer_keep(n, now, p)) {
 		(void)peer_send(n, now, p, m);
 		return true;
 	}
--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -114,6 +114,7 @@
 
 	l->log = p->log;
 	l->settings = p->settings;
+	l->dialect = p->dialect;
 	l->incarnation = new_incarnation();
 	randombytes_buf(&l->seed, sizeof(l->seed));
 	l->wake = ir_wake_new(p);
--- a/src/host/compile.c
+++ b/src/host/compile.c
@@ -146,13 +146,28 @@
 	}
 }
 
+#define MT_PER_TOKEN 1000.0
+
 static void
-add_accounts(struct ir_view *v, const struct ir_account_list *l)
+add_margin(struct ir_account *a, const struct ir_rate_margin *m)
+{
+	double rate = (double)a->rate_mt_per_s * (1 + m->share);
+	double burst = (double)a->burst_mt * (1 + m->share);
+
+	a->rate_mt_per_s = (uint64_t)(rate + MT_PER_TOKEN * m->rate_per_s);
+	a->burst_mt = (uint64_t)(burst + MT_PER_TOKEN * m->burst_tokens);
+}
+
+static void
+add_accounts(struct ir_view *v, const struct ir_account_list *l,
+    const struct ir_rate_margin *m)
 {
 	v->account_count = l->account_count;
 	v->accounts = talloc_array(v, struct ir_account, l->account_count);
-	for (size_t i = 0; i < l->account_count; i++)
+	for (size_t i = 0; i < l->account_count; i++) {
 		v->accounts[i] = l->accounts[i];
+		add_margin(&v->accounts[i], m);
+	}
 	v->key_count = l->key_count;
 	v->keys = talloc_array(v, struct ir_key, l->key_count);
 	for (size_t i = 0; i < l->key_count; i++) {
@@ -176,7 +191,7 @@
 		v->serve_unconfirmed = p->fleet->serve_unconfirmed;
 	}
 	if (p->accounts != NULL)
-		add_accounts(v, p->accounts);
+		add_accounts(v, p->accounts, &p->margin);
 	if (p->routes != NULL) {
 		v->routes = p->routes->routes;
 		v->route_count = p->routes->route_count;
--- a/src/host/compile.h
+++ b/src/host/compile.h
@@ -17,6 +17,7 @@
 };
 
 struct ir_view_parts {
+	struct ir_rate_margin margin;
 	uint64_t config_revision;
 	uint64_t list_revision;
 	const struct ir_fleet *fleet;		/* or NULL */
--- a/src/host/held.h
+++ b/src/host/held.h
@@ -50,6 +50,7 @@
 	uint64_t changes_of_all; /* hosts whose service is not known */
 	struct ir_view *view;
 	struct ir_view *previous;
+	struct ir_rate_margin margin;
 	bool changed;
 };
 
--- a/src/host/section.c
+++ b/src/host/section.c
@@ -26,6 +26,13 @@
 	return s;
 }
 
+void
+ir_sections_set_margin(struct ir_sections *s, const struct ir_rate_margin *m)
+{
+	s->margin = *m;
+	s->changed = true;
+}
+
 static const char *
 after(const char *name, const char *prefix, bool (*is_good)(const char *s))
 {
--- a/src/host/section.h
+++ b/src/host/section.h
@@ -38,6 +38,10 @@
 
 struct ir_sections *ir_sections_new(TALLOC_CTX *mem);
 
+/* Of all accounts in the views from now on. */
+void ir_sections_set_margin(
+    struct ir_sections *s, const struct ir_rate_margin *m);
+
 enum ir_section_kind ir_section_kind_of(const char *name);
 
 /*
--- a/src/host/section_list.c
+++ b/src/host/section_list.c
@@ -108,6 +108,7 @@
 	struct held *h, *next;
 	struct ir_view *v;
 
+	p.margin = s->margin;
 	p.config_revision = s->revision[0];
 	p.list_revision = s->revision[1];
 	p.services = talloc_array(mem, const struct ir_service *, n);
--- a/src/host/view.h
+++ b/src/host/view.h
@@ -38,6 +38,16 @@
 
 #define IR_KEY_DIGEST_HEX 64
 
+/*
+ * What may be granted over an account's published rate and burst. Zeroes:
+ * nothing.
+ */
+struct ir_rate_margin {
+	double share;	       /* of both */
+	double burst_tokens;   /* more of burst */
+	double rate_per_s; /* more of rate */
+};
+
 /* What a section's text is, by its name. */
 enum ir_section_kind {
 	IR_SECTION_FLEET,
--- a/src/io/core_loop.c
+++ b/src/io/core_loop.c
@@ -249,6 +249,12 @@
 	    .region = s->region,
 	    .zone = s->zone,
 	    .slots = s->slots,
+	    .rate_share = s->rate_tolerance.share,
+	    .rate_requests = s->rate_tolerance.requests,
+	    .rate_window_s = s->rate_tolerance.window_s,
+	    .read_period_us =
+		c->loop->dialect->store.hosts_period_ms * IR_US_PER_MS,
+	    .keyless_is_inner = !s->has_egress,
 	    .incarnation = c->loop->incarnation,
 	    .seed = c->loop->seed,
 	    .plain = s->plain,
--- a/src/io/core_loop.h
+++ b/src/io/core_loop.h
@@ -10,6 +10,7 @@
 #define IR_IO_CORE_LOOP_H
 
 #include "conf/settings.h"
+#include "ibisrail/dialect.h"
 #include "io/message.h"
 
 enum ir_duty {
@@ -28,6 +29,7 @@
 	struct ir_counters counters; /* of this thread, beside the node's */
 	struct ir_log *log;
 	const struct ir_settings *settings;
+	const struct ir_dialect *dialect;
 	uint64_t incarnation;
 	uint64_t seed;
 };
--- a/src/link/link.c
+++ b/src/link/link.c
@@ -6,7 +6,8 @@
 
 #define RETRY_MIN_US (100 * IR_US_PER_MS)
 #define RETRY_MAX_US (2 * IR_US_PER_S)
-#define IN_USE_US (5 * IR_US_PER_S)
+/* As long as a report of load counts: see zone/seen.c. */
+#define IN_USE_US IR_US_PER_S
 #define IDLE_US (30 * IR_US_PER_S)
 #define TICK_LATE_US (IR_SILENCE_US / 2)
 
--- a/src/upstream/gate.c
+++ b/src/upstream/gate.c
@@ -26,6 +26,7 @@
 	void *ctx;
 	enum ir_gate_policy policy;
 	uint32_t slots;
+	uint32_t told_slots; /* of the upstream itself; 0: not told */
 	uint32_t running;
 	uint64_t random;
 	int64_t swept_us;
@@ -78,9 +79,17 @@
 	ir_limit_set_slots(&g->limit, slots);
 }
 
+void
+ir_gate_set_told_slots(struct ir_gate *g, uint32_t slots)
+{
+	g->told_slots = slots;
+}
+
 static uint32_t
 limit_now(const struct ir_gate *g)
 {
+	if (g->told_slots > 0)
+		return g->told_slots;
 	if (g->policy == IR_GATE_PLAIN)
 		return g->slots > 0 ? g->slots : 1;
 	return ir_limit_now(&g->limit);
--- a/src/upstream/gate.h
+++ b/src/upstream/gate.h
@@ -64,6 +64,11 @@
     void *ctx, uint32_t slots, uint64_t seed, int64_t now);
 void ir_gate_set_policy(struct ir_gate *g, enum ir_gate_policy policy);
 void ir_gate_set_slots(struct ir_gate *g, uint32_t slots);
+/*
+ * The upstream itself told its slots: as many run, no more and no fewer, as
+ * there is nothing to find out. 0: the limit adapts again.
+ */
+void ir_gate_set_told_slots(struct ir_gate *g, uint32_t slots);
 void ir_gate_offer(struct ir_gate *g, int64_t now, struct ir_work *w);
 void ir_gate_done(
     struct ir_gate *g, int64_t now, struct ir_work *w, enum ir_sample s);
