Short wait of new minters, confirmations where the store's revision rises alone

Ruled out: minting at once with a full burst (twice the burst in a window); exact waits (the contract tolerates 25 % and 20 requests).

Change: where a tolerance is set, a new minter waits only for the grants of its host's former process and starts empty; a read tells the last change and what it reached, and confirms what is held then.

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -118,13 +118,13 @@
 	const char *service; /* served by the local upstream */
 	const char *region;
 	const char *zone;
-	uint32_t slots;	      /* until the publication tells */
+	uint32_t slots; /* until the publication tells */
 	/* What all hosts together may grant over an account's rate. */
 	double rate_share;
 	double rate_requests; /* in a window, over the share */
 	double rate_window_s;
 	int64_t read_period_us; /* of the store, by a reader; 0: the usual */
-	bool keyless_is_inner; /* calls without key are the upstream's own */
+	bool keyless_is_inner;	/* calls without key are the upstream's own */
 	uint64_t incarnation; /* unique to this start of the process, above 0 */
 	uint64_t seed;
 	bool plain; /* baseline policy, for measurements only */
@@ -158,7 +158,12 @@
 	int64_t asked_us;
 	bool hosts; /* the host list, else the configuration */
 	bool whole;
-	uint64_t revision;
+	uint64_t revision; /* of the last change that was passed on */
+	/*
+	 * Nothing of this part above it existed; above revision where the
+	 * store's revision rises without a change. 0: revision.
+	 */
+	uint64_t reached;
 	const struct ir_section *sections;
 	size_t section_count;
 };
--- a/src/contract/mint.c
+++ b/src/contract/mint.c
@@ -42,6 +42,7 @@
 	size_t held_count;
 	struct revisions revisions; /* of the view followed */
 	bool viewed;
+	int64_t wait_us;
 	int64_t lease_ok_us; /* when the lease was last seen to hold */
 };
 
@@ -72,9 +73,16 @@
 
 	talloc_set_destructor(m, mint_destroy);
 	m->lease_ok_us = INT64_MIN / 2;
+	m->wait_us = IR_MINT_WAIT_US;
 	return m;
 }
 
+void
+ir_mint_set_wait(struct ir_mint *m, int64_t wait_us)
+{
+	m->wait_us = wait_us;
+}
+
 static struct minted *
 find(struct ir_mint *m, const char *account)
 {
@@ -140,7 +148,7 @@
 	struct slot *slot = &e->slots[j];
 
 	TALLOC_FREE(slot->bucket);
-	slot->bucket = ir_bucket_new(e, s->now, s->now + IR_MINT_WAIT_US,
+	slot->bucket = ir_bucket_new(e, s->now, s->now + s->mint->wait_us,
 	    rate_share(a, j, e->bucket_count),
 	    burst_share(a, j, e->bucket_count));
 	slot->since.config = s->view->config_revision;
--- a/src/contract/mint.h
+++ b/src/contract/mint.h
@@ -22,7 +22,18 @@
 #define IR_MINT_WAIT_US \
 	(2 * IR_VIEW_LEASE_US + 2 * IR_GRANT_VALID_US + 50 * IR_US_PER_MS)
 
+/*
+ * The wait where the contract tolerates some requests over the rate: only the
+ * grants of this host's former process run out. A former minter elsewhere may
+ * mint beside it until it learns of the move, within a read of the list and a
+ * relay; the bucket starts empty, so that this is at most its share of the
+ * rate for that time.
+ */
+#define IR_MINT_SHORT_WAIT_US (IR_GRANT_VALID_US + 50 * IR_US_PER_MS)
+
 struct ir_mint *ir_mint_new(TALLOC_CTX *mem);
+/* Which wait applies; IR_MINT_WAIT_US at first. */
+void ir_mint_set_wait(struct ir_mint *m, int64_t wait_us);
 /*
  * Notes whether the lease holds on the view that is being followed. To be
  * called on every tick, before a newer view is taken.
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -83,38 +83,50 @@
 }
 
 static void
-take_store_read(struct ir_node *n, const struct ir_store_read *r)
+take_store_read(
+    struct ir_node *n, const struct ir_store_read *r, uint64_t reached)
 {
 	for (size_t i = 0; i < r->section_count; i++)
 		take_section(n, &r->sections[i]);
 	if (r->whole)
 		remove_absent(
-		    n, r->hosts, r->revision, r->sections, r->section_count);
+		    n, r->hosts, reached, r->sections, r->section_count);
 	ir_sections_reach(n->sections, r->hosts ? 0 : r->revision,
 	    r->hosts ? r->revision : 0);
 }
 
+static uint64_t
+held_revision(const struct ir_node *n, bool hosts)
+{
+	uint64_t config, list;
+
+	ir_node_revisions(n, &config, &list);
+	return hosts ? list : config;
+}
+
 void
 ir_node_store_read(
     struct ir_node *n, int64_t now, const struct ir_store_read *r)
 {
-	uint64_t config, list, held;
+	uint64_t reached = r->reached != 0 ? r->reached : r->revision;
+	uint64_t held = held_revision(n, r->hosts);
 
 	n->now_us = now;
 	control_note_lease(n, now);
 	ir_count(&n->counters, IR_STORE_READS, 1);
-	ir_node_revisions(n, &config, &list);
-	held = r->hosts ? list : config;
 	if (n->store_down)
 		node_log(n, IR_EVENT_STORE_BACK, "revision=%llu",
 		    (unsigned long long)r->revision);
 	n->store_down = false;
-	if (r->revision >= held)
-		take_store_read(n, r);
-	if (!ir_lease_store_answered(
-		n->lease, r->asked_us, r->hosts, r->revision))
+	if (reached >= held) {
+		take_store_read(n, r, reached);
+		/* All that exists is held: that is what was confirmed. */
+		held = held_revision(n, r->hosts);
+		reached = held;
+	}
+	if (!ir_lease_store_answered(n->lease, r->asked_us, r->hosts, reached))
 		node_log(n, IR_EVENT_STORE_STALE, "revision=%llu held=%llu",
-		    (unsigned long long)r->revision, (unsigned long long)held);
+		    (unsigned long long)reached, (unsigned long long)held);
 	node_finish(n, now);
 }
 
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -75,6 +75,8 @@
 	n->chooser = ir_chooser_new(n, n->settings.seed ^ 1);
 	n->wallet = ir_wallet_new(n, &wallet_ops, n, n->settings.incarnation);
 	n->mint = ir_mint_new(n);
+	if (n->mint != NULL && n->settings.rate_share > 0)
+		ir_mint_set_wait(n->mint, IR_MINT_SHORT_WAIT_US);
 	n->gate = ir_gate_new(n, &serve_gate_ops, n, n->settings.slots,
 	    n->settings.seed ^ 2, now);
 	n->records = ir_records_new(n);
--- a/src/io/platform.c
+++ b/src/io/platform.c
@@ -186,6 +186,7 @@
 		if (page->items[i].revision > w->told_revision)
 			w->told_revision = page->items[i].revision;
 	}
+	r->reached = page->revision;
 	r->revision = w->told_revision;
 }
 
--- a/src/io/store_book.c
+++ b/src/io/store_book.c
@@ -229,9 +229,8 @@
 		else if (all || !is_told(t))
 			tell(b, t, r, list);
 	}
-	if (all && reached > b->revision)
-		b->revision = reached;
 	r->whole = all;
 	r->sections = list;
 	r->revision = b->revision;
+	r->reached = reached;
 }
--- a/src/io/store_book.h
+++ b/src/io/store_book.h
@@ -30,7 +30,8 @@
 
 /*
  * Moves the sections that changed since the last call, or with all every
- * section, to r, under mem; r->revision is at least theirs.
+ * section, to r, under mem. r->revision, of the store before, becomes that of
+ * the last change; r->reached is the store's.
  */
 void ir_store_book_take(struct ir_store_book *b, int64_t now, TALLOC_CTX *mem,
     bool all, struct ir_store_read *r);
