Runs own their texts; calls find their parent; refusals of gates cost no token

Found on the way: header values of an answer that came in two reads were taken for two headers. test_core_out and test_answer_in_pieces failed before and pass now.

Also: a call whose attempt id extends that of a request running here is its child (importance, deadline, in-vain samples); without such a one nothing changes. The first two refusals by gates cost no retry token: no upstream saw the call, and reports of load are a round trip old.

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -124,6 +124,11 @@
 	double rate_requests; /* in a window, over the share */
 	double rate_window_s;
 	int64_t read_period_us; /* of the store, by a reader; 0: the usual */
+	/*
+	 * A call whose attempt id is that of a request running here, this
+	 * character and more, belongs to that request; 0: ids tell nothing.
+	 */
+	char child_separator;
 	bool keyless_is_inner;	/* calls without key are the upstream's own */
 	uint64_t incarnation; /* unique to this start of the process, above 0 */
 	uint64_t seed;
--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -97,6 +97,44 @@
 	c->deadline_us = c->start_us + ms * IR_US_PER_MS;
 }
 
+/* The running request whose attempt id this one's extends. */
+static struct ir_record *
+find_parent(struct ir_node *n, const struct call *c)
+{
+	const char *end;
+
+	if (n->settings.child_separator == '\0')
+		return NULL;
+	end = strrchr(c->caller_attempt, n->settings.child_separator);
+	if (end == NULL)
+		return NULL;
+	return ir_records_by_caller(n->records, c->caller_attempt,
+	    (size_t)(end - c->caller_attempt));
+}
+
+/*
+ * A call of the local upstream that came in with callers'. With a parent it
+ * is as important as that, ends with it, and its refusal makes that run vain;
+ * its retries are its own.
+ */
+static void
+admit_inner(struct ir_node *n, struct call *c)
+{
+	struct ir_record *r = find_parent(n, c);
+
+	c->depth = 1;
+	if (r == NULL)
+		return;
+	c->importance = r->forward->importance;
+	c->request = r->forward->request;
+	c->rank = r->forward->rank;
+	c->depth = r->forward->depth + 1;
+	if (r->work.deadline_us < c->deadline_us)
+		c->deadline_us = r->work.deadline_us;
+	c->parent = r;
+	serve_child_began(r, c->start_us, c);
+}
+
 /* What the call may do comes from its own route, or from its parent. */
 static enum ir_error
 admit_entry(struct ir_node *n, int64_t now, struct call *c,
@@ -107,8 +145,6 @@
 
 	c->open = route->open;
 	c->importance = route->importance;
-	if (n->settings.keyless_is_inner && c->open && in->key == NULL)
-		c->depth = 1;
 	c->own.tokens = route->retries;
 	c->ledger = &c->own;
 	c->request.high = node_random(n);
@@ -117,6 +153,8 @@
 	    (uint32_t)XXH64(&c->request, sizeof(c->request), 0) & IR_RANK_MASK;
 	c->account = talloc_strdup(c, "");
 	c->key_digest = talloc_strdup(c, "");
+	if (n->settings.keyless_is_inner && c->open && in->key == NULL)
+		admit_inner(n, c);
 	if (node_view_state(n, now) == IR_VIEW_UNCONFIRMED &&
 	    !node_view(n)->serve_unconfirmed)
 		return IR_E_VIEW_UNCONFIRMED;
--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -153,6 +153,7 @@
 
 	ir_chooser_done(n->chooser, now, a->peer->name, c->account, NULL, 0);
 	forget(n, a);
+	c->upstream_count++;
 	c->doubt = true;
 	if (c->idempotent)
 		call_retry(n, now, c, IR_E_HOST_LOST, 0);
@@ -196,6 +197,7 @@
 	a->state = ATTEMPT_DOUBT;
 	if (!c->idempotent || c->ledger->tokens == 0)
 		return;
+	c->upstream_count++;
 	c->doubt = true;
 	attempt_abandon(n, now, a);
 	call_retry(n, now, c, IR_E_HOST_LOST, 0);
@@ -253,6 +255,8 @@
 	    r->error < IR_ERROR_COUNT ? (enum ir_error)r->error : IR_E_INTERNAL;
 	enum ir_outcome o = ir_error_info(e)->outcome;
 
+	c->upstream_count +=
+	    o != IR_OUTCOME_NOT_RUN || e == IR_E_UPSTREAM_SHED;
 	c->doubt = c->doubt || o != IR_OUTCOME_NOT_RUN;
 	if (o == IR_OUTCOME_NOT_RUN)
 		call_refused(n, now, c, e, r->retry_after_ms);
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -286,12 +286,18 @@
 	attempt_start(n, now, c, h);
 }
 
+/*
+ * Gates that may refuse a call before another try costs a token: no upstream
+ * saw it, and a gate's report of its load may be a round trip old.
+ */
+#define FREE_REFUSALS 2
+
 static bool
 may_retry(struct ir_node *n, int64_t now, struct call *c)
 {
 	bool ok;
 
-	if (c->sent_count == 0)
+	if (c->upstream_count == 0 && c->sent_count <= FREE_REFUSALS)
 		return true;
 	ok = c->ledger->tokens != 0 &&
 	     (n->settings.plain ||
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -71,6 +71,7 @@
 	const char *tried[MAX_TRIED];
 	uint32_t tried_count;
 	uint32_t sent_count;
+	uint32_t upstream_count; /* attempts that an upstream may have seen */
 	bool doubt; /* an earlier attempt may have run */
 	struct attempt *out;
 	enum ir_error last_error; /* of the last attempt that was refused */
--- a/src/io/core_loop.c
+++ b/src/io/core_loop.c
@@ -254,6 +254,7 @@
 	    .rate_window_s = s->rate_tolerance.window_s,
 	    .read_period_us =
 		c->loop->dialect->store.hosts_period_ms * IR_US_PER_MS,
+	    .child_separator = c->loop->dialect->child_separator,
 	    .keyless_is_inner = !s->has_egress,
 	    .incarnation = c->loop->incarnation,
 	    .seed = c->loop->seed,
--- a/src/io/core_out.c
+++ b/src/io/core_out.c
@@ -138,6 +138,10 @@
 	to->attempt = ir_text_copy(m, r->attempt);
 	to->request = ir_text_copy(m, r->request);
 	to->account = ir_text_copy(m, r->account);
+	to->authority = ir_text_copy(m, r->authority);
+	to->caller_attempt = ir_text_copy(m, r->caller_attempt);
+	to->origin = ir_text_copy(m, r->origin);
+	to->upstream_id = ir_text_copy(m, r->upstream_id);
 	to->method = ir_text_copy(m, r->method);
 	to->path = ir_text_copy(m, r->path);
 	to->headers = ir_headers_copy(m, r->headers, r->header_count);
--- a/src/io/upstream_conn.c
+++ b/src/io/upstream_conn.c
@@ -65,16 +65,6 @@
 		ir_upstream_finish(t, reason);
 }
 
-static int
-on_field(http_parser *p, const char *at, size_t size)
-{
-	struct upstream_conn *c = p->data;
-
-	talloc_free(c->field);
-	c->field = ir_must(talloc_strndup(c, at, size));
-	return 0;
-}
-
 /* "timeout=N" of a Keep-Alive header, in seconds. */
 static void
 note_keep_alive(struct upstream_conn *c, const char *value)
@@ -88,16 +78,40 @@
 	c->keep_idle_us = (int64_t)s * IR_US_PER_S * KEEP_SHARE_PERCENT / 100;
 }
 
+/* A header came in whole. */
+static void
+end_header(struct upstream_conn *c)
+{
+	if (c->value == NULL)
+		return;
+	ir_upstream_answer_header(&c->transfer->answer, c->field, c->value);
+	if (strcasecmp(c->field, "keep-alive") == 0)
+		note_keep_alive(c, c->value);
+	TALLOC_FREE(c->field);
+	TALLOC_FREE(c->value);
+}
+
+/* Names and values come in pieces, as they were read. */
+static int
+on_field(http_parser *p, const char *at, size_t size)
+{
+	struct upstream_conn *c = p->data;
+
+	end_header(c);
+	if (c->field == NULL)
+		c->field = ir_text_copy(c, "");
+	c->field = ir_must(talloc_strndup_append_buffer(c->field, at, size));
+	return 0;
+}
+
 static int
 on_value(http_parser *p, const char *at, size_t size)
 {
 	struct upstream_conn *c = p->data;
-	char *value = ir_must(talloc_strndup(c, at, size));
 
-	ir_upstream_answer_header(&c->transfer->answer, c->field, value);
-	if (strcasecmp(c->field, "keep-alive") == 0)
-		note_keep_alive(c, value);
-	talloc_free(value);
+	if (c->value == NULL)
+		c->value = ir_text_copy(c, "");
+	c->value = ir_must(talloc_strndup_append_buffer(c->value, at, size));
 	return 0;
 }
 
@@ -106,6 +120,7 @@
 {
 	struct upstream_conn *c = p->data;
 
+	end_header(c);
 	p->upgrade = 0;
 	return strcmp(c->transfer->order->u.run.method, "HEAD") == 0 ? 1 : 0;
 }
@@ -127,6 +142,8 @@
 	struct ir_upstream_answer *a = &c->transfer->answer;
 	uint16_t status = (uint16_t)p->status_code;
 
+	TALLOC_FREE(c->field);
+	TALLOC_FREE(c->value);
 	if (status < HTTP_FIRST_FINAL ||
 	    ir_upstream_answer_is_spare(a, status)) {
 		ir_upstream_answer_reset(a);
--- a/src/io/upstream_conn.h
+++ b/src/io/upstream_conn.h
@@ -38,7 +38,8 @@
 	bool heard;  /* bytes of an answer to the present request came */
 	bool whole;  /* the answer is whole */
 	bool keep;   /* it may be used again */
-	char *field; /* name of the header being read */
+	char *field; /* name of the header being read, or NULL */
+	char *value; /* the same of its value */
 	uint8_t *out;
 	size_t out_sent;
 	int64_t idle_us;	    /* since when */
--- a/src/upstream/record.c
+++ b/src/upstream/record.c
@@ -21,6 +21,7 @@
 	struct ir_record *by_attempt;
 	struct ir_record *by_run;
 	struct ir_record *by_key;
+	struct ir_record *by_caller;
 	struct ir_record *open;
 	struct ir_record *ran;	   /* done, oldest first */
 	struct ir_record *refused; /* done without a run, oldest first */
@@ -32,6 +33,7 @@
 clear_tables(struct ir_records *rs)
 {
 	HASH_CLEAR(hh, rs->aliases);
+	HASH_CLEAR(caller_hh, rs->by_caller);
 	HASH_CLEAR(key_hh, rs->by_key);
 	HASH_CLEAR(run_hh, rs->by_run);
 	HASH_CLEAR(hh, rs->by_attempt);
@@ -120,6 +122,23 @@
 	return r;
 }
 
+struct ir_record *
+ir_records_by_caller(struct ir_records *rs, const char *id, size_t id_bytes)
+{
+	struct ir_record *r;
+
+	HASH_FIND(caller_hh, rs->by_caller, id, id_bytes, r);
+	return r;
+}
+
+static bool
+has_caller_id(const struct ir_record *r)
+{
+	return r->run != 0 && r->forward != NULL &&
+	       r->forward->caller_attempt != NULL &&
+	       r->forward->caller_attempt[0] != '\0';
+}
+
 struct ir_record *
 ir_records_add(struct ir_records *rs, const struct ir_attempt_id *id)
 {
@@ -161,6 +180,10 @@
 {
 	r->run = run;
 	HASH_ADD(run_hh, rs->by_run, run, sizeof(r->run), r);
+	if (has_caller_id(r))
+		HASH_ADD_KEYPTR(caller_hh, rs->by_caller,
+		    r->forward->caller_attempt,
+		    strlen(r->forward->caller_attempt), r);
 }
 
 /* The oldest answers make room for new ones. */
@@ -192,6 +215,8 @@
 {
 	if (r->run != 0)
 		HASH_DELETE(run_hh, rs->by_run, r);
+	if (has_caller_id(r))
+		HASH_DELETE(caller_hh, rs->by_caller, r);
 	r->state = IR_RECORD_DONE;
 	r->done_us = now;
 	TALLOC_FREE(r->forward);
--- a/src/upstream/record.h
+++ b/src/upstream/record.h
@@ -70,6 +70,7 @@
 	UT_hash_handle hh;
 	UT_hash_handle run_hh;
 	UT_hash_handle key_hh;
+	UT_hash_handle caller_hh; /* while it runs */
 };
 
 struct ir_records;
@@ -80,6 +81,9 @@
 struct ir_record *ir_records_by_run(struct ir_records *rs, uint64_t run);
 /* Opaque text given to the upstream, as in ir_record.attempt_text. */
 struct ir_record *ir_records_by_text(struct ir_records *rs, const char *text);
+/* A running one whose caller gave that id for its attempt, or NULL. */
+struct ir_record *ir_records_by_caller(
+    struct ir_records *rs, const char *id, size_t id_bytes);
 struct ir_record *ir_records_by_key(
     struct ir_records *rs, const char *idempotency);
 /* NULL when the table is full. */
--- /dev/null
+++ b/test/test_core_out.c
@@ -0,0 +1,80 @@
+/* What the core's thread hands to the others owns all that it points to. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "io/core_out.h"
+
+#define RING_SLOTS 8
+#define TEXT_BYTES 32
+
+struct fixture {
+	struct core core;
+	struct ir_wake *wake;
+	struct ir_ring *ring;
+};
+
+static int
+set_up(void **state)
+{
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+
+	f->wake = ir_wake_new(f);
+	f->ring = ir_ring_new(f, f->wake, RING_SLOTS);
+	for (int d = 0; d < IR_DUTY_COUNT; d++)
+		ir_outbox_init(&f->core.out[d], f->ring);
+	*state = f;
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	talloc_free(*state);
+	return 0;
+}
+
+/* Each text of a run, in buffers that are overwritten once it was given. */
+static void
+test_run_outlives_its_record(void **state)
+{
+	struct fixture *f = *state;
+	char text[9][TEXT_BYTES];
+	struct ir_from_core *m;
+	struct ir_run r = {.id = 7};
+	const char **all[] = {&r.attempt, &r.request, &r.account, &r.authority,
+	    &r.caller_attempt, &r.origin, &r.upstream_id, &r.method, &r.path};
+
+	for (int i = 0; i < 9; i++) {
+		snprintf(text[i], TEXT_BYTES, "text-%d", i);
+		*all[i] = text[i];
+	}
+	ir_core_ops.run(&f->core, &r);
+	memset(text, 'x', sizeof(text));
+	m = ir_ring_pop(f->ring);
+	assert_non_null(m);
+	r = m->u.run;
+	for (int i = 0; i < 9; i++) {
+		char expected[TEXT_BYTES];
+
+		snprintf(expected, TEXT_BYTES, "text-%d", i);
+		assert_string_equal(*all[i], expected);
+	}
+	talloc_free(m);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		test_run_outlives_its_record, set_up, tear_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_upstream_run.c
+++ b/test/test_upstream_run.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
 #include <semaphore.h>
@@ -84,6 +85,20 @@
     {"/none", "HTTP/1.1 204 OK\r\n\r\n"},
 };
 
+/* One byte a segment, so that no token comes in one piece. */
+static void
+say_bytes(int fd, const char *text)
+{
+	int on = 1;
+
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	for (; *text != '\0'; text++) {
+		if (send(fd, text, 1, MSG_NOSIGNAL) != 1)
+			return;
+		sched_yield();
+	}
+}
+
 /* False when the connection is to be closed. */
 static bool
 answer(int fd, const char *request, bool used)
@@ -96,6 +111,8 @@
 		return false;
 	if (strcmp(path, "/large") == 0)
 		say_too_much(fd);
+	if (strcmp(path, "/bytes") == 0)
+		say_bytes(fd, answers[0][1]);
 	if (strcmp(path, "/hang") == 0 && read(fd, &byte, 1) <= 0)
 		sem_post(&hung_closed);
 	for (size_t i = 0; i < sizeof(answers) / sizeof(*answers); i++) {
@@ -325,6 +342,20 @@
 	expect_end(*state, "/close", IR_RUN_BROKEN);
 }
 
+static void
+test_answer_in_pieces(void **state)
+{
+	struct ir_to_core *m = run(*state, "GET", "/bytes", true);
+	const struct ir_run_result *r = &m->u.result;
+
+	assert_int_equal(r->end, IR_RUN_ANSWERED);
+	assert_int_equal(r->header_count, 1);
+	assert_string_equal(r->headers[0].name, "X-A");
+	assert_string_equal(r->headers[0].value, "1");
+	assert_int_equal(r->body_bytes, 2);
+	talloc_free(m);
+}
+
 /* The connection used before is cut off once the request was read. */
 static void
 test_used_connection_is_no_second_sending(void **state)
@@ -396,6 +427,8 @@
 		test_whole_answer, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_answers_are_judged, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_answer_in_pieces, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_used_connection_is_no_second_sending, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
