Settings read again, callers served until they know of a stop

Cause: SIGHUP ended the process; a stopping node refused its callers at once, though they learn of it by readiness, asked once a second; an unreadable entry was logged at each heartbeat.

Change: SIGHUP and a changed file read the settings again (bad ones are logged and left; keys that need a restart are named); settings leave_ms: callers are served, with Connection: close, until two questions for readiness were answered no; an unreadable entry is logged once.

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -184,8 +184,14 @@
 /* At least every 10 ms while anything is held, else every 100 ms. */
 void ir_node_tick(struct ir_node *n, int64_t now);
 
-/* Refuses new callers, ends what is held, hands buckets over. */
-void ir_node_stop(struct ir_node *n, int64_t now);
+/*
+ * Refuses work from peers, ends what is held, hands buckets over; refuses new
+ * callers from refuse_us on: until then they may not know.
+ */
+void ir_node_stop(struct ir_node *n, int64_t now, int64_t refuse_us);
+/* What may change while it runs; the rest of s is not looked at. */
+void ir_node_set_rate_tolerance(
+    struct ir_node *n, const struct ir_node_settings *s);
 /* True when a stopping node holds nothing more. */
 bool ir_node_idle(const struct ir_node *n);
 /* True when the node has a view and may serve callers. */
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -13,7 +13,7 @@
 
 static const char *const known[] = {"host", "service", "region", "zone",
     "callers", "egress", "peers", "admin", "upstream", "platform", "slots",
-    "upstream_connections", "drain_ms", "log_level", "policy", "zones",
+    "upstream_connections", "drain_ms", "leave_ms", "log_level", "policy", "zones",
     "rate_tolerance", NULL};
 static const char *const known_endpoint[] = {"address", "port", NULL};
 
@@ -103,6 +103,9 @@
 	if (ir_json_has(top, "drain_ms"))
 		s->drain_ms =
 		    (uint32_t)ir_json_int(in, top, "", "drain_ms", 100, 120000);
+	if (ir_json_has(top, "leave_ms"))
+		s->leave_ms = (uint32_t)ir_json_int(
+		    in, top, "", "leave_ms", 0, s->drain_ms);
 	s->log_level = (enum ir_level)read_word(
 	    in, top, "log_level", levels, 4, IR_LEVEL_NOTICE);
 	s->plain = read_word(in, top, "policy", policies, 2, 0) == 1;
@@ -188,6 +191,45 @@
 	read_tolerance(in, top, s);
 }
 
+static bool
+same_endpoint(const struct ir_endpoint *a, const struct ir_endpoint *b)
+{
+	if (a->address == NULL || b->address == NULL)
+		return a->address == b->address;
+	return a->port == b->port && strcmp(a->address, b->address) == 0;
+}
+
+const char *
+ir_settings_fixed_change(
+    const struct ir_settings *a, const struct ir_settings *b)
+{
+	if (strcmp(a->host, b->host) != 0)
+		return "host";
+	if (strcmp(a->service, b->service) != 0)
+		return "service";
+	if (strcmp(a->region, b->region) != 0)
+		return "region";
+	if (strcmp(a->zone, b->zone) != 0)
+		return "zone";
+	if (!same_endpoint(&a->callers, &b->callers))
+		return "callers";
+	if (!same_endpoint(&a->egress, &b->egress))
+		return "egress";
+	if (!same_endpoint(&a->peers, &b->peers))
+		return "peers";
+	if (!same_endpoint(&a->admin, &b->admin))
+		return "admin";
+	if (!same_endpoint(&a->upstream, &b->upstream))
+		return "upstream";
+	if (!same_endpoint(&a->platform, &b->platform))
+		return "platform";
+	if (a->slots != b->slots)
+		return "slots";
+	if (a->upstream_connections != b->upstream_connections)
+		return "upstream_connections";
+	return a->plain != b->plain ? "policy" : "none";
+}
+
 static struct ir_settings *
 parse(TALLOC_CTX *mem, const char *file, const char *text, size_t size_bytes,
     char **error)
--- a/src/conf/settings.h
+++ b/src/conf/settings.h
@@ -48,7 +48,8 @@
 	struct ir_endpoint platform;   /* the configuration service */
 	uint32_t slots;		       /* 1 to 4096 */
 	uint32_t upstream_connections; /* 1 to 65535 */
-	uint32_t drain_ms;	      /* SIGTERM to forced end, 100 to 120000 */
+	uint32_t drain_ms; /* SIGTERM to forced end, 100 to 120000 */
+	uint32_t leave_ms; /* SIGTERM to refusing callers, 0 to drain_ms */
 	enum ir_level log_level;      /* "error".."debug" */
 	bool plain;		      /* "policy": "plain" or "full" */
 	struct ir_rate_tolerance rate_tolerance; /* zeroes: exact */
@@ -59,6 +60,13 @@
 /* The region of a zone that the settings name, or NULL. */
 const char *ir_settings_region(const struct ir_settings *s, const char *zone);
 
+/*
+ * The first key that differs and counts only after a restart; "none" without
+ * one.
+ */
+const char *ir_settings_fixed_change(
+    const struct ir_settings *a, const struct ir_settings *b);
+
 /* NULL with *error set to a talloc'd text under mem. */
 struct ir_settings *ir_settings_read(
     TALLOC_CTX *mem, const char *file, char **error);
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -113,7 +113,7 @@
 	n->now_us = now;
 	ir_count(&n->counters, in->egress ? IR_EGRESS_CALLS : IR_CALLS, 1);
 	e = admit_check(in);
-	if (e == IR_OK && n->stopping && !in->egress)
+	if (e == IR_OK && n->stopping && now >= n->refuse_us && !in->egress)
 		e = IR_E_STOPPING;
 	if (e == IR_OK && HASH_COUNT(n->calls) >= IR_MAX_CALLS)
 		e = IR_E_OVERLOAD;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -186,6 +186,7 @@
 	bool heard_view; /* a peer has told all that it holds */
 	bool starting;	 /* the gate gave slots that are not yet used */
 	bool stopping;
+	int64_t refuse_us; /* stopping: callers are refused from then on */
 };
 
 /* node.c */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -63,6 +63,14 @@
 	return m;
 }
 
+void
+ir_node_set_rate_tolerance(struct ir_node *n, const struct ir_node_settings *s)
+{
+	struct ir_rate_margin margin = rate_margin(s);
+
+	ir_sections_set_margin(n->sections, &margin);
+}
+
 static bool
 make_parts(struct ir_node *n, int64_t now)
 {
@@ -231,10 +239,11 @@
 }
 
 void
-ir_node_stop(struct ir_node *n, int64_t now)
+ir_node_stop(struct ir_node *n, int64_t now, int64_t refuse_us)
 {
 	n->now_us = now;
 	n->stopping = true;
+	n->refuse_us = refuse_us;
 	node_log(n, IR_EVENT_STOPPING, "calls=%u open_records=%zu",
 	    HASH_COUNT(n->calls), ir_records_open(n->records));
 	node_finish(n, now);
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -27,13 +27,15 @@
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
 	sigaddset(&set, SIGUSR1);
+	sigaddset(&set, SIGHUP);
 	if (sigprocmask(SIG_BLOCK, &set, NULL) != 0)
 		return -1;
 	return signalfd(-1, &set, SFD_CLOEXEC);
 }
 
 static int
-serve(const struct ir_settings *settings, const struct ir_dialect *dialect)
+serve(const struct ir_settings *settings, const char *file,
+    const struct ir_dialect *dialect)
 {
 	int signal_fd = open_signals();
 	struct ir_process *p;
@@ -43,7 +45,7 @@
 		fprintf(stderr, PROGRAM ": cannot set up its libraries\n");
 		return EXIT_FAILURE;
 	}
-	p = ir_process_start(NULL, settings, dialect);
+	p = ir_process_start(NULL, settings, file, dialect);
 	if (p == NULL)
 		return EXIT_FAILURE;
 	ir_process_run(p, signal_fd);
@@ -66,7 +68,7 @@
 		fprintf(stderr, PROGRAM ": %s\n", error);
 		status = EXIT_SETTINGS;
 	} else if (!check_only) {
-		status = serve(settings, dialect);
+		status = serve(settings, file, dialect);
 	}
 	talloc_free(mem);
 	return status;
--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -1,5 +1,6 @@
 /* The daemon's threads. */
 #include <sys/signalfd.h>
+#include <sys/stat.h>
 
 #include <curl/curl.h>
 #include <errno.h>
@@ -27,6 +28,8 @@
 
 #define RING_SLOTS 4096
 #define POLL_MS 100
+/* A changed file counts within this, also without a signal. */
+#define SETTINGS_POLL_MS 1000
 
 /* Threads that this file starts; the admin's server starts its own. */
 enum thread {
@@ -48,6 +51,8 @@
 
 struct ir_process {
 	const struct ir_settings *settings;
+	const char *settings_file;
+	struct timespec settings_time; /* of its last change that was seen */
 	const struct ir_dialect *dialect;
 	struct ir_descriptors descriptors;
 	struct ir_log *log;
@@ -223,9 +228,19 @@
 	    p->loop.incarnation, IR_VERSION);
 }
 
+static struct timespec
+changed_at(const char *file)
+{
+	struct stat s = {0};
+
+	if (file != NULL)
+		(void)stat(file, &s);
+	return s.st_mtim;
+}
+
 struct ir_process *
 ir_process_start(TALLOC_CTX *mem, const struct ir_settings *settings,
-    const struct ir_dialect *dialect)
+    const char *settings_file, const struct ir_dialect *dialect)
 {
 	struct ir_process *p = talloc_zero(mem, struct ir_process);
 
@@ -235,6 +250,8 @@
 		p->listen_fds[i] = -1;
 	talloc_set_destructor(p, free_process);
 	p->settings = settings;
+	p->settings_file = settings_file;
+	p->settings_time = changed_at(settings_file);
 	p->dialect = dialect;
 	p->log =
 	    ir_log_new(p, STDERR_FILENO, settings->host, settings->log_level);
@@ -266,6 +283,44 @@
 		talloc_free(m);
 }
 
+/* Newer settings come into force where they can; bad ones are left. */
+static void
+reload(struct ir_process *p, const char *why)
+{
+	struct ir_to_core *m;
+	struct ir_settings *s;
+	char *error = NULL;
+
+	p->settings_time = changed_at(p->settings_file);
+	s = ir_settings_read(p, p->settings_file, &error);
+	if (s == NULL) {
+		ir_report(p->log, IR_EVENT_SETTINGS_BAD, NULL,
+		    "kept=former error=%s", error);
+		talloc_free(error);
+		return;
+	}
+	ir_report(p->log, IR_EVENT_SETTINGS_READ, NULL, "why=%s restart=%s",
+	    why, ir_settings_fixed_change(p->settings, s));
+	ir_log_set_level(p->log, s->log_level);
+	p->settings = s;
+	m = ir_to_core_new(IR_TO_CORE_SETTINGS);
+	m->u.settings = s;
+	if (!ir_ring_push(p->loop.channels[IR_DUTY_MAIN]->to_core, m))
+		talloc_free(m);
+}
+
+static void
+look_for_change(struct ir_process *p)
+{
+	struct timespec t = changed_at(p->settings_file);
+
+	/* A file that is away just now is being replaced. */
+	if (t.tv_sec == 0 || (t.tv_sec == p->settings_time.tv_sec &&
+				 t.tv_nsec == p->settings_time.tv_nsec))
+		return;
+	reload(p, "change");
+}
+
 static void
 take_signal(struct ir_process *p, int signal_fd)
 {
@@ -277,6 +332,10 @@
 		send_core(p, IR_TO_CORE_ASK);
 		return;
 	}
+	if (info.ssi_signo == SIGHUP) {
+		reload(p, "signal");
+		return;
+	}
 	if (p->stopping)
 		return;
 	p->stopping = true;
@@ -339,8 +398,9 @@
 	while (!p->drained) {
 		ir_wake_arm(ch->wake);
 		if (ir_ring_empty(ch->from_core))
-			poll(fds, 2, p->stopping ? POLL_MS : -1);
+			poll(fds, 2, p->stopping ? POLL_MS : SETTINGS_POLL_MS);
 		ir_wake_disarm(ch->wake);
+		look_for_change(p);
 		if ((fds[0].revents & POLLIN) != 0)
 			take_signal(p, signal_fd);
 		fds[0].revents = 0;
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -12,9 +12,13 @@
 
 struct ir_process;
 
-/* NULL with the cause logged. Signals are to be blocked before. */
+/*
+ * NULL with the cause logged. Signals are to be blocked before. The file is
+ * read again on SIGHUP and when it changes.
+ */
 struct ir_process *ir_process_start(TALLOC_CTX *mem,
-    const struct ir_settings *settings, const struct ir_dialect *dialect);
+    const struct ir_settings *settings, const char *settings_file,
+    const struct ir_dialect *dialect);
 
 /*
  * Serves until a signal: SIGTERM and SIGINT end it gracefully, SIGUSR1 writes
--- a/src/io/core_loop.c
+++ b/src/io/core_loop.c
@@ -13,6 +13,8 @@
  * learn that it leaves, and what they sent before is refused, not run.
  */
 #define STOP_LINGER_US (3 * IR_HEARTBEAT_US)
+/* Questions for readiness without a yes, after which callers stay away. */
+#define TOLD_LEAVING 2
 /* Messages taken from one ring before the next one has its turn. */
 #define BATCH 64
 
@@ -39,6 +41,8 @@
 
 	m->id = ask->id;
 	m->u.report.ready = ir_node_ready(c->node, now);
+	if (c->drain_end_us != 0 && ask->report == IR_REPORT_READY)
+		c->told_leaving++;
 	if (ask->report == IR_REPORT_STATE)
 		m->u.report.json = ir_node_dump(c->node, now);
 	else if (ask->report == IR_REPORT_COUNTERS)
@@ -46,13 +50,51 @@
 	ir_outbox_push(&c->out[duty], m);
 }
 
+static struct ir_node_settings
+node_settings(const struct ir_core_loop *l, const struct ir_settings *s)
+{
+	struct ir_node_settings ns = {
+	    .host = s->host,
+	    .service = s->service,
+	    .region = s->region,
+	    .zone = s->zone,
+	    .slots = s->slots,
+	    .rate_share = s->rate_tolerance.share,
+	    .rate_requests = s->rate_tolerance.requests,
+	    .rate_window_s = s->rate_tolerance.window_s,
+	    .read_period_us = l->dialect->store.hosts_period_ms * IR_US_PER_MS,
+	    .child_separator = l->dialect->child_separator,
+	    .keyless_is_inner = !s->has_egress,
+	    .incarnation = l->incarnation,
+	    .seed = l->seed,
+	    .plain = s->plain,
+	};
+
+	return ns;
+}
+
 static void
 begin_stop(struct core *c, int64_t now)
 {
 	if (c->drain_end_us != 0)
 		return;
 	c->drain_end_us = now + c->loop->settings->drain_ms * IR_US_PER_MS;
-	ir_node_stop(c->node, now);
+	c->leave_end_us = now + c->loop->settings->leave_ms * IR_US_PER_MS;
+	ir_outbox_push(&c->out[IR_DUTY_CALLERS],
+	    ir_from_core_new(IR_FROM_CORE_LEAVING));
+	ir_node_stop(c->node, now, c->leave_end_us);
+}
+
+static void
+take_settings(struct core *c, const struct ir_settings *s)
+{
+	struct ir_node_settings ns = node_settings(c->loop, s);
+	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_SETTINGS);
+
+	c->loop->settings = s;
+	ir_node_set_rate_tolerance(c->node, &ns);
+	m->u.settings = s;
+	ir_outbox_push(&c->out[IR_DUTY_PLATFORM], m);
 }
 
 static void
@@ -95,6 +137,9 @@
 	case IR_TO_CORE_ASK:
 		report(c, now, duty, m);
 		break;
+	case IR_TO_CORE_SETTINGS:
+		take_settings(c, m->u.settings);
+		break;
 	case IR_TO_CORE_STOP:
 		begin_stop(c, now);
 		break;
@@ -188,6 +233,9 @@
 {
 	if (now >= c->drain_end_us)
 		return true;
+	/* Callers that do not know yet still come. */
+	if (now < c->leave_end_us && c->told_leaving < TOLD_LEAVING)
+		return false;
 	if (!ir_node_idle(c->node)) {
 		c->idle_us = 0;
 		return false;
@@ -239,31 +287,6 @@
 	ir_wake_disarm(c->loop->wake);
 }
 
-static struct ir_node *
-new_node(struct core *c)
-{
-	const struct ir_settings *s = c->loop->settings;
-	struct ir_node_settings ns = {
-	    .host = s->host,
-	    .service = s->service,
-	    .region = s->region,
-	    .zone = s->zone,
-	    .slots = s->slots,
-	    .rate_share = s->rate_tolerance.share,
-	    .rate_requests = s->rate_tolerance.requests,
-	    .rate_window_s = s->rate_tolerance.window_s,
-	    .read_period_us =
-		c->loop->dialect->store.hosts_period_ms * IR_US_PER_MS,
-	    .child_separator = c->loop->dialect->child_separator,
-	    .keyless_is_inner = !s->has_egress,
-	    .incarnation = c->loop->incarnation,
-	    .seed = c->loop->seed,
-	    .plain = s->plain,
-	};
-
-	return ir_node_new(c, ir_clock_now(), &ns, &ir_core_ops, c);
-}
-
 static void
 free_rest(struct core *c)
 {
@@ -290,12 +313,15 @@
 ir_core_loop_run(void *ctx)
 {
 	struct core *c = ir_must(talloc_zero(NULL, struct core));
+	struct ir_node_settings ns;
 	bool more, flushed;
 
 	c->loop = ctx;
 	for (int d = 0; d < IR_DUTY_COUNT; d++)
 		ir_outbox_init(&c->out[d], c->loop->channels[d]->from_core);
-	c->node = ir_must(new_node(c));
+	ns = node_settings(c->loop, c->loop->settings);
+	c->node = ir_must(
+	    ir_node_new(c, ir_clock_now(), &ns, &ir_core_ops, c));
 	while (!c->ended) {
 		more = take_batches(c);
 		tick(c);
--- a/src/io/message.h
+++ b/src/io/message.h
@@ -22,6 +22,7 @@
 	IR_TO_CORE_STORE_READ,
 	IR_TO_CORE_STORE_FAILED,
 	IR_TO_CORE_ASK, /* answered by IR_FROM_CORE_REPORT */
+	IR_TO_CORE_SETTINGS, /* newer ones, valid until the process ends */
 	IR_TO_CORE_STOP,
 	IR_TO_CORE_END
 };
@@ -32,6 +33,8 @@
 	IR_REPORT_READY
 };
 
+struct ir_settings;
+
 struct ir_to_core {
 	enum ir_to_core_kind kind;
 	uint64_t id; /* CALL_GONE: the call; RAN: the run; ASK: the question */
@@ -44,6 +47,7 @@
 		struct ir_run_result result;
 		struct ir_msg msg; /* freed by the message's destructor */
 		struct ir_store_read store;
+		const struct ir_settings *settings;
 	} u;
 };
 
@@ -56,6 +60,7 @@
 	IR_FROM_CORE_SEND,
 	IR_FROM_CORE_STORE,
 	IR_FROM_CORE_REPORT,
+	IR_FROM_CORE_SETTINGS,
 	IR_FROM_CORE_LEAVING, /* callers' answers end their connections */
 	IR_FROM_CORE_STOP     /* the node is idle: flush and end the thread */
 };
@@ -67,6 +72,7 @@
 	union {
 		struct ir_answer answer;
 		struct ir_run run;
+		const struct ir_settings *settings;
 		struct {
 			const char *address;
 			uint16_t port;
--- a/src/io/platform.c
+++ b/src/io/platform.c
@@ -213,7 +213,7 @@
 
 /* False while pages of a whole read are to come. */
 static bool
-take_page(struct watch *w, int64_t now, const struct ir_store_page *page)
+take_page(struct watch *w, const struct ir_store_page *page)
 {
 	struct ir_store_read *r = &w->answer->u.store;
 	bool first = page->whole && w->next == NULL;
@@ -227,9 +227,8 @@
 		w->whole_revision = page->revision;
 	}
 	for (size_t i = 0; i < page->item_count; i++) {
-		if (page->items[i].section == NULL)
+		if (ir_store_book_put(w->book, &page->items[i]))
 			report_unreadable(w, &page->items[i]);
-		ir_store_book_put(w->book, now, &page->items[i]);
 	}
 	TALLOC_FREE(w->next);
 	if (page->whole && page->next != NULL) {
@@ -237,7 +236,7 @@
 		return false;
 	}
 	if (page->whole)
-		ir_store_book_end_whole(w->book, now);
+		ir_store_book_end_whole(w->book);
 	r->revision = page->whole ? w->whole_revision : page->revision;
 	return true;
 }
@@ -291,7 +290,7 @@
 	struct ir_store_read *r = &w->answer->u.store;
 
 	note_return(w, now);
-	if (!take_page(w, now, page)) {
+	if (!take_page(w, page)) {
 		end_read(w);
 		w->next_us = now;
 		return;
@@ -368,6 +367,8 @@
 				raise_revision(
 				    &p->hosts, m->u.store.list_revision);
 		}
+		if (m->kind == IR_FROM_CORE_SETTINGS)
+			p->settings = m->u.settings;
 		if (m->kind == IR_FROM_CORE_STOP)
 			p->stopping = true;
 		talloc_free(m);
--- a/src/io/store_book.c
+++ b/src/io/store_book.c
@@ -12,7 +12,8 @@
 	uint64_t revision;
 	uint64_t created;
 	uint64_t round; /* of the last whole read that named it */
-	bool gone;	/* removed; forgotten once the hold is over */
+	bool gone; /* removed; forgotten once the hold is over */
+	bool unreadable; /* names no host */
 	UT_hash_handle hh;
 };
 
@@ -91,21 +92,23 @@
 	       strcmp(i->section, in->section) == 0;
 }
 
-void
-ir_store_book_put(
-    struct ir_store_book *b, int64_t now, const struct ir_store_item *in)
+bool
+ir_store_book_put(struct ir_store_book *b, const struct ir_store_item *in)
 {
 	struct item *i = get_item(b, in->key);
+	bool was_unreadable = i->unreadable;
 
 	i->round = b->round;
 	i->revision = in->revision;
+	i->unreadable = in->section == NULL;
 	i->gone = in->section == NULL || in->text[0] == '\0';
 	if (!i->gone && !same(i, in))
 		set_item(i, in);
+	return i->unreadable && !was_unreadable;
 }
 
 void
-ir_store_book_end_whole(struct ir_store_book *b, int64_t now)
+ir_store_book_end_whole(struct ir_store_book *b)
 {
 	struct item *i, *next;
 
@@ -129,6 +132,10 @@
 	HASH_ITER (hh, b->items, i, next) {
 		if (!i->gone || (i->text != NULL && now < b->hold_until_us))
 			continue;
+		TALLOC_FREE(i->text);
+		/* Still there, and known to be unreadable. */
+		if (i->unreadable && i->round == b->round)
+			continue;
 		HASH_DEL(b->items, i);
 		talloc_free(i);
 	}
--- a/src/io/store_book.h
+++ b/src/io/store_book.h
@@ -22,9 +22,10 @@
 
 /* A read of the whole list begins; what it does not name is gone. */
 void ir_store_book_begin_whole(struct ir_store_book *b);
-void ir_store_book_put(
-    struct ir_store_book *b, int64_t now, const struct ir_store_item *item);
-void ir_store_book_end_whole(struct ir_store_book *b, int64_t now);
+/* True when the item cannot be read (no section) and could be before. */
+bool ir_store_book_put(
+    struct ir_store_book *b, const struct ir_store_item *in);
+void ir_store_book_end_whole(struct ir_store_book *b);
 /* The store answers again after a failure. */
 void ir_store_book_returned(struct ir_store_book *b, int64_t now);
 
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -38,6 +38,12 @@
 	"connections are reached; new connections then wait or fail.",
 	"Raise the hard limit of the service (LimitNOFILE, ulimit -n) to what "
 	"is wanted."},
+    {IR_EVENT_SETTINGS_READ,
+	"why: signal or change; restart: the first key that differs and "
+	"counts only after a restart, or none",
+	"The settings were read again. Keys that may change while the process "
+	"runs are in force.",
+	"Restart the process when a key is named."},
     {IR_EVENT_VIEW_CHANGED,
 	"config, list: the revisions of configuration and host list; hosts: "
 	"how many the list names",
--- a/src/log/event.c
+++ b/src/log/event.c
@@ -11,6 +11,7 @@
     {IR_EVENT_LISTEN_FAILED, IR_LEVEL_ERROR, "listen-failed"},
     {IR_EVENT_RING_FULL, IR_LEVEL_WARNING, "ring-full"},
     {IR_EVENT_DESCRIPTORS_FEW, IR_LEVEL_WARNING, "descriptors-few"},
+    {IR_EVENT_SETTINGS_READ, IR_LEVEL_NOTICE, "settings-read"},
     {IR_EVENT_VIEW_CHANGED, IR_LEVEL_NOTICE, "view-changed"},
     {IR_EVENT_SECTION_REFUSED, IR_LEVEL_ERROR, "section-refused"},
     {IR_EVENT_VIEW_STATE, IR_LEVEL_WARNING, "view-state"},
--- a/src/log/log.c
+++ b/src/log/log.c
@@ -58,6 +58,12 @@
 	return l;
 }
 
+void
+ir_log_set_level(struct ir_log *l, enum ir_level level)
+{
+	__atomic_store_n(&l->level, level, __ATOMIC_RELAXED);
+}
+
 /* Whether a line may be written now; *suppressed is what was left out. */
 static bool
 rate_take(struct rate *r, int64_t now, uint64_t *suppressed)
@@ -219,7 +225,8 @@
 	const struct ir_event_info *e = ir_event_info(event);
 	uint64_t suppressed = 0;
 
-	if (l == NULL || e == NULL || e->level > l->level)
+	if (l == NULL || e == NULL || 
+	    e->level > __atomic_load_n(&l->level, __ATOMIC_RELAXED))
 		return;
 	if ((unsigned)event >= MAX_EVENT_NUMBER)
 		return;
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -18,6 +18,8 @@
 /* host names the process in each line; fd is written to. */
 struct ir_log *ir_log_new(
     TALLOC_CTX *mem, int fd, const char *host, enum ir_level level);
+/* Lines of a level above it are left out from now on. */
+void ir_log_set_level(struct ir_log *l, enum ir_level level);
 /* Without a logger (NULL) nothing is written. now: monotonic microseconds.
  * fields: "name=value name=value" or NULL. */
 void ir_log_event(
--- a/test/support/matrix_fault.c
+++ b/test/support/matrix_fault.c
@@ -230,7 +230,7 @@
 	}
 	m->stopping[m->stopping_count++] = node;
 	fleet_list_state(f, node, "leaving");
-	ir_node_stop(f->nodes[node].node, f->now_us);
+	ir_node_stop(f->nodes[node].node, f->now_us, f->now_us);
 }
 
 /* A stopped process ends once it holds nothing and has sent its answers. */
