Edge tests over raw sockets; a bad request ends its connection

Cause: a request refused 400 for its content (no host, bad deadline) left its connection open, so that what followed was parsed; a caller that ended its sending lost an answer that was ready.

--- a/src/io/caller_conn.c
+++ b/src/io/caller_conn.c
@@ -315,9 +315,9 @@
 
 	c->reading = NULL;
 	http_parser_pause(&c->parser, 0);
+	ir_request_submit(r);
 	if (r->last)
 		c->ending = true;
-	ir_request_submit(r);
 }
 
 static void
@@ -353,6 +353,30 @@
 	}
 }
 
+static bool
+is_waiting(const struct caller_conn *c)
+{
+	const struct request *r;
+
+	DL_FOREACH (c->requests, r) {
+		if (r->state != REQUEST_ANSWERED)
+			return true;
+	}
+	return false;
+}
+
+/* A caller that only ended its sending still gets what is answered. */
+static void
+on_end_of_input(struct caller_conn *c, bool orderly)
+{
+	if (!orderly || c->lingering || is_waiting(c) || c->out == NULL) {
+		ir_caller_conn_end(c);
+		return;
+	}
+	c->ending = true;
+	TEVENT_FD_NOT_READABLE(c->event);
+}
+
 /* False when the connection is ended or has nothing more now. */
 static bool
 read_some(struct caller_conn *c)
@@ -367,7 +391,7 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return false;
 	if (n <= 0) {
-		ir_caller_conn_end(c);
+		on_end_of_input(c, n == 0);
 		return false;
 	}
 	if (c->lingering || c->ending)
--- a/src/io/caller_request.c
+++ b/src/io/caller_request.c
@@ -62,8 +62,12 @@
 void
 ir_request_refuse(struct request *r)
 {
-	struct ir_answer_form form = form_of(r);
+	struct ir_answer_form form;
 
+	/* What follows a malformed request may be anything. */
+	if (r->refusal.error == IR_E_BAD_REQUEST)
+		r->last = true;
+	form = form_of(r);
 	note_refusal(r);
 	r->answer = ir_caller_refusal_bytes(r, &form, &r->refusal);
 	r->state = REQUEST_ANSWERED;
--- /dev/null
+++ b/test/test_caller_conn.c
@@ -0,0 +1,395 @@
+/*
+ * A caller's connection over raw sockets, in the platform's dialect: what is
+ * ambiguous is refused and nothing behind it is read; requests of one
+ * connection run side by side and are answered in order. The core is played
+ * by the test.
+ */
+#include <sys/socket.h>
+
+#include <poll.h>
+#include <pthread.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "io/callers.h"
+#include "io/listen.h"
+#include "platform/platform.h"
+#include "support/raw_http.h"
+
+#define RING_SLOTS 128
+#define GET(id) \
+	"GET /a/b?q=1 HTTP/1.1\r\nHost: Shop.Example:80\r\n" \
+	"X-Ibisrail-Attempt-Id: " id "\r\n" \
+	"X-Ibisrail-Deadline-Remaining: 5000\r\nX-Api-Key: k1\r\n\r\n"
+
+struct fixture {
+	struct ir_wake *core;
+	struct ir_channel *channel;
+	struct ir_callers *callers;
+	pthread_t thread;
+	uint16_t port;
+};
+
+static int
+set_up(void **state)
+{
+	const struct ir_endpoint any = {"127.0.0.1", 0};
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+	int fd = ir_listen(&any, false, &f->port);
+
+	f->core = ir_wake_new(NULL);
+	f->channel = ir_channel_new(f->core, f->core, NULL, RING_SLOTS);
+	f->callers = ir_callers_new(f->core, f->channel, &platform_dialect,
+	    IR_MAX_CALLER_CONNECTIONS, fd, -1);
+	*state = f;
+	return pthread_create(&f->thread, NULL, ir_callers_run, f->callers);
+}
+
+static int
+tear_down(void **state)
+{
+	struct fixture *f = *state;
+
+	ir_ring_push(
+	    f->channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
+	pthread_join(f->thread, NULL);
+	talloc_free(f->callers);
+	talloc_free(f->core);
+	talloc_free(f);
+	return 0;
+}
+
+static struct ir_to_core *
+next(struct fixture *f)
+{
+	struct pollfd p = {.fd = ir_wake_fd(f->core), .events = POLLIN};
+	struct ir_to_core *m;
+
+	while ((m = ir_ring_pop(f->channel->to_core)) == NULL) {
+		ir_wake_arm(f->core);
+		if (ir_ring_empty(f->channel->to_core))
+			poll(&p, 1, -1);
+		ir_wake_disarm(f->core);
+	}
+	return m;
+}
+
+static void
+reply(struct fixture *f, uint64_t id, enum ir_error error, const char *body)
+{
+	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_ANSWER);
+	struct ir_answer *a = &m->u.answer;
+
+	m->id = id;
+	a->error = error;
+	a->status = 200;
+	a->retry_after_ms = error == IR_OK ? 0 : 1250;
+	a->body_bytes = error == IR_OK ? strlen(body) : 0;
+	a->body = ir_bytes_copy(m, (const uint8_t *)body, a->body_bytes);
+	ir_ring_push(f->channel->from_core, m);
+}
+
+/* Refused, closed, and neither it nor what follows came to the core. */
+static void
+expect_400(struct fixture *f, const char *request)
+{
+	char text[RAW_ANSWER_BYTES];
+	int fd = raw_ask(f->port, request);
+
+	raw_read_all(fd, text, sizeof(text));
+	assert_memory_equal(text, "HTTP/1.1 400", 12);
+	assert_non_null(strstr(text, "Connection: close\r\n"));
+	assert_null(strstr(text + 12, "HTTP/1.1"));
+	assert_true(ir_ring_empty(f->channel->to_core));
+	close(fd);
+}
+
+static void
+test_smuggling_is_refused(void **state)
+{
+	/* A length beside a coding. */
+	expect_400(*state,
+	    "POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" GET("1"));
+	/* Two lengths. */
+	expect_400(*state,
+	    "POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+	    "Content-Length: 5\r\n\r\nabcde" GET("1"));
+	/* A blank before the colon. */
+	expect_400(*state,
+	    "POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length : 0\r\n\r\n" GET(
+		"1"));
+	/* A folded line. */
+	expect_400(*state,
+	    "GET /a/ HTTP/1.1\r\nHost: x\r\nX-A: 1\r\n 2\r\n\r\n" GET("1"));
+}
+
+static void
+test_other_ambiguous_heads_are_refused(void **state)
+{
+	expect_400(*state, "GET /a/ HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n");
+	expect_400(*state, "GET /a/ HTTP/1.1\nHost: x\r\n\r\n\r\n");
+	expect_400(*state, "GET /a/ HTTP/1.1\r\nHost: x\r\nX: a\rb\r\n\r\n");
+	expect_400(*state,
+	    "POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: +4\r\n\r\nabcd");
+	expect_400(*state,
+	    "POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: 4, 4\r\n\r\nabcd");
+	expect_400(*state,
+	    "POST /a/ HTTP/1.1\r\nHost: x\r\n"
+	    "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n");
+	expect_400(*state,
+	    "POST /a/ HTTP/1.0\r\nHost: x\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+	expect_400(*state,
+	    "POST /a/ HTTP/1.1\r\nHost: x\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n");
+	expect_400(*state, "GET http://x/a/ HTTP/1.1\r\nHost: x\r\n\r\n");
+	expect_400(*state, "CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n");
+	expect_400(*state, "GET /a/ HTTP/1.1\r\n\r\n");
+	expect_400(*state, "GET /a/ HTTP/1.1\r\nHost: x\r\nno colon\r\n\r\n");
+}
+
+static void
+test_request_in_the_dialect(void **state)
+{
+	struct fixture *f = *state;
+	char text[RAW_ANSWER_BYTES];
+	int fd = raw_ask(f->port,
+	    "POST /a/b?q=1 HTTP/1.1\r\nHost: Shop.Example:80\r\n"
+	    "X-Ibisrail-Attempt-Id: 7f.01\r\nX-Api-Key: k1\r\n"
+	    "X-Ibisrail-Deadline-Remaining: 5000\r\nX-Own: 1\r\n"
+	    "X-Ibisrail-Caller-Service: forged\r\n"
+	    "X-Ibisrail-Tenant-Name: forged\r\n"
+	    "X-Ibisrail-Expected-Instance: forged\r\n"
+	    "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n"
+	    "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nX-Trailer: 1\r\n\r\n");
+	struct ir_to_core *m = next(f);
+	const struct ir_call *c = &m->u.call;
+
+	assert_null(c->service);
+	assert_string_equal(c->authority, "shop.example");
+	assert_string_equal(c->path, "/a/b?q=1");
+	assert_string_equal(c->attempt, "7f.01");
+	assert_string_equal(c->key, "k1");
+	assert_int_equal(c->deadline_ms, 5000);
+	assert_int_equal(c->header_count, 1);
+	assert_string_equal(c->headers[0].name, "X-Own");
+	assert_int_equal(c->body_bytes, 5);
+	assert_memory_equal(c->body, "abcde", 5);
+	reply(f, c->id, IR_E_OVERLOAD, "");
+	raw_read_answer(fd, text);
+	assert_memory_equal(text, "HTTP/1.1 503", 12);
+	assert_non_null(strstr(text, "Retry-After: 1.250\r\n"));
+	talloc_free(m);
+	close(fd);
+}
+
+static void
+test_pipelined_requests_run_side_by_side(void **state)
+{
+	struct fixture *f = *state;
+	const char *three = GET("1") GET("2") GET("3");
+	char text[RAW_ANSWER_BYTES];
+	struct ir_to_core *m[3];
+	int fd = raw_ask(f->port, three);
+
+	/* All are out before any is answered. */
+	for (int i = 0; i < 3; i++)
+		m[i] = next(f);
+	reply(f, m[2]->u.call.id, IR_OK, "third");
+	reply(f, m[1]->u.call.id, IR_E_OVERLOAD, "");
+	reply(f, m[0]->u.call.id, IR_OK, "first");
+	raw_read_answer(fd, text);
+	assert_non_null(strstr(text, "\r\n\r\nfirst"));
+	raw_read_answer(fd, text);
+	assert_memory_equal(text, "HTTP/1.1 503", 12);
+	raw_read_answer(fd, text);
+	assert_non_null(strstr(text, "\r\n\r\nthird"));
+	for (int i = 0; i < 3; i++)
+		talloc_free(m[i]);
+	close(fd);
+}
+
+static void
+test_nothing_behind_a_close_is_run(void **state)
+{
+	struct fixture *f = *state;
+	char text[RAW_ANSWER_BYTES];
+	int fd = raw_ask(f->port,
+	    "GET /a/ HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" GET(
+		"2"));
+	struct ir_to_core *m = next(f);
+
+	reply(f, m->u.call.id, IR_OK, "only");
+	raw_read_all(fd, text, sizeof(text));
+	assert_non_null(strstr(text, "\r\n\r\nonly"));
+	assert_null(strstr(text + 12, "HTTP/1.1"));
+	assert_true(ir_ring_empty(f->channel->to_core));
+	talloc_free(m);
+	close(fd);
+}
+
+static void
+test_expect_is_answered_in_its_turn(void **state)
+{
+	struct fixture *f = *state;
+	char text[RAW_ANSWER_BYTES];
+	struct ir_to_core *first, *second;
+	int fd = raw_ask(f->port,
+	    GET("1") "POST /a/ HTTP/1.1\r\nHost: x\r\n"
+		     "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+
+	first = next(f);
+	reply(f, first->u.call.id, IR_OK, "one");
+	raw_read_answer(fd, text);
+	assert_non_null(strstr(text, "\r\n\r\none"));
+	raw_read_answer(fd, text);
+	assert_string_equal(text, "HTTP/1.1 100 Continue\r\n\r\n");
+	raw_say(fd, "ab", 2);
+	second = next(f);
+	assert_memory_equal(second->u.call.body, "ab", 2);
+	assert_int_equal(second->u.call.header_count, 0);
+	talloc_free(first);
+	talloc_free(second);
+	close(fd);
+	talloc_free(next(f));
+}
+
+static void
+test_head_has_no_body(void **state)
+{
+	struct fixture *f = *state;
+	char text[RAW_ANSWER_BYTES];
+	int fd = raw_ask(f->port,
+	    "HEAD /a/ HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+	struct ir_to_core *m = next(f);
+
+	assert_string_equal(m->u.call.method, "HEAD");
+	reply(f, m->u.call.id, IR_OK, "body");
+	raw_read_all(fd, text, sizeof(text));
+	assert_non_null(strstr(text, "Content-Length: 4\r\n"));
+	assert_string_equal(strstr(text, "\r\n\r\n"), "\r\n\r\n");
+	talloc_free(m);
+	close(fd);
+}
+
+/* Each request of a caller that leaves is reported, waiting or pipelined. */
+static void
+test_caller_that_leaves(void **state)
+{
+	struct fixture *f = *state;
+	int fd = raw_ask(f->port, GET("1") GET("2"));
+	struct ir_to_core *calls[2], *gone[2];
+
+	for (int i = 0; i < 2; i++)
+		calls[i] = next(f);
+	close(fd);
+	for (int i = 0; i < 2; i++) {
+		gone[i] = next(f);
+		assert_int_equal(gone[i]->kind, IR_TO_CORE_CALL_GONE);
+	}
+	assert_int_equal(gone[0]->id + gone[1]->id,
+	    calls[0]->u.call.id + calls[1]->u.call.id);
+	for (int i = 0; i < 2; i++) {
+		talloc_free(calls[i]);
+		talloc_free(gone[i]);
+	}
+}
+
+/* A large answer to a caller that reads slowly; others are served meanwhile. */
+static void
+test_slow_reader(void **state)
+{
+	struct fixture *f = *state;
+	size_t bytes = 4 * 1000 * 1000;
+	char *body = talloc_zero_size(NULL, bytes + 1);
+	char *text = talloc_size(NULL, bytes + RAW_ANSWER_BYTES);
+	char other[RAW_ANSWER_BYTES];
+	int slow = raw_ask(f->port, GET("1")), quick;
+	struct ir_to_core *m = next(f);
+
+	memset(body, 'b', bytes);
+	reply(f, m->u.call.id, IR_OK, body);
+	talloc_free(m);
+	quick = raw_ask(f->port, GET("2"));
+	m = next(f);
+	reply(f, m->u.call.id, IR_OK, "quick");
+	raw_read_answer(quick, other);
+	assert_non_null(strstr(other, "\r\n\r\nquick"));
+	shutdown(slow, SHUT_WR);
+	assert_true(raw_read_all(slow, text, bytes + RAW_ANSWER_BYTES) > bytes);
+	talloc_free(m);
+	talloc_free(body);
+	talloc_free(text);
+	close(slow);
+	close(quick);
+}
+
+static void
+test_request_in_single_bytes(void **state)
+{
+	struct fixture *f = *state;
+	const char *request = GET("b1");
+	int fd = raw_dial(f->port);
+	struct ir_to_core *m;
+
+	for (size_t i = 0; i < strlen(request); i++)
+		raw_say(fd, request + i, 1);
+	m = next(f);
+	assert_string_equal(m->u.call.attempt, "b1");
+	talloc_free(m);
+	close(fd);
+	talloc_free(next(f));
+}
+
+/* Once the node leaves, each answer ends its connection. */
+static void
+test_leaving_closes_after_answers(void **state)
+{
+	struct fixture *f = *state;
+	char text[RAW_ANSWER_BYTES];
+	int fd = raw_ask(f->port, GET("1"));
+	struct ir_to_core *m = next(f);
+
+	ir_ring_push(
+	    f->channel->from_core, ir_from_core_new(IR_FROM_CORE_LEAVING));
+	reply(f, m->u.call.id, IR_OK, "last");
+	raw_read_all(fd, text, sizeof(text));
+	assert_non_null(strstr(text, "Connection: close\r\n"));
+	assert_non_null(strstr(text, "\r\n\r\nlast"));
+	talloc_free(m);
+	close(fd);
+}
+
+#define WITH_CALLERS(t) cmocka_unit_test_setup_teardown(t, set_up, tear_down)
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    WITH_CALLERS(test_smuggling_is_refused),
+	    WITH_CALLERS(test_other_ambiguous_heads_are_refused),
+	    WITH_CALLERS(test_request_in_the_dialect),
+	    WITH_CALLERS(test_pipelined_requests_run_side_by_side),
+	    WITH_CALLERS(test_nothing_behind_a_close_is_run),
+	    WITH_CALLERS(test_expect_is_answered_in_its_turn),
+	    WITH_CALLERS(test_head_has_no_body),
+	    WITH_CALLERS(test_caller_that_leaves),
+	    WITH_CALLERS(test_slow_reader),
+	    WITH_CALLERS(test_request_in_single_bytes),
+	    WITH_CALLERS(test_leaving_closes_after_answers),
+	};
+
+	signal(SIGPIPE, SIG_IGN);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -3,8 +3,6 @@
  * refused before it, and what happens when a caller goes away. The core is
  * played by the test.
  */
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <pthread.h>
 #include <setjmp.h>
@@ -22,9 +20,9 @@
 
 #include "io/callers.h"
 #include "io/listen.h"
+#include "support/raw_http.h"
 
 #define RING_SLOTS 4
-#define ANSWER_BYTES 8192
 #define KEYED "Ibisrail-Key: sesame-1\r\n"
 
 struct fixture {
@@ -76,61 +74,6 @@
 	return 0;
 }
 
-static int
-dial(uint16_t port)
-{
-	struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons(port)};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	assert_int_equal(connect(fd, (struct sockaddr *)&a, sizeof(a)), 0);
-	return fd;
-}
-
-static void
-say(int fd, const char *text, size_t size)
-{
-	while (size > 0) {
-		ssize_t n = send(fd, text, size, MSG_NOSIGNAL);
-
-		if (n <= 0)
-			return;
-		text += n;
-		size -= (size_t)n;
-	}
-}
-
-static int
-ask(uint16_t port, const char *request)
-{
-	int fd = dial(port);
-
-	say(fd, request, strlen(request));
-	return fd;
-}
-
-/* Reads one answer: its header and as much body as it says. */
-static void
-read_answer(int fd, char *text)
-{
-	size_t size = 0;
-
-	memset(text, 0, ANSWER_BYTES);
-	for (;;) {
-		const char *end = strstr(text, "\r\n\r\n");
-		const char *length = strstr(text, "Content-Length: ");
-		ssize_t n;
-
-		if (end != NULL && length != NULL &&
-		    strlen(end + 4) >= strtoul(length + 16, NULL, 10))
-			return;
-		n = read(fd, text + size, ANSWER_BYTES - size - 1);
-		if (n <= 0)
-			return;
-		size += (size_t)n;
-	}
-}
-
 static struct ir_to_core *
 next(struct fixture *f)
 {
@@ -180,8 +123,8 @@
 test_request_passes_without_what_is_ours(void **state)
 {
 	struct fixture *f = *state;
-	char text[ANSWER_BYTES];
-	int fd = ask(f->port,
+	char text[RAW_ANSWER_BYTES];
+	int fd = raw_ask(f->port,
 	    "POST /search/a%20b?q=1 HTTP/1.1\r\nHost: x\r\n"
 	    "Authorization: bearer sesame-1\r\n" KEYED "X-Keep: 1\r\n"
 	    "Connection: X-Named\r\nX-Named: 1\r\nTE: trailers\r\n"
@@ -206,7 +149,7 @@
 	assert_true(has_header(c, "X-Keep"));
 	assert_true(has_header(c, "Idempotency-Key"));
 	reply(f, c->id, IR_OK);
-	read_answer(fd, text);
+	raw_read_answer(fd, text);
 	assert_non_null(strstr(text, "HTTP/1.1 200"));
 	assert_non_null(strstr(text, "Ibisrail-Outcome: ran\r\n"));
 	assert_non_null(strstr(text, "X-From: upstream\r\n"));
@@ -220,13 +163,13 @@
 test_refusal_of_the_core(void **state)
 {
 	struct fixture *f = *state;
-	char text[ANSWER_BYTES];
-	int fd = ask(f->port, "GET /search HTTP/1.1\r\nHost: x\r\n\r\n");
+	char text[RAW_ANSWER_BYTES];
+	int fd = raw_ask(f->port, "GET /search HTTP/1.1\r\nHost: x\r\n\r\n");
 	struct ir_to_core *m = next(f);
 
 	assert_string_equal(m->u.call.path, "/");
 	reply(f, m->u.call.id, IR_E_RATE);
-	read_answer(fd, text);
+	raw_read_answer(fd, text);
 	assert_non_null(strstr(text, "HTTP/1.1 429"));
 	assert_non_null(strstr(text, "Ibisrail-Outcome: not-run\r\n"));
 	assert_non_null(strstr(text, "Ibisrail-Error: rate\r\n"));
@@ -240,18 +183,18 @@
 test_connection_is_kept(void **state)
 {
 	struct fixture *f = *state;
-	char text[ANSWER_BYTES];
-	int fd = dial(f->port);
+	char text[RAW_ANSWER_BYTES];
+	int fd = raw_dial(f->port);
 
 	for (int i = 0; i < 20; i++) {
 		const char *request = "GET /s/a HTTP/1.1\r\nHost: x\r\n\r\n";
 		struct ir_to_core *m;
 
-		say(fd, request, strlen(request));
+		raw_say(fd, request, strlen(request));
 		m = next(f);
 		reply(f, m->u.call.id, IR_OK);
 		talloc_free(m);
-		read_answer(fd, text);
+		raw_read_answer(fd, text);
 		assert_non_null(strstr(text, "HTTP/1.1 200"));
 	}
 	close(fd);
@@ -261,8 +204,8 @@
 test_egress_names_its_parent(void **state)
 {
 	struct fixture *f = *state;
-	char text[ANSWER_BYTES];
-	int fd = ask(f->egress_port,
+	char text[RAW_ANSWER_BYTES];
+	int fd = raw_ask(f->egress_port,
 	    "GET /stock/1 HTTP/1.1\r\nHost: x\r\nIbisrail-Attempt: a-7\r\n"
 	    "\r\n");
 	struct ir_to_core *m = next(f);
@@ -271,7 +214,7 @@
 	assert_string_equal(m->u.call.parent, "a-7");
 	assert_int_equal(m->u.call.header_count, 0);
 	reply(f, m->u.call.id, IR_OK);
-	read_answer(fd, text);
+	raw_read_answer(fd, text);
 	talloc_free(m);
 	close(fd);
 }
@@ -280,10 +223,10 @@
 expect_refused(struct fixture *f, const char *request, const char *status,
     const char *error)
 {
-	char text[ANSWER_BYTES];
-	int fd = ask(f->port, request);
+	char text[RAW_ANSWER_BYTES];
+	int fd = raw_ask(f->port, request);
 
-	read_answer(fd, text);
+	raw_read_answer(fd, text);
 	assert_non_null(strstr(text, status));
 	assert_non_null(strstr(text, error));
 	assert_non_null(strstr(text, "Ibisrail-Outcome: not-run\r\n"));
@@ -358,13 +301,13 @@
 	struct fixture *f = *state;
 	size_t bytes = IR_MAX_BODY + 1;
 	char *body = talloc_zero_size(NULL, bytes);
-	char text[ANSWER_BYTES];
-	int fd = ask(f->port, "POST /s/ HTTP/1.1\r\nHost: x\r\n"
+	char text[RAW_ANSWER_BYTES];
+	int fd = raw_ask(f->port, "POST /s/ HTTP/1.1\r\nHost: x\r\n"
 			      "Transfer-Encoding: chunked\r\n\r\n400001\r\n");
 
-	say(fd, body, bytes);
-	say(fd, "\r\n0\r\n\r\n", 7);
-	read_answer(fd, text);
+	raw_say(fd, body, bytes);
+	raw_say(fd, "\r\n0\r\n\r\n", 7);
+	raw_read_answer(fd, text);
 	assert_non_null(strstr(text, "HTTP/1.1 413"));
 	assert_true(ir_ring_empty(f->channel->to_core));
 	talloc_free(body);
@@ -375,7 +318,7 @@
 test_caller_that_goes_away_is_reported(void **state)
 {
 	struct fixture *f = *state;
-	int fd = ask(f->port, "GET /s/ HTTP/1.1\r\nHost: x\r\n\r\n");
+	int fd = raw_ask(f->port, "GET /s/ HTTP/1.1\r\nHost: x\r\n\r\n");
 	struct ir_to_core *call = next(f), *gone;
 
 	close(fd);
@@ -394,17 +337,17 @@
 {
 	struct fixture *f = *state;
 	struct pollfd p[RING_SLOTS];
-	char text[ANSWER_BYTES];
+	char text[RAW_ANSWER_BYTES];
 	int refused = 0;
 
 	for (int i = 0; i < RING_SLOTS; i++) {
-		p[i].fd = ask(f->port, "GET /s/ HTTP/1.1\r\nHost: x\r\n\r\n");
+		p[i].fd = raw_ask(f->port, "GET /s/ HTTP/1.1\r\nHost: x\r\n\r\n");
 		p[i].events = POLLIN;
 	}
 	assert_int_equal(poll(p, RING_SLOTS, -1), 1);
 	while (p[refused].revents == 0)
 		refused++;
-	read_answer(p[refused].fd, text);
+	raw_read_answer(p[refused].fd, text);
 	assert_non_null(strstr(text, "HTTP/1.1 503"));
 	assert_non_null(strstr(text, "Ibisrail-Error: overload\r\n"));
 	assert_non_null(strstr(text, "Ibisrail-Retry-After-Ms: "));
@@ -419,14 +362,14 @@
 test_stop_answers_what_is_left(void **state)
 {
 	struct fixture *f;
-	char text[ANSWER_BYTES];
+	char text[RAW_ANSWER_BYTES];
 	int fd;
 
 	assert_int_equal(set_up((void **)&f), 0);
-	fd = ask(f->port, "GET /s/ HTTP/1.1\r\nHost: x\r\n\r\n");
+	fd = raw_ask(f->port, "GET /s/ HTTP/1.1\r\nHost: x\r\n\r\n");
 	talloc_free(next(f));
 	stop(f);
-	read_answer(fd, text);
+	raw_read_answer(fd, text);
 	assert_non_null(strstr(text, "Ibisrail-Outcome: unknown\r\n"));
 	close(fd);
 	free_all(f);
