Upstream connection in the platform's dialect: tests, and answers before a failed send

Cause: an upstream that answers before it has read a long body and then closes made the send fail first; its answer, already received, was thrown away.

Change: what was received is read before a failed send counts. test_upstream_conn (8 tests): spare and late answers, another request's, cut, unframed, reset, what says not run and what may not.

--- a/src/io/upstream_conn.c
+++ b/src/io/upstream_conn.c
@@ -179,7 +179,8 @@
 	ir_upstream_finish(t, NULL);
 }
 
-static void
+/* The functions from here on return false once the connection is gone. */
+static bool
 parse(struct upstream_conn *c, const uint8_t *data, size_t size)
 {
 	size_t n = http_parser_execute(
@@ -187,10 +188,12 @@
 
 	if (c->whole) {
 		answered(c, size - n);
-		return;
+		return false;
 	}
-	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
-		fail(c, http_errno_name(HTTP_PARSER_ERRNO(&c->parser)));
+	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK)
+		return true;
+	fail(c, http_errno_name(HTTP_PARSER_ERRNO(&c->parser)));
+	return false;
 }
 
 /* An answer without a length ends with its connection, where it may. */
@@ -209,32 +212,39 @@
 	fail(c, "closed");
 }
 
-static void
+static bool
 read_some(struct upstream_conn *c)
 {
 	uint8_t data[READ_BYTES];
 	ssize_t n = recv(c->fd, data, sizeof(data), 0);
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
-		return;
+		return true;
 	if (n < 0) {
 		fail(c, strerror(errno));
-		return;
+		return false;
 	}
 	if (n == 0) {
 		on_eof(c);
-		return;
+		return false;
 	}
 	/* Nothing is asked: these bytes belong to no request. */
 	if (c->transfer == NULL) {
 		ir_upstream_conn_close(c);
-		return;
+		return false;
 	}
 	c->heard = true;
-	parse(c, data, (size_t)n);
+	return parse(c, data, (size_t)n);
+}
+
+/* The upstream may have answered before it stopped to read. */
+static void
+fail_send(struct upstream_conn *c, const char *reason)
+{
+	if (read_some(c))
+		fail(c, reason);
 }
 
-/* False when the connection failed. */
 static bool
 send_some(struct upstream_conn *c)
 {
@@ -251,7 +261,7 @@
 			return true;
 		}
 		if (n < 0) {
-			fail(c, strerror(errno));
+			fail_send(c, strerror(errno));
 			return false;
 		}
 		c->transfer->sent = true;
@@ -292,7 +302,7 @@
 	if ((flags & TEVENT_FD_WRITE) != 0 && c->out != NULL && !send_some(c))
 		return;
 	if ((flags & TEVENT_FD_READ) != 0)
-		read_some(c);
+		(void)read_some(c);
 }
 
 static void
--- /dev/null
+++ b/test/test_upstream_conn.c
@@ -0,0 +1,377 @@
+/*
+ * A connection to the upstream in the platform's dialect, against a scripted
+ * server: answers that are spare, late, cut, without a length, early or of
+ * another request, and what each says of whether its request ran.
+ */
+#include <sys/socket.h>
+
+#include <fcntl.h>
+#include <poll.h>
+#include <pthread.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "io/listen.h"
+#include "io/upstream.h"
+#include "platform/platform.h"
+
+#define RING_SLOTS 64
+#define CONNECTIONS 4
+#define REQUEST_BYTES 16384
+#define OK(id, body) \
+	"HTTP/1.1 200 OK\r\nX-Ibisrail-Attempt-Id: " id "\r\n" \
+	"X-Ibisrail-Response-Signature: s\r\nContent-Length: 2\r\n\r\n" body
+
+/*
+ * What the server does on each request of a connection, in order; NULL ends
+ * the list and closes. "!" resets the connection instead.
+ */
+struct script {
+	const char *answers[4];
+	bool early; /* answers before the body was read */
+};
+
+struct fixture {
+	struct ir_wake *core;
+	struct ir_channel *channel;
+	struct ir_upstream *upstream;
+	pthread_t thread;
+	pthread_t server;
+	int listen_fd;
+	uint64_t last_id;
+	const struct script *script; /* of each connection */
+	int connections;
+	char request[REQUEST_BYTES]; /* the last that was read */
+};
+
+/* False at the end of the connection. */
+static bool
+read_request(struct fixture *f, int fd)
+{
+	char text[REQUEST_BYTES] = "";
+	size_t size = 0;
+
+	while (strstr(text, "\r\n\r\n") == NULL) {
+		ssize_t n = read(fd, text + size, 1);
+
+		if (n <= 0)
+			return false;
+		size += (size_t)n;
+	}
+	memcpy(f->request, text, sizeof(text));
+	return true;
+}
+
+static void
+reset(int fd)
+{
+	struct linger now = {1, 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+static void
+serve_one(struct fixture *f, int fd)
+{
+	for (int i = 0; f->script->answers[i] != NULL; i++) {
+		const char *a = f->script->answers[i];
+
+		if (!read_request(f, fd))
+			return;
+		if (strcmp(a, "!") == 0) {
+			reset(fd);
+			return;
+		}
+		if (send(fd, a, strlen(a), MSG_NOSIGNAL) < 0)
+			return;
+		if (f->script->early && read(fd, f->request, 1) <= 0)
+			return;
+	}
+}
+
+static void *
+serve(void *ctx)
+{
+	struct fixture *f = ctx;
+	int fd;
+
+	while ((fd = accept(f->listen_fd, NULL, NULL)) >= 0) {
+		__atomic_add_fetch(&f->connections, 1, __ATOMIC_SEQ_CST);
+		serve_one(f, fd);
+		close(fd);
+	}
+	return NULL;
+}
+
+static int
+set_up(void **state)
+{
+	struct ir_endpoint e = {"127.0.0.1", 0};
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+
+	f->listen_fd = ir_listen(&e, true, &e.port);
+	fcntl(f->listen_fd, F_SETFL, 0);
+	f->core = ir_wake_new(NULL);
+	f->channel = ir_channel_new(f->core, f->core, NULL, RING_SLOTS);
+	f->upstream = ir_upstream_new(
+	    f->core, f->channel, &platform_dialect, &e, CONNECTIONS);
+	*state = f;
+	if (pthread_create(&f->server, NULL, serve, f) != 0)
+		return -1;
+	return pthread_create(&f->thread, NULL, ir_upstream_run, f->upstream);
+}
+
+static int
+tear_down(void **state)
+{
+	struct fixture *f = *state;
+
+	ir_ring_push(
+	    f->channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
+	pthread_join(f->thread, NULL);
+	talloc_free(f->upstream);
+	shutdown(f->listen_fd, SHUT_RDWR);
+	pthread_join(f->server, NULL);
+	close(f->listen_fd);
+	talloc_free(f->core);
+	talloc_free(f);
+	return 0;
+}
+
+static struct ir_to_core *
+run_with(struct fixture *f, const char *attempt, bool idempotent,
+    size_t body_bytes)
+{
+	struct pollfd p = {.fd = ir_wake_fd(f->core), .events = POLLIN};
+	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_RUN);
+	struct ir_run *r = &m->u.run;
+	struct ir_to_core *ran;
+
+	m->id = ++f->last_id;
+	r->id = m->id;
+	r->attempt = "g-1";
+	r->request = "r1";
+	r->account = "shops";
+	r->authority = "shop.example";
+	r->caller_attempt = attempt;
+	r->origin = "search";
+	r->upstream_id = "i-1";
+	r->method = body_bytes > 0 ? "POST" : "GET";
+	r->path = "/a/b";
+	r->remaining_ms = 20000;
+	r->idempotent = idempotent;
+	r->body = talloc_zero_size(m, body_bytes);
+	r->body_bytes = body_bytes;
+	ir_ring_push(f->channel->from_core, m);
+	while ((ran = ir_ring_pop(f->channel->to_core)) == NULL) {
+		ir_wake_arm(f->core);
+		if (ir_ring_empty(f->channel->to_core))
+			poll(&p, 1, -1);
+		ir_wake_disarm(f->core);
+	}
+	assert_int_equal(ran->kind, IR_TO_CORE_RAN);
+	assert_int_equal(ran->id, f->last_id);
+	return ran;
+}
+
+static struct ir_to_core *
+run(struct fixture *f, const char *attempt)
+{
+	return run_with(f, attempt, true, 0);
+}
+
+static void
+expect_end(struct fixture *f, const char *answer, enum ir_run_end end)
+{
+	const struct script s = {.answers = {answer}};
+	struct ir_to_core *m;
+
+	f->script = &s;
+	m = run_with(f, "1", false, 0);
+	assert_int_equal(m->u.result.end, end);
+	talloc_free(m);
+}
+
+static void
+expect_body(struct ir_to_core *m, const char *body)
+{
+	const struct ir_run_result *r = &m->u.result;
+
+	assert_int_equal(r->end, IR_RUN_ANSWERED);
+	assert_int_equal(r->body_bytes, strlen(body));
+	assert_memory_equal(r->body, body, strlen(body));
+	talloc_free(m);
+}
+
+static void
+test_request_in_the_dialect(void **state)
+{
+	static const struct script s = {.answers = {OK("7.1", "ok")}};
+	struct fixture *f = *state;
+	static const char *const lines[] = {"GET /a/b HTTP/1.1\r\n",
+	    "Host: shop.example\r\n", "X-Ibisrail-Attempt-Id: 7.1\r\n",
+	    "X-Ibisrail-Deadline-Remaining: 20000\r\n",
+	    "X-Ibisrail-Expected-Instance: i-1\r\n",
+	    "X-Ibisrail-Tenant-Name: shops\r\n",
+	    "X-Ibisrail-Caller-Service: search\r\n"};
+
+	f->script = &s;
+	expect_body(run(f, "7.1"), "ok");
+	for (size_t i = 0; i < sizeof(lines) / sizeof(*lines); i++)
+		assert_non_null(strstr(f->request, lines[i]));
+	assert_null(strstr(f->request, "r1"));
+}
+
+/* The spare answer to 1 comes where that to 2 is expected. */
+static void
+test_late_spare_answer_is_passed_over(void **state)
+{
+	static const struct script s = {
+	    .answers = {OK("1", "aa"), OK("1", "xx") OK("2", "bb")}};
+	struct fixture *f = *state;
+
+	f->script = &s;
+	expect_body(run(f, "1"), "aa");
+	expect_body(run(f, "2"), "bb");
+	assert_int_equal(f->connections, 1);
+}
+
+/* A connection with bytes behind an answer is not used again. */
+static void
+test_spare_answer_at_once(void **state)
+{
+	static const struct script s = {.answers = {OK("1", "aa") OK("1", "xx")}};
+	static const struct script next = {.answers = {OK("2", "bb")}};
+	struct fixture *f = *state;
+
+	f->script = &s;
+	expect_body(run(f, "1"), "aa");
+	f->script = &next;
+	expect_body(run(f, "2"), "bb");
+	assert_int_equal(f->connections, 2);
+}
+
+static void
+test_answer_of_another_request_is_none(void **state)
+{
+	expect_end(*state, OK("2", "xx"), IR_RUN_BROKEN);
+	/* One that names no request at all. */
+	expect_end(*state,
+	    "HTTP/1.1 200 OK\r\nX-Ibisrail-Response-Signature: s\r\n"
+	    "Content-Length: 0\r\n\r\n",
+	    IR_RUN_BROKEN);
+}
+
+static void
+test_answers_that_are_not_whole(void **state)
+{
+	expect_end(*state,
+	    "HTTP/1.1 200 OK\r\nX-Ibisrail-Attempt-Id: 1\r\n"
+	    "X-Ibisrail-Response-Signature: s\r\nContent-Length: 9\r\n\r\nab",
+	    IR_RUN_BROKEN);
+	expect_end(*state,
+	    "HTTP/1.1 200 OK\r\nX-Ibisrail-Attempt-Id: 1\r\n"
+	    "X-Ibisrail-Response-Signature: s\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+	    IR_RUN_BROKEN);
+	/* Without the digest, or in another coding, it is not the upstream's. */
+	expect_end(*state,
+	    "HTTP/1.1 200 OK\r\nX-Ibisrail-Attempt-Id: 1\r\n"
+	    "Content-Length: 2\r\n\r\nab",
+	    IR_RUN_BROKEN);
+	expect_end(*state,
+	    "HTTP/1.1 200 OK\r\nX-Ibisrail-Attempt-Id: 1\r\n"
+	    "X-Ibisrail-Response-Signature: s\r\nContent-Encoding: gzip\r\n"
+	    "Content-Length: 2\r\n\r\nab",
+	    IR_RUN_BROKEN);
+	expect_end(*state, "no HTTP\r\n\r\n", IR_RUN_BROKEN);
+	expect_end(*state, "!", IR_RUN_BROKEN);
+	/* Closed with no answer at all. */
+	expect_end(*state, "", IR_RUN_BROKEN);
+}
+
+/* It ends with its connection; a reset is no such end. */
+static void
+test_answer_without_a_length(void **state)
+{
+	static const char unframed[] =
+	    "HTTP/1.1 200 OK\r\nX-Ibisrail-Attempt-Id: 1\r\n"
+	    "X-Ibisrail-Response-Signature: s\r\n\r\nabc";
+	static const struct script s = {.answers = {unframed}};
+	struct fixture *f = *state;
+
+	f->script = &s;
+	expect_body(run(f, "1"), "abc");
+}
+
+static void
+test_what_was_not_run(void **state)
+{
+	expect_end(*state,
+	    "HTTP/1.1 503 No\r\nX-Ibisrail-Not-Executed: 1\r\n"
+	    "Content-Length: 0\r\n\r\n",
+	    IR_RUN_SHED);
+	expect_end(*state,
+	    "HTTP/1.1 421 No\r\nX-Ibisrail-Instance-Id: i-2\r\n"
+	    "Content-Length: 0\r\n\r\n",
+	    IR_RUN_SHED);
+	/* Statuses that promise it, without the upstream's word for it. */
+	expect_end(*state,
+	    "HTTP/1.1 503 No\r\nX-Ibisrail-Attempt-Id: 1\r\n"
+	    "Content-Length: 0\r\n\r\n",
+	    IR_RUN_BROKEN);
+	expect_end(*state,
+	    "HTTP/1.1 429 No\r\nX-Ibisrail-Attempt-Id: 1\r\n"
+	    "Content-Length: 0\r\n\r\n",
+	    IR_RUN_BROKEN);
+	/* Its own failure is passed on. */
+	expect_end(*state,
+	    "HTTP/1.1 500 Bad\r\nX-Ibisrail-Attempt-Id: 1\r\n"
+	    "X-Ibisrail-Response-Signature: s\r\nContent-Length: 0\r\n\r\n",
+	    IR_RUN_ANSWERED);
+}
+
+/* What is left of the body would be read as the next request. */
+static void
+test_early_answer_ends_the_connection(void **state)
+{
+	static const struct script early = {
+	    .answers = {OK("1", "aa")}, .early = true};
+	static const struct script next = {.answers = {OK("2", "bb")}};
+	struct fixture *f = *state;
+
+	f->script = &early;
+	expect_body(run_with(f, "1", true, 8 * 1024 * 1024), "aa");
+	f->script = &next;
+	expect_body(run(f, "2"), "bb");
+	assert_int_equal(f->connections, 2);
+}
+
+#define WITH_UPSTREAM(t) cmocka_unit_test_setup_teardown(t, set_up, tear_down)
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    WITH_UPSTREAM(test_request_in_the_dialect),
+	    WITH_UPSTREAM(test_late_spare_answer_is_passed_over),
+	    WITH_UPSTREAM(test_spare_answer_at_once),
+	    WITH_UPSTREAM(test_answer_of_another_request_is_none),
+	    WITH_UPSTREAM(test_answers_that_are_not_whole),
+	    WITH_UPSTREAM(test_answer_without_a_length),
+	    WITH_UPSTREAM(test_what_was_not_run),
+	    WITH_UPSTREAM(test_early_answer_ends_the_connection),
+	};
+
+	signal(SIGPIPE, SIG_IGN);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
