Logs by a thread of their own; one line for each decision on a request

Cause: lines were written under a lock to standard error by whoever logged, so that a reader that stalls stopped requests; no line told of a single request.

Change: lines pass a bounded buffer (256 KB) to a writing thread, to standard output; what finds no room is counted. Events 404 to 411: admitted, refused, sent (with the load and its age), gate took or refused (with what decided it), run started and ended, call ended; by the caller's own id. 100 lines a second of each, the rest counted.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -89,6 +89,24 @@
 	return h != NULL && strcmp(h->region, n->settings.region) != 0;
 }
 
+static void
+log_sent(struct ir_node *n, int64_t now, const struct attempt *a)
+{
+	const struct call *c = a->call;
+	int64_t age_us = -IR_US_PER_MS;
+	const struct ir_load *l =
+	    ir_chooser_load(n->chooser, now, a->peer->name, &age_us);
+	char id[NODE_ID_BYTES];
+
+	node_log(n, IR_EVENT_ATTEMPT_SENT,
+	    "id=%s attempt=%016llx-%llx host=%s try=%u held=%u limit=%u age_ms=%lld",
+	    node_id_text(id, c->caller_attempt, &c->request),
+	    (unsigned long long)n->settings.incarnation,
+	    (unsigned long long)a->sequence, a->peer->name, c->tried_count,
+	    l != NULL ? l->running + l->queued : 0, l != NULL ? l->limit : 0,
+	    (long long)(age_us / IR_US_PER_MS));
+}
+
 static void
 transmit(struct ir_node *n, int64_t now, struct attempt *a)
 {
@@ -103,6 +121,7 @@
 				  : a->peer->link.incarnation;
 	fill_forward(n, &m.ir_msg_u.forward, a, now);
 	c->sent_count++;
+	log_sent(n, now, a);
 	ir_count(&n->counters, IR_ATTEMPTS, 1);
 	ir_chooser_sent(n->chooser, now, a->peer->name,
 	    in_other_region(n, a->peer), c->body_bytes);
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -35,6 +35,21 @@
 	n->ops.answer(n->ctx, id, &a);
 }
 
+static void
+log_end(struct ir_node *n, int64_t now, const struct call *c, enum ir_error e,
+    unsigned status)
+{
+	const struct ir_error_info *i = ir_error_info(e);
+	char id[NODE_ID_BYTES];
+
+	node_log(n, IR_EVENT_CALL_ENDED,
+	    "id=%s error=%s outcome=%s status=%u ms=%lld tries=%u host=%s",
+	    node_id_text(id, c->caller_attempt, &c->request), i->name,
+	    ir_outcome_name(i->outcome), status,
+	    (long long)((now - c->start_us) / IR_US_PER_MS), c->tried_count,
+	    c->tried_count > 0 ? c->tried[c->tried_count - 1] : "none");
+}
+
 static void
 forget(struct ir_node *n, int64_t now, struct call *c)
 {
@@ -53,6 +68,7 @@
     struct ir_node *n, int64_t now, struct call *c, const struct ir_answer *a)
 {
 	ir_count(&n->counters, IR_ANSWERED, 1);
+	log_end(n, now, c, IR_OK, a->status);
 	n->ops.answer(n->ctx, c->id, a);
 	forget(n, now, c);
 }
@@ -69,6 +85,7 @@
 		    c->service, c->account);
 	if (c->parent != NULL && (e == IR_E_OVERLOAD || e == IR_E_DEADLINE))
 		c->parent->callee_shed = true;
+	log_end(n, now, c, e, 0);
 	answer_error(n, c->id, e, retry_after_ms);
 	forget(n, now, c);
 }
@@ -78,6 +95,7 @@
 call_drop(struct ir_node *n, int64_t now, struct call *c)
 {
 	ir_count(&n->counters, IR_CANCELLED, 1);
+	log_end(n, now, c, IR_E_CANCELLED, 0);
 	forget(n, now, c);
 }
 
@@ -87,6 +105,11 @@
 {
 	uint32_t retry_ms = 0;
 
+	node_log(n, IR_EVENT_CALL_REFUSED,
+	    "id=%s error=%s service=%s path=%s config=%llu",
+	    in->attempt != NULL ? in->attempt : "none", ir_error_info(e)->name,
+	    in->service != NULL ? in->service : in->authority, in->path,
+	    (unsigned long long)node_view(n)->config_revision);
 	if (e == IR_E_KEY_UNKNOWN || e == IR_E_NO_KEY)
 		node_log(n, IR_EVENT_KEY_REFUSED, "error=%s service=%s",
 		    ir_error_info(e)->name,
@@ -96,6 +119,20 @@
 	answer_error(n, in->id, e, retry_ms);
 }
 
+static void
+log_admitted(struct ir_node *n, int64_t now, const struct call *c)
+{
+	char id[NODE_ID_BYTES];
+
+	node_log(n, IR_EVENT_CALL_ADMITTED,
+	    "id=%s service=%s account=%s importance=%u depth=%u "
+	    "deadline_ms=%lld config=%llu",
+	    node_id_text(id, c->caller_attempt, &c->request), c->service,
+	    c->account, c->importance, c->depth,
+	    (long long)((c->deadline_us - now) / IR_US_PER_MS),
+	    (unsigned long long)c->config_revision);
+}
+
 static void
 unlink_new(struct call *c)
 {
@@ -130,6 +167,7 @@
 	}
 	HASH_ADD(hh, n->calls, id, sizeof(c->id), c);
 	c->state = CALL_OUT;
+	log_admitted(n, now, c);
 	ir_retry_budget_fresh(attempt_budget(n, c->service), now);
 	call_try(n, now, c);
 	node_finish(n, now);
--- a/src/core/dump.c
+++ b/src/core/dump.c
@@ -62,11 +62,13 @@
 }
 
 static struct json_object *
-dump_peer(struct ir_node *n, const struct peer *p)
+dump_peer(struct ir_node *n, int64_t now, const struct peer *p)
 {
 	static const char *const states[] = {
 	    "down", "connecting", "greeting", "up"};
-	const struct ir_load *l = ir_chooser_load(n->chooser, p->name);
+	int64_t age_us = 0;
+	const struct ir_load *l =
+	    ir_chooser_load(n->chooser, now, p->name, &age_us);
 	struct json_object *o = json_object_new_object();
 	const struct attempt *a;
 	int64_t count = 0;
@@ -125,7 +127,7 @@
 	json_object_object_add(o, "view", dump_view(n, now));
 	json_object_object_add(o, "gate", dump_gate(n, now));
 	HASH_ITER (hh, n->peers, p, tmp)
-		json_object_array_add(peers, dump_peer(n, p));
+		json_object_array_add(peers, dump_peer(n, now, p));
 	json_object_object_add(o, "peers", peers);
 	json_object_object_add(o, "accounts", dump_accounts(n, now));
 	json_object_object_add(o, "counters", ir_node_counters(n));
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -203,6 +203,10 @@
 uint64_t node_random(struct ir_node *n);
 uint32_t node_jitter_ms(struct ir_node *n, uint32_t base_ms);
 enum ir_view_state node_view_state(struct ir_node *n, int64_t now);
+/* The id that logs know a request by: the caller's own, or the request's. */
+#define NODE_ID_BYTES (IR_MAX_CALLER_ATTEMPT + 1)
+const char *node_id_text(char *buffer, const char *caller_attempt,
+    const struct ir_request_id *request);
 void node_log(struct ir_node *n, enum ir_event e, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 struct ir_load node_load(struct ir_node *n, int64_t now, const char *account);
@@ -272,6 +276,9 @@
 void serve_tick(struct ir_node *n, int64_t now);
 
 /* run.c */
+/* A run ended so; the record still has its request. */
+void serve_log_ended(struct ir_node *n, int64_t now, const struct ir_record *r,
+    enum ir_error e, unsigned status);
 /* Starts the runs for which the gate gave slots. */
 void serve_started(struct ir_node *n, int64_t now);
 
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -163,10 +163,22 @@
 	return base_ms + (uint32_t)(node_random(n) % (base_ms + 1));
 }
 
+const char *
+node_id_text(char *buffer, const char *caller_attempt,
+    const struct ir_request_id *request)
+{
+	if (caller_attempt != NULL && caller_attempt[0] != '\0')
+		return caller_attempt;
+	(void)snprintf(buffer, NODE_ID_BYTES, "%016llx%016llx",
+	    (unsigned long long)request->high,
+	    (unsigned long long)request->low);
+	return buffer;
+}
+
 void
 node_log(struct ir_node *n, enum ir_event e, const char *fmt, ...)
 {
-	char fields[512];
+	char fields[1024];
 	va_list ap;
 
 	va_start(ap, fmt);
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -6,6 +6,35 @@
 
 #define LEAVE_GRACE_US IR_US_PER_S
 
+static void
+log_started(struct ir_node *n, int64_t now, const struct ir_record *r,
+    const struct ir_run *run)
+{
+	char id[NODE_ID_BYTES];
+
+	node_log(n, IR_EVENT_RUN_STARTED,
+	    "id=%s attempt=%s waited_ms=%lld left_ms=%u upstream=%s",
+	    node_id_text(
+		id, r->forward->caller_attempt, &r->forward->request),
+	    r->attempt_text,
+	    (long long)((now - r->work.offered_us) / IR_US_PER_MS),
+	    run->remaining_ms, run->upstream_id);
+}
+
+void
+serve_log_ended(struct ir_node *n, int64_t now, const struct ir_record *r,
+    enum ir_error e, unsigned status)
+{
+	char id[NODE_ID_BYTES];
+
+	node_log(n, IR_EVENT_RUN_ENDED,
+	    "id=%s attempt=%s error=%s status=%u ms=%lld",
+	    node_id_text(
+		id, r->forward->caller_attempt, &r->forward->request),
+	    r->attempt_text, ir_error_info(e)->name, status,
+	    (long long)((now - r->work.started_us) / IR_US_PER_MS));
+}
+
 static void
 send_run(struct ir_node *n, int64_t now, struct ir_record *r)
 {
@@ -37,6 +66,7 @@
 	out.body = (const uint8_t *)f->body.body_val;
 	out.body_bytes = f->body.body_len;
 	ir_count(&n->counters, IR_RUNS, 1);
+	log_started(n, now, r, &out);
 	n->ops.run(n->ctx, &out);
 }
 
@@ -146,6 +176,7 @@
 		node_log(n, IR_EVENT_UPSTREAM_BROKEN,
 		    "attempt=%s reason=answer-not-kept", r->attempt_text);
 	}
+	serve_log_ended(n, now, r, e, res->status);
 	ir_gate_done(n->gate, now, &r->work, run_sample(r, res));
 	serve_end_record(
 	    n, now, r, e, e == IR_E_UPSTREAM_SHED ? node_jitter_ms(n, 100) : 0);
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -93,6 +93,35 @@
 	send_answers(n, now, r);
 }
 
+/* What the gate decided, with what it decided by. */
+static void
+log_gate(struct ir_node *n, int64_t now, const struct ir_record *r,
+    enum ir_event event, const char *what, uint32_t retry_after_ms)
+{
+	struct ir_load l = ir_gate_load(n->gate, now, "");
+	char id[NODE_ID_BYTES];
+
+	node_log(n, event,
+	    "id=%s attempt=%s %s running=%u queued=%u limit=%u "
+	    "expected_ms=%u left_ms=%lld retry_ms=%u",
+	    node_id_text(
+		id, r->forward->caller_attempt, &r->forward->request),
+	    r->attempt_text, what, l.running, l.queued, l.limit,
+	    (unsigned)(l.service_time_us / IR_US_PER_MS),
+	    (long long)((r->work.deadline_us - now) / IR_US_PER_MS),
+	    retry_after_ms);
+}
+
+static void
+log_gate_refused(struct ir_node *n, int64_t now, const struct ir_record *r,
+    enum ir_error e, uint32_t retry_after_ms)
+{
+	char what[64];
+
+	(void)snprintf(what, sizeof(what), "error=%s", ir_error_info(e)->name);
+	log_gate(n, now, r, IR_EVENT_GATE_REFUSED, what, retry_after_ms);
+}
+
 static void
 gate_refuse(void *ctx, int64_t now, struct ir_work *w, enum ir_error kind,
     uint32_t retry_after_ms)
@@ -100,6 +129,7 @@
 	struct ir_node *n = ctx;
 
 	ir_count(&n->counters, IR_GATE_REFUSED, 1);
+	log_gate_refused(n, now, w->owner, kind, retry_after_ms);
 	serve_end_record(n, now, w->owner, kind, retry_after_ms);
 }
 
@@ -300,11 +330,21 @@
 		talloc_free(key);
 	}
 	if (e != IR_OK) {
-		serve_end_record(n, now, r, e, node_jitter_ms(n, 100));
+		uint32_t retry_ms = node_jitter_ms(n, 100);
+
+		log_gate_refused(n, now, r, e, retry_ms);
+		serve_end_record(n, now, r, e, retry_ms);
 		return;
 	}
 	set_work(n, now, r);
 	ir_gate_offer(n->gate, now, &r->work);
+	/* Refused work is done already, and its record may be gone. */
+	r = ir_records_find(n->records, &f->attempt);
+	if (r != NULL && r->state != IR_RECORD_DONE)
+		log_gate(n, now, r, IR_EVENT_GATE_TOOK,
+		    r->state == IR_RECORD_QUEUED ? "state=queued"
+						 : "state=started",
+		    0);
 }
 
 static struct ir_record *
@@ -380,8 +420,10 @@
 {
 	bool running = r->state == IR_RECORD_RUNNING;
 
-	if (running)
+	if (running) {
+		serve_log_ended(n, now, r, ran, 0);
 		n->ops.cancel_run(n->ctx, r->run);
+	}
 	ir_gate_cancel(n->gate, now, &r->work);
 	serve_end_record(n, now, r, running ? ran : not_run, 0);
 }
--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -254,8 +254,8 @@
 	p->settings_time = changed_at(settings_file);
 	p->dialect = dialect;
 	p->log =
-	    ir_log_new(p, STDERR_FILENO, settings->host, settings->log_level);
-	if (p->log == NULL)
+	    ir_log_new(p, STDOUT_FILENO, settings->host, settings->log_level);
+	if (p->log == NULL || ir_log_start(p->log) != 0)
 		goto fail;
 	divide_descriptors(p);
 	if (listen_all(p) != 0 || make_loop(p) != 0 || make_duties(p) != 0)
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -44,6 +44,10 @@
 	"The settings were read again. Keys that may change while the process "
 	"runs are in force.",
 	"Restart the process when a key is named."},
+    {IR_EVENT_LOG_DROPPED, "lines: how many did not fit the buffer",
+	"The reader of the log stalled; lines were left out, requests went "
+	"on.",
+	"Look at what reads the process's standard output."},
     {IR_EVENT_VIEW_CHANGED,
 	"config, list: the revisions of configuration and host list; hosts: "
 	"how many the list names",
@@ -114,6 +118,47 @@
 	"The local upstream did not take a connection, closed it while it "
 	"ran a request, or cut its answer short.",
 	"Look at the upstream's own log at this time."},
+    {IR_EVENT_CALL_ADMITTED,
+	"id: of the request, the caller's own where it gives one; service, "
+	"account, importance, deadline_ms: what it may do; config: revision "
+	"of the configuration that decided it; depth: calls above it",
+	"A request was admitted at this entry.",
+	"Nothing. ibisrailctl trace ID follows the request."},
+    {IR_EVENT_CALL_REFUSED,
+	"id; error; retry_ms: when the caller may come back; service, "
+	"account, config: what decided it",
+	"A request was refused at this entry before it was sent to a gate.",
+	"rate: look at the account's rate and demand. no-route, key-unknown: "
+	"compare config with the revision published."},
+    {IR_EVENT_ATTEMPT_SENT,
+	"id; attempt: its number at this entry; host: whose gate; try: which "
+	"try this is; held, limit: the gate's work by its last report; "
+	"age_ms: of that report, -1 without one",
+	"The request was sent to a gate.", "Nothing."},
+    {IR_EVENT_GATE_TOOK,
+	"id; attempt; state: started or queued; running, queued, limit: at "
+	"the gate; expected_ms: what a run takes; left_ms: to its deadline",
+	"The gate took the request.", "Nothing."},
+    {IR_EVENT_GATE_REFUSED,
+	"id; attempt; error; running, queued, limit, expected_ms, left_ms: "
+	"what decided it; retry_ms: when to come back",
+	"The gate refused the request; it did not run here.",
+	"deadline: it could not end in time any more. overload: more "
+	"important or earlier work fills the queue."},
+    {IR_EVENT_RUN_STARTED,
+	"id; attempt; waited_ms: in the queue; left_ms: to its deadline; "
+	"upstream: the id that was expected",
+	"The request was handed to the local upstream.", "Nothing."},
+    {IR_EVENT_RUN_ENDED,
+	"id; attempt; error, status: what became of it; ms: since it was "
+	"handed over",
+	"A run ended, by the upstream's answer, its failure, or because "
+	"nobody waits any more (cancelled, timeout).",
+	"Long runs or failures of one host only: look at its upstream."},
+    {IR_EVENT_CALL_ENDED,
+	"id; error, outcome, status: what the caller was told; ms: since it "
+	"was admitted; tries: gates that were asked; host: the last one",
+	"The request got its one answer.", "Nothing."},
     {IR_EVENT_BUCKET_HANDED,
 	"account: its name; bucket: its number; to: the host",
 	"A token bucket of an account was handed to another host.", "Nothing."},
--- a/src/log/log.c
+++ b/src/log/log.c
@@ -1,6 +1,7 @@
 /* The logger: numbered events as lines of JSON, limited in rate. */
 #include <errno.h>
 #include <json-c/json.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -16,6 +17,14 @@
 
 #define MAX_EVENT_NUMBER 1024
 #define MAX_NUMBER_DIGITS 18
+#define FIRST_REQUEST_EVENT 400
+#define LAST_REQUEST_EVENT 499
+/* Lines are written together, so that the thread seldom wakes. */
+#define BATCH_NS (50 * 1000 * 1000)
+#define WAIT_MS 100
+#define END_WAIT_MS 200
+/* What a pipe that is ready takes without blocking. */
+#define CHUNK_BYTES 4096
 
 /* The lines of one event in the running second. */
 struct rate {
@@ -30,11 +39,32 @@
 	enum ir_level level;
 	pthread_mutex_t lock;
 	struct rate rates[MAX_EVENT_NUMBER];
+	/* With a thread of its own. */
+	bool started;
+	bool ending;
+	pthread_t thread;
+	pthread_cond_t filled;
+	char *buffer;
+	size_t buffer_bytes;
+	uint64_t dropped; /* lines that found no room */
 };
 
+static void
+end_thread(struct ir_log *l)
+{
+	pthread_mutex_lock(&l->lock);
+	l->ending = true;
+	pthread_cond_signal(&l->filled);
+	pthread_mutex_unlock(&l->lock);
+	pthread_join(l->thread, NULL);
+	pthread_cond_destroy(&l->filled);
+}
+
 static int
 log_destroy(struct ir_log *l)
 {
+	if (l->started)
+		end_thread(l);
 	pthread_mutex_destroy(&l->lock);
 	return 0;
 }
@@ -66,13 +96,13 @@
 
 /* Whether a line may be written now; *suppressed is what was left out. */
 static bool
-rate_take(struct rate *r, int64_t now, uint64_t *suppressed)
+rate_take(struct rate *r, int64_t now, uint32_t burst, uint64_t *suppressed)
 {
 	if (r->lines == 0 || now - r->start_us >= IR_US_PER_S) {
 		r->start_us = now;
 		r->lines = 0;
 	}
-	if (r->lines >= IR_LOG_BURST) {
+	if (r->lines >= burst) {
 		r->suppressed++;
 		return false;
 	}
@@ -192,8 +222,9 @@
 	}
 }
 
-static void
-write_line(const struct ir_log *l, const struct ir_event_info *e,
+/* A line with its end, under NULL; NULL without memory. */
+static char *
+make_line(const struct ir_log *l, const struct ir_event_info *e,
     uint64_t suppressed, const char *fields)
 {
 	struct json_object *obj = json_object_new_object();
@@ -212,10 +243,132 @@
 	json_object_object_add(obj, "fields", parse_fields(fields));
 	text = json_object_to_json_string_ext(obj, JSON_C_TO_STRING_PLAIN);
 	line = talloc_asprintf(NULL, "%s\n", text);
+	json_object_put(obj);
+	return line;
+}
+
+/* The lock is held. */
+static void
+put_line(struct ir_log *l, const char *line)
+{
+	size_t n = strlen(line);
+
+	if (!l->started) {
+		write_all(l->fd, line, n);
+		return;
+	}
+	if (l->buffer_bytes + n > IR_LOG_BUFFER_BYTES) {
+		l->dropped++;
+		return;
+	}
+	if (l->buffer_bytes == 0)
+		pthread_cond_signal(&l->filled);
+	memcpy(l->buffer + l->buffer_bytes, line, n);
+	l->buffer_bytes += n;
+}
+
+/* The lock is held: there is room, as the buffer was just taken. */
+static void
+note_dropped(struct ir_log *l)
+{
+	char fields[32], *line;
+
+	if (l->dropped == 0)
+		return;
+	snprintf(fields, sizeof(fields), "lines=%llu",
+	    (unsigned long long)l->dropped);
+	l->dropped = 0;
+	line = make_line(l, ir_event_info(IR_EVENT_LOG_DROPPED), 0, fields);
 	if (line != NULL)
-		write_all(l->fd, line, strlen(line));
+		put_line(l, line);
 	talloc_free(line);
-	json_object_put(obj);
+}
+
+/* Waits for the reader, for a moment only once the process ends. */
+static void
+write_slowly(struct ir_log *l, const char *data, size_t size)
+{
+	while (size > 0) {
+		struct pollfd p = {.fd = l->fd, .events = POLLOUT};
+		bool ending = __atomic_load_n(&l->ending, __ATOMIC_RELAXED);
+		int ready = poll(&p, 1, ending ? END_WAIT_MS : WAIT_MS);
+		ssize_t n;
+
+		if (ready <= 0 && ending)
+			return;
+		if (ready <= 0)
+			continue;
+		n = write(l->fd, data, size < CHUNK_BYTES ? size : CHUNK_BYTES);
+		if (n < 0 && errno != EINTR && errno != EAGAIN)
+			return;
+		if (n > 0) {
+			data += n;
+			size -= (size_t)n;
+		}
+	}
+}
+
+static void *
+write_lines(void *ctx)
+{
+	const struct timespec batch = {.tv_nsec = BATCH_NS};
+	struct ir_log *l = ctx;
+	char *full = l->buffer + IR_LOG_BUFFER_BYTES;
+	size_t size;
+	bool ending;
+
+	do {
+		pthread_mutex_lock(&l->lock);
+		while (l->buffer_bytes == 0 && !l->ending)
+			pthread_cond_wait(&l->filled, &l->lock);
+		ending = l->ending;
+		pthread_mutex_unlock(&l->lock);
+		if (!ending)
+			clock_nanosleep(CLOCK_MONOTONIC, 0, &batch, NULL);
+		pthread_mutex_lock(&l->lock);
+		size = l->buffer_bytes;
+		memcpy(full, l->buffer, size);
+		l->buffer_bytes = 0;
+		note_dropped(l);
+		pthread_mutex_unlock(&l->lock);
+		write_slowly(l, full, size);
+	} while (!ending);
+	return NULL;
+}
+
+int
+ir_log_start(struct ir_log *l)
+{
+	/* One half is filled while the other one is written. */
+	l->buffer = talloc_size(l, 2 * IR_LOG_BUFFER_BYTES);
+	if (l->buffer == NULL || pthread_cond_init(&l->filled, NULL) != 0)
+		return -1;
+	l->started = true;
+	if (pthread_create(&l->thread, NULL, write_lines, l) == 0)
+		return 0;
+	l->started = false;
+	pthread_cond_destroy(&l->filled);
+	return -1;
+}
+
+static uint32_t
+burst_of(enum ir_event event)
+{
+	if (event >= FIRST_REQUEST_EVENT && event <= LAST_REQUEST_EVENT)
+		return IR_LOG_REQUEST_BURST;
+	return IR_LOG_BURST;
+}
+
+static bool
+take_turn(struct ir_log *l, int64_t now, enum ir_event event,
+    uint64_t *suppressed)
+{
+	bool ok;
+
+	pthread_mutex_lock(&l->lock);
+	ok = rate_take(&l->rates[event], now, burst_of(event), suppressed);
+	pthread_mutex_unlock(&l->lock);
+	return ok;
 }
 
 void
@@ -224,14 +377,20 @@
 {
 	const struct ir_event_info *e = ir_event_info(event);
 	uint64_t suppressed = 0;
+	char *line;
 
-	if (l == NULL || e == NULL || 
+	if (l == NULL || e == NULL ||
 	    e->level > __atomic_load_n(&l->level, __ATOMIC_RELAXED))
 		return;
 	if ((unsigned)event >= MAX_EVENT_NUMBER)
 		return;
+	if (!take_turn(l, now, event, &suppressed))
+		return;
+	line = make_line(l, e, suppressed, fields);
+	if (line == NULL)
+		return;
 	pthread_mutex_lock(&l->lock);
-	if (rate_take(&l->rates[event], now, &suppressed))
-		write_line(l, e, suppressed, fields);
+	put_line(l, line);
 	pthread_mutex_unlock(&l->lock);
+	talloc_free(line);
 }
--- a/src/zone/choose.c
+++ b/src/zone/choose.c
@@ -307,9 +307,13 @@
 }
 
 const struct ir_load *
-ir_chooser_load(const struct ir_chooser *c, const char *host)
+ir_chooser_load(const struct ir_chooser *c, int64_t now, const char *host,
+    int64_t *age_us)
 {
 	const struct ir_seen *s = ir_seen_find(c->seen, host);
 
-	return s != NULL && s->has_load ? &s->load : NULL;
+	if (s == NULL || !s->has_load)
+		return NULL;
+	*age_us = now - s->load_us;
+	return &s->load;
 }
--- a/src/zone/choose.h
+++ b/src/zone/choose.h
@@ -52,8 +52,8 @@
 /* Forgets hosts that the view no longer names. */
 void ir_chooser_trim(struct ir_chooser *c, const struct ir_view *v);
 
-/* Load last seen of a host, for the state dump; NULL when none. */
-const struct ir_load *ir_chooser_load(
-    const struct ir_chooser *c, const char *host);
+/* Load last seen of a host with its age; NULL when none. */
+const struct ir_load *ir_chooser_load(const struct ir_chooser *c, int64_t now,
+    const char *host, int64_t *age_us);
 
 #endif
--- a/test/test_choose.c
+++ b/test/test_choose.c
@@ -378,6 +378,14 @@
 	assert_int_equal(choose(f, 1), IR_CHOSEN);
 }
 
+static const struct ir_load *
+load_of(const struct fixture *f)
+{
+	int64_t age_us;
+
+	return ir_chooser_load(f->chooser, f->now, "h00", &age_us);
+}
+
 static void
 test_greeting_and_trim_forget(void **state)
 {
@@ -386,20 +394,20 @@
 
 	f->service.host_count = 1;
 	report(f, 0, 10, high, high);
-	assert_non_null(ir_chooser_load(f->chooser, "h00"));
+	assert_non_null(load_of(f));
 	ir_chooser_reachable(f->chooser, f->now, "h00", true);
-	assert_null(ir_chooser_load(f->chooser, "h00"));
+	assert_null(load_of(f));
 	choose(f, 100);
 	assert_int_equal(f->shed, 0);
 	report(f, 0, 10, 0, high);
 	f->view.account_count = 0;
 	ir_chooser_trim(f->chooser, &f->view);
-	assert_non_null(ir_chooser_load(f->chooser, "h00"));
+	assert_non_null(load_of(f));
 	choose(f, 100);
 	assert_int_equal(f->shed, 0);
 	f->view.host_count = 0;
 	ir_chooser_trim(f->chooser, &f->view);
-	assert_null(ir_chooser_load(f->chooser, "h00"));
+	assert_null(load_of(f));
 	ir_chooser_done(f->chooser, f->now, "h00", "a", NULL, 0);
 }
 
