--- a/include/ibisrail/dialect.h
+++ b/include/ibisrail/dialect.h
@@ -57,6 +57,9 @@
 	uint64_t revision;
 	struct ir_store_item *items;
 	size_t item_count;
+	/* A read of the host list that tells of the configuration too. */
+	struct ir_store_item *config_items; /* all there is, or NULL */
+	size_t config_item_count;
 };
 
 enum ir_store_result {
@@ -78,9 +81,11 @@
 	    const char **error);
 	/* Items change without what they tell of a host: see store_book.h. */
 	bool hosts_by_item;
+	/* Reads of changes to the host list tell those of the configuration. */
+	bool joint_changes;
 	uint32_t config_wait_ms; /* a read waits so long for a change */
 	uint32_t hosts_wait_ms;
-	uint32_t hosts_period_ms; /* from read to read, at least */
+	uint32_t read_gap_ms; /* from a read that brought something */
 };
 
 struct ir_dialect {
--- a/src/io/core_loop.c
+++ b/src/io/core_loop.c
@@ -62,7 +62,7 @@
 	    .rate_share = s->rate_tolerance.share,
 	    .rate_requests = s->rate_tolerance.requests,
 	    .rate_window_s = s->rate_tolerance.window_s,
-	    .read_period_us = l->dialect->store.hosts_period_ms * IR_US_PER_MS,
+	    .read_period_us = l->dialect->store.hosts_wait_ms * IR_US_PER_MS,
 	    .child_separator = l->dialect->child_separator,
 	    .keyless_is_inner = !s->has_egress,
 	    .incarnation = l->incarnation,
--- a/src/io/own_dialect.c
+++ b/src/io/own_dialect.c
@@ -66,7 +66,7 @@
 	    .read = read_page,
 	    .config_wait_ms = WAIT_MS,
 	    .hosts_wait_ms = WAIT_MS,
-	    .hosts_period_ms = 0,
+	    .read_gap_ms = 10,
 	},
     .ready_path = "/ready",
 };
--- a/src/io/platform.c
+++ b/src/io/platform.c
@@ -237,13 +237,13 @@
 	}
 	if (page->whole)
 		ir_store_book_end_whole(w->book);
-	r->revision = page->whole ? w->whole_revision : page->revision;
+	r->reached = page->whole ? w->whole_revision : page->revision;
 	return true;
 }
 
 /* What was read since the last failure ended goes to the core. */
 static void
-pass_on(struct watch *w, int64_t now, uint64_t reached)
+pass_on(struct watch *w, uint64_t reached)
 {
 	struct ir_store_read *r = &w->answer->u.store;
 
@@ -260,7 +260,7 @@
 note_return(struct watch *w, int64_t now)
 {
 	if (w->failed && w->book != NULL) {
-		ir_store_book_returned(w->book, now);
+		ir_store_book_returned(w->book);
 		w->flush_us = now + IR_RETURN_GRACE_US;
 	}
 	w->failed = false;
@@ -272,22 +272,44 @@
 static void
 set_next(struct watch *w, int64_t now, bool brought)
 {
-	int64_t period_us = wait_ms(w) * IR_US_PER_MS;
-
-	if (w->hosts && w->owner->dialect->hosts_period_ms != 0)
-		period_us = w->owner->dialect->hosts_period_ms * IR_US_PER_MS;
-	else if (brought)
-		period_us = 0;
-	w->next_us = now + READ_GAP_US;
-	if (w->asked_us + period_us > w->next_us)
-		w->next_us = w->asked_us + period_us;
+	int64_t wait_us = wait_ms(w) * IR_US_PER_MS;
+
+	w->next_us = now + w->owner->dialect->read_gap_ms * IR_US_PER_MS;
+	if (!brought && w->asked_us + wait_us > w->next_us)
+		w->next_us = w->asked_us + wait_us;
+}
+
+/* What a joint read says of the configuration. */
+static void
+pass_on_config(struct ir_platform *p, int64_t asked_us,
+    const struct ir_store_page *page)
+{
+	struct watch *w = &p->config;
+	struct ir_store_page config = {
+	    .whole = page->config_items != NULL,
+	    .revision = page->revision,
+	    .items = page->config_items,
+	    .item_count = page->config_item_count,
+	};
+
+	/* Until its first read nothing is confirmed by an unchanged one. */
+	if (w->revision == 0 && page->config_items == NULL)
+		return;
+	end_read(w);
+	w->answer = ir_to_core_new(IR_TO_CORE_STORE_READ);
+	w->asked_us = asked_us;
+	if (page->config_items != NULL)
+		talloc_steal(w->answer, page->config_items);
+	take_items(w, &config);
+	pass_on(w, page->revision);
 }
 
 static void
 take_read(struct watch *w, int64_t now, const struct ir_store_page *page)
 {
-	bool all = page->whole;
+	struct ir_platform *p = w->owner;
 	struct ir_store_read *r = &w->answer->u.store;
+	uint64_t reached = page->revision;
 
 	note_return(w, now);
 	if (!take_page(w, page)) {
@@ -295,16 +317,25 @@
 		w->next_us = now;
 		return;
 	}
+	if (w->hosts && p->dialect->joint_changes && !page->whole)
+		pass_on_config(p, w->asked_us, page);
 	if (w->book != NULL) {
-		uint64_t reached = r->revision;
-
-		ir_store_book_take(w->book, now, w->answer, all, r);
-		pass_on(w, now, reached);
-	} else {
-		pass_on(w, now, page->revision);
+		reached = r->reached;
+		ir_store_book_take(w->book, now, w->answer, page->whole, r);
 	}
+	pass_on(w, reached);
+	end_read(w);
+	set_next(w, now, page->item_count + page->config_item_count != 0);
+}
+
+/* All is read again. */
+static void
+forget(struct watch *w, int64_t now)
+{
 	end_read(w);
-	set_next(w, now, page->item_count != 0);
+	TALLOC_FREE(w->next);
+	w->revision = 0;
+	w->next_us = now;
 }
 
 static void
@@ -327,9 +358,9 @@
 		return;
 	}
 	if (result == IR_STORE_EXPIRED) {
-		w->revision = 0;
-		end_read(w);
-		w->next_us = now;
+		forget(w, now);
+		if (w->hosts && p->dialect->joint_changes)
+			forget(&p->config, now);
 		return;
 	}
 	report_bad(w, code == CURLE_OK ? error : curl_easy_strerror(code));
@@ -387,11 +418,21 @@
 	m = ir_to_core_new(IR_TO_CORE_STORE_READ);
 	m->u.store.asked_us = w->asked_us;
 	m->u.store.hosts = w->hosts;
-	m->u.store.revision = w->revision;
+	m->u.store.reached = w->revision;
 	ir_store_book_take(w->book, now, m, false, &m->u.store);
 	ir_outbox_push(&w->owner->out, m);
 }
 
+/* Joint reads of the host list tell of the configuration, once it was read. */
+static bool
+is_covered(const struct watch *w)
+{
+	const struct ir_platform *p = w->owner;
+
+	return p->dialect->joint_changes && !w->hosts && w->revision != 0 &&
+	       p->hosts.revision != 0;
+}
+
 static void
 drive(struct watch *w, int64_t now)
 {
@@ -400,6 +441,8 @@
 		return;
 	}
 	flush_held(w, now);
+	if (is_covered(w))
+		return;
 	if (w->easy == NULL && now >= w->next_us)
 		begin_read(w, now);
 }
@@ -409,9 +452,16 @@
 {
 	int64_t left_ms;
 
-	if (w->easy != NULL || !w->owner->wanted)
+	int64_t next_us = w->flush_us;
+
+	if (!w->owner->wanted)
+		return least;
+	if (w->easy == NULL && !is_covered(w) &&
+	    (next_us == 0 || w->next_us < next_us))
+		next_us = w->next_us;
+	if (next_us == 0)
 		return least;
-	left_ms = (w->next_us - now + IR_US_PER_MS - 1) / IR_US_PER_MS;
+	left_ms = (next_us - now + IR_US_PER_MS - 1) / IR_US_PER_MS;
 	if (left_ms < 0)
 		left_ms = 0;
 	return left_ms < least ? (int)left_ms : least;
--- a/src/io/store_book.c
+++ b/src/io/store_book.c
@@ -13,6 +13,7 @@
 	uint64_t created;
 	uint64_t round; /* of the last whole read that named it */
 	bool gone; /* removed; forgotten once the hold is over */
+	bool held; /* gone, perhaps only lapsed */
 	bool unreadable; /* names no host */
 	UT_hash_handle hh;
 };
@@ -31,6 +32,7 @@
 	struct told *told;
 	uint64_t round;
 	uint64_t revision; /* highest passed on */
+	bool returning; /* the first read after a failure is taken */
 	int64_t hold_until_us;
 };
 
@@ -92,6 +94,21 @@
 	       strcmp(i->section, in->section) == 0;
 }
 
+void
+ir_store_book_returned(struct ir_store_book *b)
+{
+	b->returning = true;
+}
+
+/* Found to be gone by this read. */
+static void
+end_item(struct ir_store_book *b, struct item *i)
+{
+	if (!i->gone)
+		i->held = b->returning;
+	i->gone = true;
+}
+
 bool
 ir_store_book_put(struct ir_store_book *b, const struct ir_store_item *in)
 {
@@ -101,9 +118,13 @@
 	i->round = b->round;
 	i->revision = in->revision;
 	i->unreadable = in->section == NULL;
-	i->gone = in->section == NULL || in->text[0] == '\0';
-	if (!i->gone && !same(i, in))
-		set_item(i, in);
+	if (in->section == NULL || in->text[0] == '\0') {
+		end_item(b, i);
+	} else {
+		i->gone = false;
+		if (!same(i, in))
+			set_item(i, in);
+	}
 	return i->unreadable && !was_unreadable;
 }
 
@@ -114,15 +135,10 @@
 
 	HASH_ITER (hh, b->items, i, next) {
 		if (i->round != b->round)
-			i->gone = true;
+			end_item(b, i);
 	}
 }
 
-void
-ir_store_book_returned(struct ir_store_book *b, int64_t now)
-{
-	b->hold_until_us = now + IR_RETURN_GRACE_US;
-}
 
 static void
 drop_gone(struct ir_store_book *b, int64_t now)
@@ -130,7 +146,8 @@
 	struct item *i, *next;
 
 	HASH_ITER (hh, b->items, i, next) {
-		if (!i->gone || (i->text != NULL && now < b->hold_until_us))
+		if (!i->gone ||
+		    (i->held && i->text != NULL && now < b->hold_until_us))
 			continue;
 		TALLOC_FREE(i->text);
 		/* Still there, and known to be unreadable. */
@@ -221,10 +238,13 @@
 ir_store_book_take(struct ir_store_book *b, int64_t now, TALLOC_CTX *mem,
     bool all, struct ir_store_read *r)
 {
-	uint64_t reached = r->revision;
+	uint64_t reached = r->reached;
 	struct ir_section *list;
 	struct told *t, *next;
 
+	if (b->returning)
+		b->hold_until_us = now + IR_RETURN_GRACE_US;
+	b->returning = false;
 	drop_gone(b, now);
 	choose(b);
 	list = ir_must(
@@ -239,5 +259,5 @@
 	r->whole = all;
 	r->sections = list;
 	r->revision = b->revision;
-	r->reached = reached;
+
 }
--- a/src/io/store_book.h
+++ b/src/io/store_book.h
@@ -4,8 +4,9 @@
  * tell of one host (an ended upstream's, and its successor's).
  *
  * Of several, the one that was created last counts. Only what changes a
- * section goes on. After a failure of the store, removals wait: upstreams
- * whose item lapsed meanwhile write it again within the grace time.
+ * section goes on. Removals that show after a failure of the store wait:
+ * upstreams whose item lapsed meanwhile write it again within the grace time.
+ * Later ones count at once.
  */
 #ifndef IR_IO_STORE_BOOK_H
 #define IR_IO_STORE_BOOK_H
@@ -26,13 +27,16 @@
 bool ir_store_book_put(
     struct ir_store_book *b, const struct ir_store_item *in);
 void ir_store_book_end_whole(struct ir_store_book *b);
-/* The store answers again after a failure. */
-void ir_store_book_returned(struct ir_store_book *b, int64_t now);
+/*
+ * The store answers again after a failure: what the read that follows shows
+ * as gone may have lapsed only.
+ */
+void ir_store_book_returned(struct ir_store_book *b);
 
 /*
  * Moves the sections that changed since the last call, or with all every
- * section, to r, under mem. r->revision, of the store before, becomes that of
- * the last change; r->reached is the store's.
+ * section, to r, under mem. r->revision becomes that of the last change, r->reached
+ * is the store's already.
  */
 void ir_store_book_take(struct ir_store_book *b, int64_t now, TALLOC_CTX *mem,
     bool all, struct ir_store_read *r);
