--- /dev/null
+++ b/bench/run.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# All benches, one after the other; `make bench`. Some minutes.
+set -eu
+cd "$(dirname "$0")/.."
+BUILD=${BUILD:-build}
+
+echo "== gate: what one upstream serves under overload"
+"$BUILD/bench/bench_gate"
+echo "== rates: refusals within the rate, messages a request"
+"$BUILD/bench/bench_rates"
+echo "== fleets of processes, baseline and ours"
+sh bench/fleet.sh
--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -47,7 +47,7 @@
 # log_field NAME FIELD: from the event "started" of a node.
 log_field() {
 	sed -n 's/.*"name":"started".*"'"$2"'":\([0-9]*\).*/\1/p' \
-	    "$DIR/$1.err" | head -1
+	    "$DIR/$1.out" | head -1
 }
 
 put() {
@@ -92,8 +92,8 @@
 	    >"$DIR/$host.json"
 	start "$host" "$BUILD/ibisraild" -c "$DIR/$host.json"
 	NODE_PIDS="$NODE_PIDS $PID"
-	wait_for 50 grep -q '"name":"started"' "$DIR/$host.err" ||
-	    die "$host does not start: $(tail -1 "$DIR/$host.err")"
+	wait_for 50 grep -q '"name":"started"' "$DIR/$host.out" ||
+	    die "$host does not start: $(tail -1 "$DIR/$host.out")"
 	curl -sSf -o /dev/null -d "{\"egress\": $(log_field "$host" egress_port)}" \
 	    "http://127.0.0.1:$PORT/control"
 	publish_host "$host" "$service" "$region" "$zone"
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -14,6 +14,7 @@
 build() {
 	pkg-config --exists talloc tevent libmicrohttpd libcurl argtable2 \
 	    libtirpc json-c ck libxxhash libsodium 2>/dev/null &&
+	    test -f /usr/include/http_parser.h &&
 	    command -v curl >/dev/null ||
 	    make install-packages >"$DIR/install.log" 2>&1 ||
 	    die "packages cannot be installed, see $DIR/install.log"
--- a/src/log/log.c
+++ b/src/log/log.c
@@ -1,6 +1,5 @@
 /* The logger: numbered events as lines of JSON, limited in rate. */
 #include <errno.h>
-#include <json-c/json.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdbool.h>
@@ -17,6 +16,9 @@
 
 #define MAX_EVENT_NUMBER 1024
 #define MAX_NUMBER_DIGITS 18
+#define MAX_LINE_BYTES 2048
+/* "}}" and the line's end. */
+#define END_BYTES 3
 #define FIRST_REQUEST_EVENT 400
 #define LAST_REQUEST_EVENT 499
 /* Lines are written together, so that the thread seldom wakes. */
@@ -135,75 +137,113 @@
 	return (size_t)(p - s);
 }
 
-/* The lines are ASCII: other bytes come from outside and are replaced. */
+/* A line being made; what does not fit is left out at a field's end. */
+struct line {
+	char text[MAX_LINE_BYTES];
+	size_t size;
+	bool full;
+};
+
 static void
-to_ascii(char *s)
+add_bytes(struct line *l, const char *s, size_t n)
 {
-	for (; *s != '\0'; s++) {
-		if ((unsigned char)*s >= 0x7f)
-			*s = '?';
+	if (l->full || l->size + n > sizeof(l->text) - END_BYTES) {
+		l->full = true;
+		return;
 	}
+	memcpy(l->text + l->size, s, n);
+	l->size += n;
 }
 
-static struct json_object *
-field_value(const char *s)
+static void
+add_text(struct line *l, const char *s)
 {
-	size_t n = strlen(s);
-
-	if (n == 0 || n > MAX_NUMBER_DIGITS || strspn(s, "0123456789") != n)
-		return json_object_new_string(s);
-	if (n > 1 && s[0] == '0')
-		return json_object_new_string(s);
-	return json_object_new_int64(strtoll(s, NULL, 10));
+	add_bytes(l, s, strlen(s));
 }
 
+/*
+ * A string with its quotes. Lines are ASCII: other bytes come from outside
+ * and are replaced.
+ */
 static void
-add_field(struct json_object *obj, const char *name, size_t name_bytes,
-    const char *value, size_t value_bytes)
+add_string(struct line *l, const char *s, size_t n)
 {
-	char *n, *v;
-
-	n = talloc_strndup(NULL, name, name_bytes);
-	v = talloc_strndup(n, value, value_bytes);
-	if (n != NULL && v != NULL) {
-		to_ascii(v);
-		json_object_object_add(obj, n, field_value(v));
+	add_text(l, "\"");
+	for (size_t i = 0; i < n; i++) {
+		unsigned char c = (unsigned char)s[i];
+
+		if (c == '"' || c == '\\')
+			add_text(l, "\\");
+		if (c < ' ' || c >= 0x7f)
+			add_text(l, "?");
+		else
+			add_bytes(l, s + i, 1);
 	}
-	talloc_free(n);
+	add_text(l, "\"");
+}
+
+/* A number of few digits without a leading 0. */
+static bool
+is_number(const char *s, size_t n)
+{
+	if (n == 0 || n > MAX_NUMBER_DIGITS || (n > 1 && s[0] == '0'))
+		return false;
+	return strspn(s, "0123456789") >= n;
 }
 
-static struct json_object *
-parse_fields(const char *s)
+static void
+add_field(struct line *l, const char *name, size_t name_bytes,
+    const char *value, size_t value_bytes)
 {
-	struct json_object *obj = json_object_new_object();
-	size_t name, value;
+	size_t before = l->size;
+
+	if (l->text[l->size - 1] != '{')
+		add_text(l, ",");
+	add_string(l, name, name_bytes);
+	add_text(l, ":");
+	if (is_number(value, value_bytes))
+		add_bytes(l, value, value_bytes);
+	else
+		add_string(l, value, value_bytes);
+	if (l->full)
+		l->size = before;
+}
 
+static void
+add_fields(struct line *l, const char *s)
+{
 	while (s != NULL && *s != '\0') {
-		name = name_length(s);
-		value = value_length(s + name);
+		size_t name = name_length(s);
+		size_t value = value_length(s + name);
+
 		if (name > 0)
-			add_field(obj, s, name - 1, s + name, value);
+			add_field(l, s, name - 1, s + name, value);
 		else
-			add_field(obj, "text", 4, s, value);
+			add_field(l, "text", 4, s, value);
 		s += name + value;
 		s += strspn(s, " ");
 	}
-	return obj;
 }
 
+/* The clock's parts change once a second. */
 static void
-add_time(struct json_object *obj)
+add_time(struct line *l)
 {
-	char text[48], day[32];
+	static __thread time_t last;
+	static __thread char day[32];
 	struct timespec ts;
 	struct tm tm;
+	char text[48];
 
 	clock_gettime(CLOCK_REALTIME, &ts);
-	gmtime_r(&ts.tv_sec, &tm);
-	strftime(day, sizeof(day), "%Y-%m-%dT%H:%M:%S", &tm);
-	snprintf(
-	    text, sizeof(text), "%s.%03dZ", day, (int)(ts.tv_nsec / 1000000));
-	json_object_object_add(obj, "time", json_object_new_string(text));
+	if (ts.tv_sec != last || day[0] == '\0') {
+		last = ts.tv_sec;
+		gmtime_r(&ts.tv_sec, &tm);
+		strftime(day, sizeof(day), "%Y-%m-%dT%H:%M:%S", &tm);
+	}
+	snprintf(text, sizeof(text), "{\"time\":\"%s.%03dZ\"", day,
+	    (int)(ts.tv_nsec / 1000000));
+	add_text(l, text);
 }
 
 static void
@@ -222,39 +262,40 @@
 	}
 }
 
-/* A line with its end, under NULL; NULL without memory. */
-static char *
+static void
 make_line(const struct ir_log *l, const struct ir_event_info *e,
-    uint64_t suppressed, const char *fields)
+    uint64_t suppressed, const char *fields, struct line *line)
 {
-	struct json_object *obj = json_object_new_object();
-	const char *text;
-	char *line;
-
-	add_time(obj);
-	json_object_object_add(obj, "event", json_object_new_int(e->event));
-	json_object_object_add(obj, "name", json_object_new_string(e->name));
-	json_object_object_add(
-	    obj, "level", json_object_new_string(ir_level_name(e->level)));
-	json_object_object_add(obj, "host", json_object_new_string(l->host));
-	if (suppressed > 0)
-		json_object_object_add(obj, "suppressed",
-		    json_object_new_int64((int64_t)suppressed));
-	json_object_object_add(obj, "fields", parse_fields(fields));
-	text = json_object_to_json_string_ext(obj, JSON_C_TO_STRING_PLAIN);
-	line = talloc_asprintf(NULL, "%s\n", text);
-	json_object_put(obj);
-	return line;
+	char head[160];
+
+	line->size = 0;
+	line->full = false;
+	add_time(line);
+	snprintf(head, sizeof(head),
+	    ",\"event\":%d,\"name\":\"%s\",\"level\":\"%s\",\"host\":",
+	    e->event, e->name, ir_level_name(e->level));
+	add_text(line, head);
+	add_string(line, l->host, strlen(l->host));
+	if (suppressed > 0) {
+		snprintf(head, sizeof(head), ",\"suppressed\":%llu",
+		    (unsigned long long)suppressed);
+		add_text(line, head);
+	}
+	add_text(line, ",\"fields\":{");
+	add_fields(line, fields);
+	/* The room for this was kept. */
+	memcpy(line->text + line->size, "}}\n", END_BYTES);
+	line->size += END_BYTES;
 }
 
 /* The lock is held. */
 static void
-put_line(struct ir_log *l, const char *line)
+put_line(struct ir_log *l, const struct line *line)
 {
-	size_t n = strlen(line);
+	size_t n = line->size;
 
 	if (!l->started) {
-		write_all(l->fd, line, n);
+		write_all(l->fd, line->text, n);
 		return;
 	}
 	if (l->buffer_bytes + n > IR_LOG_BUFFER_BYTES) {
@@ -263,7 +304,7 @@
 	}
 	if (l->buffer_bytes == 0)
 		pthread_cond_signal(&l->filled);
-	memcpy(l->buffer + l->buffer_bytes, line, n);
+	memcpy(l->buffer + l->buffer_bytes, line->text, n);
 	l->buffer_bytes += n;
 }
 
@@ -271,17 +312,16 @@
 static void
 note_dropped(struct ir_log *l)
 {
-	char fields[32], *line;
+	struct line line;
+	char fields[32];
 
 	if (l->dropped == 0)
 		return;
 	snprintf(fields, sizeof(fields), "lines=%llu",
 	    (unsigned long long)l->dropped);
 	l->dropped = 0;
-	line = make_line(l, ir_event_info(IR_EVENT_LOG_DROPPED), 0, fields);
-	if (line != NULL)
-		put_line(l, line);
-	talloc_free(line);
+	make_line(l, ir_event_info(IR_EVENT_LOG_DROPPED), 0, fields, &line);
+	put_line(l, &line);
 }
 
 /* Waits for the reader, for a moment only once the process ends. */
@@ -377,7 +417,7 @@
 {
 	const struct ir_event_info *e = ir_event_info(event);
 	uint64_t suppressed = 0;
-	char *line;
+	struct line line;
 
 	if (l == NULL || e == NULL ||
 	    e->level > __atomic_load_n(&l->level, __ATOMIC_RELAXED))
@@ -386,11 +426,8 @@
 		return;
 	if (!take_turn(l, now, event, &suppressed))
 		return;
-	line = make_line(l, e, suppressed, fields);
-	if (line == NULL)
-		return;
+	make_line(l, e, suppressed, fields, &line);
 	pthread_mutex_lock(&l->lock);
-	put_line(l, line);
+	put_line(l, &line);
 	pthread_mutex_unlock(&l->lock);
-	talloc_free(line);
 }
--- a/test/support/processes.c
+++ b/test/support/processes.c
@@ -201,13 +201,13 @@
 	    "-c", file_name(p, h->name, "json"), NULL};
 
 	write_settings(p, h, peers_port);
-	unlink(file_name(p, h->name, "err"));
+	unlink(file_name(p, h->name, "out"));
 	h->node.name = talloc_strdup(p, h->name);
 	spawn(p, &h->node, argv);
-	h->callers_port = read_port(p, h->name, "err", "\"callers_port\":");
-	h->egress_port = read_port(p, h->name, "err", "\"egress_port\":");
-	h->peers_port = read_port(p, h->name, "err", "\"peers_port\":");
-	h->admin_port = read_port(p, h->name, "err", "\"admin_port\":");
+	h->callers_port = read_port(p, h->name, "out", "\"callers_port\":");
+	h->egress_port = read_port(p, h->name, "out", "\"egress_port\":");
+	h->peers_port = read_port(p, h->name, "out", "\"peers_port\":");
+	h->admin_port = read_port(p, h->name, "out", "\"admin_port\":");
 	control(p, h->upstream_port, "POST", "/control",
 	    talloc_asprintf(p, "{\"egress\":%u}", h->egress_port));
 }
