Metrics: histograms, gauges, a listener of their own; ibisrailctl trace

Cause: on-call had counters only, on the operators' listener, and nothing that follows one request through the logs of several nodes.

Change: histograms of calls, waits and runs, gauges, /metrics, settings metrics (the deploy file names its port); both listeners are served by one thread. ibisrailctl trace ID FILE... prints a request's way in order. Tests in test_counter and test_ctl.

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -19,6 +19,7 @@
 #include "ibisrail/counter.h"
 #include "ibisrail/error.h"
 #include "ibisrail/event.h"
+#include "ibisrail/histogram.h"
 #include "ibisrail/limits.h"
 
 struct ir_node;
@@ -129,7 +130,7 @@
 	 * character and more, belongs to that request; 0: ids tell nothing.
 	 */
 	char child_separator;
-	bool keyless_is_inner;	/* calls without key are the upstream's own */
+	bool keyless_is_inner; /* calls without key are the upstream's own */
 	uint64_t incarnation; /* unique to this start of the process, above 0 */
 	uint64_t seed;
 	bool plain; /* baseline policy, for measurements only */
@@ -201,5 +202,18 @@
 struct json_object *ir_node_dump(struct ir_node *n, int64_t now);
 struct json_object *ir_node_counters(const struct ir_node *n);
 uint64_t ir_node_counter(const struct ir_node *n, enum ir_counter which);
+const struct ir_histograms *ir_node_histograms(const struct ir_node *n);
+/* What the node holds and knows at this moment, for metrics. */
+struct ir_node_gauges {
+	int64_t calls; /* of callers and the local upstream, open */
+	int64_t gate_running;
+	int64_t gate_queued;
+	int64_t gate_limit;
+	int64_t hosts; /* that the list names */
+	int64_t config_revision;
+	int64_t list_revision;
+	int64_t view_age_ms; /* of the last confirmation; -1 without one */
+};
+void ir_node_gauges(struct ir_node *n, int64_t now, struct ir_node_gauges *out);
 
 #endif
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -12,9 +12,9 @@
 #define DEFAULT_DRAIN_MS 20000
 
 static const char *const known[] = {"host", "service", "region", "zone",
-    "callers", "egress", "peers", "admin", "upstream", "platform", "slots",
-    "upstream_connections", "drain_ms", "leave_ms", "log_level", "policy", "zones",
-    "rate_tolerance", NULL};
+    "callers", "egress", "peers", "admin", "metrics", "upstream", "platform",
+    "slots", "upstream_connections", "drain_ms", "leave_ms", "log_level",
+    "policy", "zones", "rate_tolerance", NULL};
 static const char *const known_endpoint[] = {"address", "port", NULL};
 
 static bool
@@ -181,6 +181,9 @@
 		read_endpoint(in, top, "egress", 0, &s->egress);
 	read_endpoint(in, top, "peers", 0, &s->peers);
 	read_endpoint(in, top, "admin", 0, &s->admin);
+	s->has_metrics = top != NULL && ir_json_has(top, "metrics");
+	if (s->has_metrics)
+		read_endpoint(in, top, "metrics", 0, &s->metrics);
 	read_endpoint(in, top, "upstream", 1, &s->upstream);
 	read_endpoint(in, top, "platform", 1, &s->platform);
 	s->slots = (uint32_t)ir_json_int(in, top, "", "slots", 1, 4096);
@@ -219,6 +222,8 @@
 		return "peers";
 	if (!same_endpoint(&a->admin, &b->admin))
 		return "admin";
+	if (!same_endpoint(&a->metrics, &b->metrics))
+		return "metrics";
 	if (!same_endpoint(&a->upstream, &b->upstream))
 		return "upstream";
 	if (!same_endpoint(&a->platform, &b->platform))
--- a/src/conf/settings.h
+++ b/src/conf/settings.h
@@ -44,14 +44,16 @@
 	bool has_egress; /* else its calls come to callers, without parent */
 	struct ir_endpoint peers;      /* listener for other nodes */
 	struct ir_endpoint admin;      /* listener for operators */
+	struct ir_endpoint metrics;    /* listener for metric collectors */
+	bool has_metrics;	       /* else admin serves them alone */
 	struct ir_endpoint upstream;   /* the local upstream */
 	struct ir_endpoint platform;   /* the configuration service */
 	uint32_t slots;		       /* 1 to 4096 */
 	uint32_t upstream_connections; /* 1 to 65535 */
 	uint32_t drain_ms; /* SIGTERM to forced end, 100 to 120000 */
 	uint32_t leave_ms; /* SIGTERM to refusing callers, 0 to drain_ms */
-	enum ir_level log_level;      /* "error".."debug" */
-	bool plain;		      /* "policy": "plain" or "full" */
+	enum ir_level log_level; /* "error".."debug" */
+	bool plain;		 /* "policy": "plain" or "full" */
 	struct ir_rate_tolerance rate_tolerance; /* zeroes: exact */
 	struct ir_zone_region *zones; /* of the fleet, where they are needed */
 	size_t zone_count;
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -42,6 +42,7 @@
 	const struct ir_error_info *i = ir_error_info(e);
 	char id[NODE_ID_BYTES];
 
+	ir_histogram_add(&n->histograms, IR_HISTOGRAM_CALL, now - c->start_us);
 	node_log(n, IR_EVENT_CALL_ENDED,
 	    "id=%s error=%s outcome=%s status=%u ms=%lld tries=%u host=%s",
 	    node_id_text(id, c->caller_attempt, &c->request), i->name,
--- a/src/core/dump.c
+++ b/src/core/dump.c
@@ -149,3 +149,27 @@
 {
 	return n->counters.value[which];
 }
+
+const struct ir_histograms *
+ir_node_histograms(const struct ir_node *n)
+{
+	return &n->histograms;
+}
+
+void
+ir_node_gauges(struct ir_node *n, int64_t now, struct ir_node_gauges *out)
+{
+	struct ir_load l = ir_gate_load(n->gate, now, "");
+	int64_t age_us = ir_lease_age(n->lease, now);
+	uint64_t config, list;
+
+	ir_node_revisions(n, &config, &list);
+	out->calls = HASH_COUNT(n->calls);
+	out->gate_running = l.running;
+	out->gate_queued = l.queued;
+	out->gate_limit = l.limit;
+	out->hosts = (int64_t)node_view(n)->host_count;
+	out->config_revision = (int64_t)config;
+	out->list_revision = (int64_t)list;
+	out->view_age_ms = age_us == INT64_MAX ? -1 : age_us / IR_US_PER_MS;
+}
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -72,7 +72,7 @@
 	uint32_t tried_count;
 	uint32_t sent_count;
 	uint32_t upstream_count; /* attempts that an upstream may have seen */
-	bool doubt; /* an earlier attempt may have run */
+	bool doubt;		 /* an earlier attempt may have run */
 	struct attempt *out;
 	enum ir_error last_error; /* of the last attempt that was refused */
 	uint32_t last_retry_after_ms;
@@ -148,6 +148,7 @@
 	struct ir_node_ops ops;
 	void *ctx;
 	struct ir_counters counters;
+	struct ir_histograms histograms;
 	struct ir_sections *sections;
 	struct ir_lease *lease;
 	struct ir_chooser *chooser;
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -12,10 +12,11 @@
 {
 	char id[NODE_ID_BYTES];
 
+	ir_histogram_add(
+	    &n->histograms, IR_HISTOGRAM_WAIT, now - r->work.offered_us);
 	node_log(n, IR_EVENT_RUN_STARTED,
 	    "id=%s attempt=%s waited_ms=%lld left_ms=%u upstream=%s",
-	    node_id_text(
-		id, r->forward->caller_attempt, &r->forward->request),
+	    node_id_text(id, r->forward->caller_attempt, &r->forward->request),
 	    r->attempt_text,
 	    (long long)((now - r->work.offered_us) / IR_US_PER_MS),
 	    run->remaining_ms, run->upstream_id);
@@ -27,10 +28,11 @@
 {
 	char id[NODE_ID_BYTES];
 
+	ir_histogram_add(
+	    &n->histograms, IR_HISTOGRAM_RUN, now - r->work.started_us);
 	node_log(n, IR_EVENT_RUN_ENDED,
 	    "id=%s attempt=%s error=%s status=%u ms=%lld",
-	    node_id_text(
-		id, r->forward->caller_attempt, &r->forward->request),
+	    node_id_text(id, r->forward->caller_attempt, &r->forward->request),
 	    r->attempt_text, ir_error_info(e)->name, status,
 	    (long long)((now - r->work.started_us) / IR_US_PER_MS));
 }
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -33,6 +33,7 @@
 int ctl_top(int argc, char **argv);
 int ctl_counters(int argc, char **argv);
 int ctl_explain(int argc, char **argv);
+int ctl_trace(int argc, char **argv);
 int ctl_key(int argc, char **argv);
 int ctl_collect(int argc, char **argv);
 int ctl_check(int argc, char **argv);
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -10,6 +10,7 @@
     {"counters", "print the counters of nodes", ctl_counters},
     {"explain", "explain a log event", ctl_explain},
     {"key", "make a key, or the digest of one", ctl_key},
+    {"trace", "follow one request through logs", ctl_trace},
     {"collect", "make sections of operators' files", ctl_collect},
     {"check", "check operators' files, tell what would change", ctl_check},
     {"version", "print versions", ctl_version},
--- /dev/null
+++ b/src/ctl/trace.c
@@ -0,0 +1,165 @@
+/* ibisrailctl trace: one request's way, from the logs of several nodes. */
+#include <argtable2.h>
+#include <errno.h>
+#include <json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl/ctl.h"
+
+#define MAX_FILES 256
+/* Where a node's line begins, whatever a collector has put before it. */
+#define LINE_START "{\"time\":"
+
+static const struct ctl_usage usage = {"trace",
+    "Prints the decisions on a request, in the order of the nodes' clocks,\n"
+    "from the log lines in FILEs (- for standard input). ID is the caller's\n"
+    "own id of its attempt, or the request's. Text before a line is passed\n"
+    "over. Clocks of nodes may differ by some milliseconds.",
+    "0 printed, 1 nothing found or a file cannot be read, 2 wrong arguments."};
+
+struct trace {
+	const char *id;
+	bool children; /* of ids that extend it */
+	struct json_object **lines;
+	size_t count;
+};
+
+static const char *
+text_of(struct json_object *o, const char *key)
+{
+	struct json_object *v;
+
+	return json_object_object_get_ex(o, key, &v) ? json_object_get_string(v)
+						     : "";
+}
+
+static bool
+is_wanted(const struct trace *t, struct json_object *line)
+{
+	size_t n = strlen(t->id);
+	struct json_object *fields;
+	const char *id;
+
+	if (!json_object_object_get_ex(line, "fields", &fields))
+		return false;
+	id = text_of(fields, "id");
+	if (strncmp(id, t->id, n) != 0)
+		return false;
+	return id[n] == '\0' || (t->children && id[n] == '.');
+}
+
+static void
+take_line(struct trace *t, const char *text)
+{
+	const char *start = strstr(text, LINE_START);
+	struct json_object *line;
+
+	/* Most lines are of other requests: no need to parse them. */
+	if (start == NULL || strstr(start, t->id) == NULL)
+		return;
+	line = json_tokener_parse(start);
+	if (line == NULL)
+		return;
+	if (!is_wanted(t, line)) {
+		json_object_put(line);
+		return;
+	}
+	t->lines =
+	    talloc_realloc(NULL, t->lines, struct json_object *, t->count + 1);
+	t->lines[t->count++] = line;
+}
+
+static bool
+read_file(struct trace *t, const char *name)
+{
+	FILE *f = strcmp(name, "-") == 0 ? stdin : fopen(name, "re");
+	char *text = NULL;
+	size_t room = 0;
+	bool ok;
+
+	if (f == NULL) {
+		fprintf(stderr, "ibisrailctl: %s: %s\n", name, strerror(errno));
+		return false;
+	}
+	while (getline(&text, &room, f) > 0)
+		take_line(t, text);
+	ok = ferror(f) == 0;
+	if (!ok)
+		fprintf(stderr, "ibisrailctl: %s: cannot be read\n", name);
+	free(text);
+	if (f != stdin)
+		fclose(f);
+	return ok;
+}
+
+static int
+by_time(const void *a, const void *b)
+{
+	return strcmp(text_of(*(struct json_object *const *)a, "time"),
+	    text_of(*(struct json_object *const *)b, "time"));
+}
+
+static void
+print_line(const struct trace *t, struct json_object *line)
+{
+	struct json_object *fields;
+
+	printf("%s  %-15s %-14s", text_of(line, "time"), text_of(line, "host"),
+	    text_of(line, "name"));
+	json_object_object_get_ex(line, "fields", &fields);
+	json_object_object_foreach(fields, key, value)
+	{
+		if (strcmp(key, "id") == 0 && !t->children)
+			continue;
+		printf(" %s=%s", key, json_object_get_string(value));
+	}
+	printf("\n");
+}
+
+static int
+trace(struct trace *t, const struct arg_str *files)
+{
+	bool ok = true;
+
+	for (int i = 0; i < files->count; i++)
+		ok = read_file(t, files->sval[i]) && ok;
+	if (t->count > 1)
+		qsort(t->lines, t->count, sizeof(*t->lines), by_time);
+	for (size_t i = 0; i < t->count; i++) {
+		print_line(t, t->lines[i]);
+		json_object_put(t->lines[i]);
+	}
+	talloc_free(t->lines);
+	if (t->count == 0)
+		fprintf(stderr,
+		    "ibisrailctl: no line of %s; lines over the budget of a "
+		    "second are left out and counted (\"suppressed\")\n",
+		    t->id);
+	return ok && t->count > 0 ? CTL_OK : CTL_FAILED;
+}
+
+int
+ctl_trace(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0(NULL, "help", "this text");
+	struct arg_lit *calls = arg_lit0(
+	    NULL, "calls", "the upstreams' calls for it too, by their ids");
+	struct arg_str *id = arg_str1(NULL, NULL, "ID", "of the request");
+	struct arg_str *files =
+	    arg_strn(NULL, NULL, "FILE", 1, MAX_FILES, "logs of nodes");
+	struct arg_end *end = arg_end(5);
+	void *table[] = {help, calls, id, files, end};
+	struct trace t = {0};
+	int rc = CTL_OK;
+
+	if (ctl_parse(&usage, argc, argv, table, 5, &rc) != CTL_OK)
+		goto out;
+	t.id = id->sval[0];
+	t.children = calls->count > 0;
+	rc = trace(&t, files);
+out:
+	arg_freetable(table, 5);
+	return rc;
+}
--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -46,6 +46,7 @@
 	LISTENER_EGRESS,
 	LISTENER_PEERS,
 	LISTENER_ADMIN,
+	LISTENER_METRICS,
 	LISTENER_COUNT
 };
 
@@ -96,6 +97,9 @@
 		return -1;
 	if (listen_one(p, LISTENER_PEERS, "peers", &s->peers) != 0)
 		return -1;
+	if (s->has_metrics &&
+	    listen_one(p, LISTENER_METRICS, "metrics", &s->metrics) != 0)
+		return -1;
 	return listen_one(p, LISTENER_ADMIN, "admin", &s->admin);
 }
 
@@ -185,7 +189,8 @@
 	    start_thread(p, ir_platform_run, p->platform) != 0)
 		return -1;
 	p->admin = ir_admin_start(p, ch[IR_DUTY_ADMIN], p->settings->host,
-	    p->dialect->ready_path, take_fd(p, LISTENER_ADMIN));
+	    p->dialect->ready_path, take_fd(p, LISTENER_ADMIN),
+	    take_fd(p, LISTENER_METRICS));
 	return p->admin != NULL ? 0 : -1;
 }
 
--- a/src/io/admin.c
+++ b/src/io/admin.c
@@ -2,6 +2,7 @@
 #include <json.h>
 #include <microhttpd.h>
 #include <poll.h>
+#include <pthread.h>
 #include <string.h>
 
 #include "ibisrail/version.h"
@@ -12,12 +13,20 @@
 #define IDLE_TIMEOUT_S 10
 #define ANSWER_WAIT_US (2 * IR_US_PER_S)
 #define POLL_MS 100
+#define MS_PER_S 1000
+
+/* Listeners: for operators, and for metric collectors. */
+#define MAX_LISTENERS 2
 
 struct ir_admin {
 	struct ir_channel *channel;
 	const char *host;
 	const char *ready_path;
-	struct MHD_Daemon *daemon;
+	struct MHD_Daemon *daemons[MAX_LISTENERS];
+	size_t daemon_count;
+	struct ir_wake *stop;
+	bool stopping;
+	pthread_t thread;
 };
 
 static struct ir_from_core *
@@ -87,8 +96,26 @@
 respond_counters(struct ir_admin *a, struct MHD_Connection *connection,
     struct ir_from_core *m)
 {
-	const char *text =
-	    ir_exposition(m, a->host, &m->u.report.counters, NULL, 0);
+	const struct ir_node_gauges *g = &m->u.report.gauges;
+	const struct ir_gauge gauges[] = {
+	    {"ibisrail_calls", "Requests that have no answer yet.", g->calls},
+	    {"ibisrail_gate_running", "Runs at the local upstream.",
+		g->gate_running},
+	    {"ibisrail_gate_queued", "Work that waits at the gate.",
+		g->gate_queued},
+	    {"ibisrail_gate_limit", "Runs that the gate allows at a time.",
+		g->gate_limit},
+	    {"ibisrail_hosts", "Hosts that the list names.", g->hosts},
+	    {"ibisrail_config_revision", "Of the configuration in force.",
+		g->config_revision},
+	    {"ibisrail_list_revision", "Of the host list in force.",
+		g->list_revision},
+	    {"ibisrail_view_age_milliseconds",
+		"Since the view was confirmed; -1: never.", g->view_age_ms},
+	};
+	const struct ir_exposed e = {&m->u.report.counters, gauges,
+	    sizeof(gauges) / sizeof(gauges[0]), &m->u.report.histograms};
+	const char *text = ir_exposition(m, a->host, &e);
 
 	if (text == NULL)
 		return MHD_NO;
@@ -147,7 +174,7 @@
 		    connection, MHD_HTTP_METHOD_NOT_ALLOWED, "Only GET.\n");
 	if (strcmp(url, "/state") == 0)
 		return ask_and_respond(a, connection, IR_REPORT_STATE);
-	if (strcmp(url, "/counters") == 0)
+	if (strcmp(url, "/counters") == 0 || strcmp(url, "/metrics") == 0)
 		return ask_and_respond(a, connection, IR_REPORT_COUNTERS);
 	if (strcmp(url, a->ready_path) == 0)
 		return ask_and_respond(a, connection, IR_REPORT_READY);
@@ -156,32 +183,100 @@
 	return respond_text(connection, MHD_HTTP_NOT_FOUND, "No such page.\n");
 }
 
+static bool
+start_listener(struct ir_admin *a, int listen_fd)
+{
+	struct MHD_Daemon *d = MHD_start_daemon(MHD_USE_EPOLL, 0, NULL, NULL,
+	    on_request, a, MHD_OPTION_LISTEN_SOCKET, listen_fd,
+	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)IR_MAX_ADMIN_CONNECTIONS,
+	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
+	    MHD_OPTION_END);
+
+	if (d == NULL)
+		return false;
+	a->daemons[a->daemon_count++] = d;
+	return true;
+}
+
+static int
+wait_ms(const struct ir_admin *a)
+{
+	int least = IDLE_TIMEOUT_S * MS_PER_S;
+
+	for (size_t i = 0; i < a->daemon_count; i++) {
+		MHD_UNSIGNED_LONG_LONG ms;
+
+		if (MHD_get_timeout(a->daemons[i], &ms) == MHD_YES &&
+		    ms < (MHD_UNSIGNED_LONG_LONG)least)
+			least = (int)ms;
+	}
+	return least;
+}
+
+/* Both listeners in one thread: the core is asked by one. */
+static void *
+run(void *ctx)
+{
+	struct ir_admin *a = ctx;
+	struct pollfd p[MAX_LISTENERS + 1];
+
+	for (size_t i = 0; i < a->daemon_count; i++) {
+		p[i].fd =
+		    MHD_get_daemon_info(a->daemons[i], MHD_DAEMON_INFO_EPOLL_FD)
+			->epoll_fd;
+		p[i].events = POLLIN;
+	}
+	p[a->daemon_count].fd = ir_wake_fd(a->stop);
+	p[a->daemon_count].events = POLLIN;
+	while (!__atomic_load_n(&a->stopping, __ATOMIC_ACQUIRE)) {
+		ir_wake_arm(a->stop);
+		poll(p, a->daemon_count + 1, wait_ms(a));
+		ir_wake_disarm(a->stop);
+		for (size_t i = 0; i < a->daemon_count; i++)
+			MHD_run(a->daemons[i]);
+	}
+	return NULL;
+}
+
+static int
+free_admin(struct ir_admin *a)
+{
+	for (size_t i = 0; i < a->daemon_count; i++)
+		MHD_stop_daemon(a->daemons[i]);
+	return 0;
+}
+
 struct ir_admin *
 ir_admin_start(TALLOC_CTX *mem, struct ir_channel *channel, const char *host,
-    const char *ready_path, int listen_fd)
+    const char *ready_path, int listen_fd, int metrics_fd)
 {
 	struct ir_admin *a = talloc_zero(mem, struct ir_admin);
 
 	if (a == NULL)
 		return NULL;
+	talloc_set_destructor(a, free_admin);
 	a->channel = channel;
 	a->host = host;
 	a->ready_path = ready_path;
-	a->daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL,
-	    NULL, on_request, a, MHD_OPTION_LISTEN_SOCKET, listen_fd,
-	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)IR_MAX_ADMIN_CONNECTIONS,
-	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
-	    MHD_OPTION_END);
-	if (a->daemon == NULL) {
-		talloc_free(a);
-		return NULL;
-	}
+	a->stop = ir_wake_new(a);
+	if (a->stop == NULL || !start_listener(a, listen_fd))
+		goto fail;
+	if (metrics_fd >= 0 && !start_listener(a, metrics_fd))
+		goto fail;
+	if (pthread_create(&a->thread, NULL, run, a) != 0)
+		goto fail;
 	return a;
+
+fail:
+	talloc_free(a);
+	return NULL;
 }
 
 void
 ir_admin_stop(struct ir_admin *a)
 {
-	MHD_stop_daemon(a->daemon);
+	__atomic_store_n(&a->stopping, true, __ATOMIC_RELEASE);
+	ir_wake_signal(a->stop);
+	pthread_join(a->thread, NULL);
 	talloc_free(a);
 }
--- a/src/io/admin.h
+++ b/src/io/admin.h
@@ -1,6 +1,7 @@
 /*
- * The admin thread: an HTTP server for operators. GET /state, /counters,
- * /ready and /version. State and counters are asked of the core's thread.
+ * The admin thread: an HTTP server for operators. GET /state, /counters (also
+ * /metrics), /ready and /version, on one listener or two. State and counters
+ * are asked of the core's thread.
  */
 #ifndef IR_IO_ADMIN_H
 #define IR_IO_ADMIN_H
@@ -13,11 +14,12 @@
 struct ir_admin;
 
 /*
- * Takes the listening socket over and starts. NULL when it cannot. host names
- * the process in its counters; it and ready_path must outlive the thread.
+ * Takes the listening sockets over and starts; metrics_fd -1: none. NULL when
+ * it cannot. host names the process in its counters; it and ready_path must
+ * outlive the thread.
  */
 struct ir_admin *ir_admin_start(TALLOC_CTX *mem, struct ir_channel *channel,
-    const char *host, const char *ready_path, int listen_fd);
+    const char *host, const char *ready_path, int listen_fd, int metrics_fd);
 /* Ends the thread. */
 void ir_admin_stop(struct ir_admin *a);
 
--- a/src/io/core_loop.c
+++ b/src/io/core_loop.c
@@ -34,6 +34,14 @@
 	}
 }
 
+static void
+measure(struct core *c, int64_t now, struct ir_from_core *m)
+{
+	sum_counters(c, &m->u.report.counters);
+	m->u.report.histograms = *ir_node_histograms(c->node);
+	ir_node_gauges(c->node, now, &m->u.report.gauges);
+}
+
 static void
 report(struct core *c, int64_t now, enum ir_duty duty, struct ir_to_core *ask)
 {
@@ -46,7 +54,7 @@
 	if (ask->report == IR_REPORT_STATE)
 		m->u.report.json = ir_node_dump(c->node, now);
 	else if (ask->report == IR_REPORT_COUNTERS)
-		sum_counters(c, &m->u.report.counters);
+		measure(c, now, m);
 	ir_outbox_push(&c->out[duty], m);
 }
 
@@ -80,8 +88,8 @@
 		return;
 	c->drain_end_us = now + c->loop->settings->drain_ms * IR_US_PER_MS;
 	c->leave_end_us = now + c->loop->settings->leave_ms * IR_US_PER_MS;
-	ir_outbox_push(&c->out[IR_DUTY_CALLERS],
-	    ir_from_core_new(IR_FROM_CORE_LEAVING));
+	ir_outbox_push(
+	    &c->out[IR_DUTY_CALLERS], ir_from_core_new(IR_FROM_CORE_LEAVING));
 	ir_node_stop(c->node, now, c->leave_end_us);
 }
 
@@ -320,8 +328,7 @@
 	for (int d = 0; d < IR_DUTY_COUNT; d++)
 		ir_outbox_init(&c->out[d], c->loop->channels[d]->from_core);
 	ns = node_settings(c->loop, c->loop->settings);
-	c->node = ir_must(
-	    ir_node_new(c, ir_clock_now(), &ns, &ir_core_ops, c));
+	c->node = ir_must(ir_node_new(c, ir_clock_now(), &ns, &ir_core_ops, c));
 	while (!c->ended) {
 		more = take_batches(c);
 		tick(c);
--- a/src/io/message.h
+++ b/src/io/message.h
@@ -21,7 +21,7 @@
 	IR_TO_CORE_MESSAGE,
 	IR_TO_CORE_STORE_READ,
 	IR_TO_CORE_STORE_FAILED,
-	IR_TO_CORE_ASK, /* answered by IR_FROM_CORE_REPORT */
+	IR_TO_CORE_ASK,	     /* answered by IR_FROM_CORE_REPORT */
 	IR_TO_CORE_SETTINGS, /* newer ones, valid until the process ends */
 	IR_TO_CORE_STOP,
 	IR_TO_CORE_END
@@ -89,8 +89,10 @@
 		struct {
 			bool ready;
 			struct json_object *json; /* STATE */
-			struct ir_counters
-			    counters; /* COUNTERS: all threads' */
+			/* COUNTERS: all threads' */
+			struct ir_counters counters;
+			struct ir_histograms histograms;
+			struct ir_node_gauges gauges;
 		} report;
 	} u;
 };
--- a/src/metric/exposition.c
+++ b/src/metric/exposition.c
@@ -30,14 +30,9 @@
 	    out, "# HELP %s %s\n# TYPE %s %s\n", name, help, name, type);
 }
 
-char *
-ir_exposition(TALLOC_CTX *mem, const char *host, const struct ir_counters *c,
-    const struct ir_gauge *gauges, size_t gauge_count)
+static char *
+append_counters(char *out, const char *label, const struct ir_counters *c)
 {
-	const struct ir_gauge *g;
-	char *out = talloc_strdup(mem, "");
-	char *label = label_value(NULL, host);
-
 	for (int i = 0; i < IR_COUNTER_COUNT; i++) {
 		const char *name = ir_counter_name(i);
 
@@ -46,11 +41,56 @@
 		    "%s{host=\"%s\"} %" PRIu64 "\n", name, label,
 		    __atomic_load_n(&c->value[i], __ATOMIC_RELAXED));
 	}
-	for (g = gauges; g < gauges + gauge_count; g++) {
+	return out;
+}
+
+static char *
+append_gauges(char *out, const char *label, const struct ir_exposed *e)
+{
+	const struct ir_gauge *g;
+
+	for (g = e->gauges; g < e->gauges + e->gauge_count; g++) {
 		out = append_head(out, g->name, g->help, "gauge");
 		out = talloc_asprintf_append_buffer(out,
 		    "%s{host=\"%s\"} %" PRId64 "\n", g->name, label, g->value);
 	}
+	return out;
+}
+
+#define US_PER_S 1e6
+
+/* Buckets are cumulative, as the format wants them. */
+static char *
+append_histogram(char *out, const char *label, enum ir_histogram_kind kind,
+    const struct ir_histogram *h)
+{
+	const char *name = ir_histogram_name(kind);
+	uint64_t below = 0;
+
+	out = append_head(out, name, ir_histogram_help(kind), "histogram");
+	for (unsigned i = 0; i < IR_HISTOGRAM_BOUNDS; i++) {
+		below += h->counts[i];
+		out = talloc_asprintf_append_buffer(out,
+		    "%s_bucket{host=\"%s\",le=\"%g\"} %" PRIu64 "\n", name,
+		    label, (double)ir_histogram_bound_us(i) / US_PER_S, below);
+	}
+	return talloc_asprintf_append_buffer(out,
+	    "%s_bucket{host=\"%s\",le=\"+Inf\"} %" PRIu64 "\n"
+	    "%s_sum{host=\"%s\"} %.6f\n%s_count{host=\"%s\"} %" PRIu64 "\n",
+	    name, label, h->total, name, label, (double)h->sum_us / US_PER_S,
+	    name, label, h->total);
+}
+
+char *
+ir_exposition(TALLOC_CTX *mem, const char *host, const struct ir_exposed *e)
+{
+	char *out = talloc_strdup(mem, "");
+	char *label = label_value(NULL, host);
+
+	out = append_counters(out, label, e->counters);
+	out = append_gauges(out, label, e);
+	for (int k = 0; e->histograms != NULL && k < IR_HISTOGRAM_COUNT; k++)
+		out = append_histogram(out, label, k, &e->histograms->all[k]);
 	talloc_free(label);
 	return out;
 }
--- a/src/metric/exposition.h
+++ b/src/metric/exposition.h
@@ -9,23 +9,31 @@
 #include <talloc.h>
 
 #include "ibisrail/counter.h"
+#include "ibisrail/histogram.h"
 
 #define IR_EXPOSITION_TYPE "text/plain; version=0.0.4; charset=utf-8"
 
-/* A value that may fall. */
+/* A value that may fall. Names are without the prefix "ibisrail_". */
 struct ir_gauge {
 	const char *name; /* ends in its unit */
 	const char *help;
 	int64_t value;
 };
 
+/* What is written: gauges and histograms may be none. */
+struct ir_exposed {
+	const struct ir_counters *counters;
+	const struct ir_gauge *gauges;
+	size_t gauge_count;
+	const struct ir_histograms *histograms;
+};
+
 /*
- * All counters, then the gauges, labelled with the host's name. A text under
- * mem, NULL without memory.
+ * All counters, the gauges, then the histograms, labelled with the host's
+ * name. A text under mem, NULL without memory.
  */
-char *ir_exposition(TALLOC_CTX *mem, const char *host,
-    const struct ir_counters *c, const struct ir_gauge *gauges,
-    size_t gauge_count);
+char *ir_exposition(
+    TALLOC_CTX *mem, const char *host, const struct ir_exposed *e);
 
 /*
  * Reads one value of such a text, the first of that name whatever its labels.
--- a/test/test_counter.c
+++ b/test/test_counter.c
@@ -30,12 +30,13 @@
 {
 	struct ir_gauge g = {"ibisrail_running", "Requests running.", -3};
 	struct ir_counters c = {{0}};
+	const struct ir_exposed e = {&c, &g, 1, NULL};
 	char *text;
 	double v;
 
 	ir_count(&c, IR_RUNS, 40);
 	ir_count(&c, IR_RUNS, 2);
-	text = ir_exposition(NULL, "h\"1\\\n", &c, &g, 1);
+	text = ir_exposition(NULL, "h\"1\\\n", &e);
 	assert_non_null(
 	    strstr(text, "# TYPE ibisrail_runs_total counter\n"
 			 "ibisrail_runs_total{host=\"h\\\"1\\\\\\n\"} 42\n"));
@@ -53,12 +54,40 @@
 	talloc_free(text);
 }
 
+static void
+test_histogram_is_cumulative(void **state)
+{
+	struct ir_histograms h = {0};
+	struct ir_counters c = {{0}};
+	const struct ir_exposed e = {&c, NULL, 0, &h};
+	char *text;
+
+	ir_histogram_add(&h, IR_HISTOGRAM_RUN, 1000);
+	ir_histogram_add(&h, IR_HISTOGRAM_RUN, 1001);
+	ir_histogram_add(&h, IR_HISTOGRAM_RUN, 20000000);
+	text = ir_exposition(NULL, "h", &e);
+	assert_non_null(
+	    strstr(text, "# TYPE ibisrail_run_seconds histogram\n"
+			 "ibisrail_run_seconds_bucket{host=\"h\",le=\"0.001\"} "
+			 "1\n"
+			 "ibisrail_run_seconds_bucket{host=\"h\",le=\"0.005\"} "
+			 "2\n"));
+	assert_non_null(strstr(text, "{host=\"h\",le=\"10\"} 2\n"
+				     "ibisrail_run_seconds_bucket{host=\"h\","
+				     "le=\"+Inf\"} 3\n"));
+	assert_non_null(
+	    strstr(text, "ibisrail_run_seconds_sum{host=\"h\"} 20.002001\n"
+			 "ibisrail_run_seconds_count{host=\"h\"} 3\n"));
+	talloc_free(text);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_names_are_whole_and_distinct),
 	    cmocka_unit_test(test_text_has_each_value_once),
+	    cmocka_unit_test(test_histogram_is_cumulative),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_ctl.c
+++ b/test/test_ctl.c
@@ -111,7 +111,7 @@
 test_every_command_has_help_and_codes(void **state)
 {
 	static const char *const names[] = {"state", "top", "counters",
-	    "explain", "key", "collect", "check", "version"};
+	    "explain", "trace", "key", "collect", "check", "version"};
 	char line[64];
 
 	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
@@ -184,6 +184,36 @@
 	assert_int_equal(chdir(dir), 0);
 }
 
+/* Lines of two nodes, with a collector's prefix, out of order. */
+static void
+test_trace_puts_lines_in_order(void **state)
+{
+	static const char lines[] =
+	    "2.0 h2 {\"time\":\"2026-01-01T00:00:00.020Z\",\"host\":\"h2\","
+	    "\"name\":\"gate-took\",\"fields\":{\"id\":\"7f\","
+	    "\"queued\":3}}\n"
+	    "{\"time\":\"2026-01-01T00:00:00.010Z\",\"host\":\"h1\","
+	    "\"name\":\"attempt-sent\",\"fields\":{\"id\":\"7f\"}}\n"
+	    "{\"time\":\"2026-01-01T00:00:00.015Z\",\"host\":\"h1\","
+	    "\"name\":\"attempt-sent\",\"fields\":{\"id\":\"7f.1\"}}\n"
+	    "not a line of a node 7f\n"
+	    "{\"time\":\"2026-01-01T00:00:00.011Z\",\"host\":\"h1\","
+	    "\"name\":\"attempt-sent\",\"fields\":{\"id\":\"7f0\"}}\n";
+	FILE *f = fopen("log", "we");
+
+	assert_non_null(f);
+	fputs(lines, f);
+	fclose(f);
+	expect("ibisrailctl trace 7f log", 0, "attempt-sent");
+	assert_true(strstr(output, "attempt-sent") <
+		    strstr(output, "gate-took      queued=3"));
+	assert_null(strstr(output, "00.015Z"));
+	assert_null(strstr(output, "00.011Z"));
+	expect("ibisrailctl trace --calls 7f log", 0, "00.015Z");
+	expect("ibisrailctl trace 8 log", 1, "no line of 8");
+	expect("ibisrailctl trace 8 none", 1, "No such file");
+}
+
 int
 main(void)
 {
@@ -192,6 +222,7 @@
 	    cmocka_unit_test_setup(test_collect_then_check, write_sources),
 	    cmocka_unit_test_setup(
 		test_bad_files_change_nothing, write_sources),
+	    cmocka_unit_test(test_trace_puts_lines_in_order),
 	    cmocka_unit_test(test_commands_of_the_pages),
 	};
 
