Unlisted hosts ask their peers; watches 200 ms apart

Change: an unlisted host that knows others asks its relay; a watch follows one that brought something after 200 ms.

--- a/src/core/control.c
+++ b/src/core/control.c
@@ -145,9 +145,13 @@
 bool
 ir_node_wants_store(struct ir_node *n)
 {
+	const struct ir_view *v = node_view(n);
 	const struct ir_host *self = node_self(n);
 
-	return self == NULL || ir_is_reader(node_view(n), self);
+	if (self != NULL)
+		return ir_is_reader(v, self);
+	/* Once it knows others, a host that is not listed may ask them. */
+	return !node_serves_unlisted(n) || v->host_count == 0;
 }
 
 static void
@@ -443,6 +447,8 @@
 	const struct ir_host *self = node_self(n);
 	bool reader;
 
+	if (self == NULL && node_serves_unlisted(n))
+		self = node_place(n);
 	if (self == NULL || now - n->view_poll_us < IR_VIEW_POLL_US)
 		return;
 	n->view_poll_us = now;
