A soak of real processes under faults from outside

test/soak: a seed decides kills, stops, pauses, SIGHUP, links (peers' and the store's) that are delayed, silenced, cut one way or reset by loopback proxies, a store that is down or stale, hosts that leave, keys that are withdrawn. It checks what callers and upstreams see: nothing runs twice or after a refusal, answers are their requests', withdrawn keys stop, no process ends by itself, all serve again. make soak SEEDS=...

--- a/Makefile
+++ b/Makefile
@@ -13,11 +13,12 @@
 FAKE_SRC = $(wildcard test/fakes/*.c)
 TEST_SRC = $(wildcard test/test_*.c)
 SUPPORT_SRC = $(wildcard test/support/*.c)
+SOAK_SRC = $(wildcard test/soak/*.c)
 BENCH_SRC = $(wildcard bench/*.c)
 CAPACITY_SRC = $(wildcard bench/capacity/*.c)
 ALL_C = $(CORE_SRC) $(IO_SRC) $(DAEMON_SRC) $(PLATFORM_SRC) $(CTL_SRC) \
 	$(FAKE_LIB_SRC) \
-	$(FAKE_SRC) $(TEST_SRC) $(SUPPORT_SRC) $(BENCH_SRC) $(CAPACITY_SRC)
+	$(FAKE_SRC) $(TEST_SRC) $(SUPPORT_SRC) $(SOAK_SRC) $(BENCH_SRC) $(CAPACITY_SRC)
 ALL_H = $(wildcard include/ibisrail/*.h src/*/*.h platform/*.h test/*/*.h test/fakes/lib/*.h \
 	bench/*.h bench/capacity/*.h)
 GENERATED = src/link/peer.h src/link/peer_xdr.c
@@ -36,11 +37,12 @@
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
 PROGRAMS = $(BUILD)/ibisraild $(BUILD)/ibisrailctl $(BUILD)/ibisraild-platform
 
-.PHONY: all check demo bench capacity lint tidy format format-check \
+.PHONY: soak all check demo bench capacity lint tidy format format-check \
 	generate clean install-packages matrix mutations process
 .SECONDARY:
 
-all: $(if $(DAEMON_SRC),$(PROGRAMS)) $(FAKES) $(TESTS) $(BENCHES)
+all: $(if $(DAEMON_SRC),$(PROGRAMS)) $(FAKES) $(TESTS) $(BENCHES) \
+    $(BUILD)/test/soak
 
 $(BUILD)/obj/%.o: %.c
 	@mkdir -p $(@D)
@@ -69,6 +71,11 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
+$(BUILD)/test/soak: $(call obj,$(SOAK_SRC) $(SUPPORT_SRC)) \
+    $(call obj,$(IO_SRC) $(FAKE_LIB_SRC)) $(BUILD)/libcore.a
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+
 $(FAKES): $(BUILD)/test/%: $(BUILD)/obj/test/fakes/%.o \
     $(call obj,$(FAKE_LIB_SRC)) $(BUILD)/libcore.a
 	@mkdir -p $(@D)
@@ -91,6 +98,12 @@
 process: all
 	BUILD=$(BUILD) PROCESS=1 sh test/run.sh
 
+# A randomized soak of real processes: make soak SEEDS="1 2 3" SECONDS=20
+SEEDS = $(shell date +%s)
+SECONDS = 20
+soak: all
+	for s in $(SEEDS); do $(BUILD)/test/soak $$s $(SECONDS) || exit 1; done
+
 matrix: $(BUILD)/test/test_matrix
 	$(BUILD)/test/test_matrix
 
--- /dev/null
+++ b/test/soak/proxy.c
@@ -0,0 +1,300 @@
+/* Loopback proxies between processes. */
+#include <sys/socket.h>
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <utlist.h>
+
+#include "ibisrail/limits.h"
+#include "io/clock.h"
+#include "soak/proxy.h"
+
+#define MAX_PROXIES 64
+#define MAX_PAIRS 512
+#define PIECE_BYTES 16384
+#define TURN_MS 5
+
+/* One direction of a pair: bytes read and not yet written. */
+struct half {
+	int from;
+	int to;
+	char data[PIECE_BYTES];
+	size_t size;
+	size_t sent;
+	int64_t ready_us; /* not written before */
+	bool ended;
+};
+
+struct pair {
+	uint32_t proxy;
+	int client;
+	int server;
+	struct half up;
+	struct half down;
+	struct pair *prev;
+	struct pair *next;
+};
+
+struct proxy {
+	int listen_fd;
+	uint16_t target;
+	enum proxy_mode mode;
+};
+
+struct proxies {
+	struct proxy all[MAX_PROXIES];
+	uint32_t count;
+	struct pair *pairs;
+	uint32_t pair_count;
+	pthread_t thread;
+	pthread_mutex_t lock; /* of targets, modes and count */
+	bool stopping;
+};
+
+const char *
+proxy_mode_name(enum proxy_mode mode)
+{
+	static const char *const names[] = {
+	    "pass", "delay", "silent", "one-way", "reset"};
+
+	return names[mode];
+}
+
+static struct sockaddr_in
+loopback(uint16_t port)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons(port)};
+
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	return a;
+}
+
+static void
+reset(int fd)
+{
+	struct linger now = {1, 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	close(fd);
+}
+
+static struct proxy
+state_of(struct proxies *p, uint32_t index)
+{
+	struct proxy copy;
+
+	pthread_mutex_lock(&p->lock);
+	copy = p->all[index];
+	pthread_mutex_unlock(&p->lock);
+	return copy;
+}
+
+static void
+end_pair(struct proxies *p, struct pair *c, bool by_reset)
+{
+	DL_DELETE(p->pairs, c);
+	p->pair_count--;
+	if (by_reset) {
+		reset(c->client);
+		reset(c->server);
+	} else {
+		close(c->client);
+		close(c->server);
+	}
+	talloc_free(c);
+}
+
+static void
+accept_one(struct proxies *p, uint32_t index, const struct proxy *s)
+{
+	struct sockaddr_in a = loopback(s->target);
+	int client = accept4(s->listen_fd, NULL, NULL, SOCK_NONBLOCK);
+	int server;
+	struct pair *c;
+
+	if (client < 0)
+		return;
+	server = socket(AF_INET, SOCK_STREAM, 0);
+	if (s->mode == PROXY_RESET || s->target == 0 ||
+	    p->pair_count >= MAX_PAIRS || server < 0 ||
+	    connect(server, (struct sockaddr *)&a, sizeof(a)) != 0) {
+		reset(client);
+		if (server >= 0)
+			close(server);
+		return;
+	}
+	c = talloc_zero(p, struct pair);
+	c->proxy = index;
+	c->client = client;
+	c->server = server;
+	c->up = (struct half){.from = client, .to = server};
+	c->down = (struct half){.from = server, .to = client};
+	DL_APPEND(p->pairs, c);
+	p->pair_count++;
+}
+
+/* False when the direction failed. */
+static bool
+move(struct half *h, enum proxy_mode mode, int64_t now)
+{
+	ssize_t n;
+
+	if (h->size == 0 && !h->ended) {
+		n = recv(h->from, h->data, sizeof(h->data), MSG_DONTWAIT);
+		if (n < 0)
+			return errno == EAGAIN || errno == EINTR;
+		h->ended = n == 0;
+		h->size = (size_t)n;
+		h->sent = 0;
+		h->ready_us = now;
+		if (mode == PROXY_DELAY)
+			h->ready_us += PROXY_DELAY_MS * IR_US_PER_MS;
+	}
+	if (h->size == 0 || now < h->ready_us)
+		return !h->ended;
+	n = send(h->to, h->data + h->sent, h->size - h->sent,
+	    MSG_DONTWAIT | MSG_NOSIGNAL);
+	if (n < 0)
+		return errno == EAGAIN || errno == EINTR;
+	h->sent += (size_t)n;
+	if (h->sent == h->size)
+		h->size = 0;
+	return true;
+}
+
+static void
+step_pair(struct proxies *p, struct pair *c, int64_t now)
+{
+	struct proxy s = state_of(p, c->proxy);
+	bool ok = true;
+
+	if (s.mode == PROXY_RESET) {
+		end_pair(p, c, true);
+		return;
+	}
+	if (s.mode != PROXY_SILENT)
+		ok = move(&c->up, s.mode, now);
+	if (ok && s.mode != PROXY_SILENT && s.mode != PROXY_ONE_WAY)
+		ok = move(&c->down, s.mode, now);
+	if (!ok)
+		end_pair(p, c, false);
+}
+
+static void
+wait_for_work(struct proxies *p)
+{
+	static struct pollfd fds[MAX_PROXIES + 2 * MAX_PAIRS];
+	struct pair *c;
+	nfds_t n = 0;
+
+	for (uint32_t i = 0; i < p->count; i++)
+		fds[n++] = (struct pollfd){p->all[i].listen_fd, POLLIN, 0};
+	/* Only what flows: a silenced connection stays readable. */
+	DL_FOREACH (p->pairs, c) {
+		if (state_of(p, c->proxy).mode != PROXY_PASS)
+			continue;
+		fds[n++] = (struct pollfd){c->client, POLLIN, 0};
+		fds[n++] = (struct pollfd){c->server, POLLIN, 0};
+	}
+	poll(fds, n, TURN_MS);
+}
+
+static void *
+run(void *ctx)
+{
+	struct proxies *p = ctx;
+
+	while (!__atomic_load_n(&p->stopping, __ATOMIC_ACQUIRE)) {
+		struct pair *c, *next;
+		int64_t now = ir_clock_now();
+
+		for (uint32_t i = 0; i < p->count; i++) {
+			struct proxy s = state_of(p, i);
+
+			accept_one(p, i, &s);
+		}
+		DL_FOREACH_SAFE (p->pairs, c, next) {
+			step_pair(p, c, now);
+		}
+		wait_for_work(p);
+	}
+	return NULL;
+}
+
+struct proxies *
+proxies_start(TALLOC_CTX *mem)
+{
+	struct proxies *p = talloc_zero(mem, struct proxies);
+
+	pthread_mutex_init(&p->lock, NULL);
+	if (pthread_create(&p->thread, NULL, run, p) != 0)
+		abort();
+	return p;
+}
+
+void
+proxies_stop(struct proxies *p)
+{
+	__atomic_store_n(&p->stopping, true, __ATOMIC_RELEASE);
+	pthread_join(p->thread, NULL);
+	while (p->pairs != NULL)
+		end_pair(p, p->pairs, true);
+	for (uint32_t i = 0; i < p->count; i++)
+		close(p->all[i].listen_fd);
+	pthread_mutex_destroy(&p->lock);
+	talloc_free(p);
+}
+
+uint16_t
+proxies_add(struct proxies *p)
+{
+	struct sockaddr_in a = loopback(0);
+	socklen_t size = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+	if (fd < 0 || p->count == MAX_PROXIES ||
+	    bind(fd, (struct sockaddr *)&a, sizeof(a)) != 0 ||
+	    listen(fd, SOMAXCONN) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&a, &size) != 0)
+		abort();
+	pthread_mutex_lock(&p->lock);
+	p->all[p->count].listen_fd = fd;
+	__atomic_store_n(&p->count, p->count + 1, __ATOMIC_RELEASE);
+	pthread_mutex_unlock(&p->lock);
+	return ntohs(a.sin_port);
+}
+
+void
+proxies_target(struct proxies *p, uint32_t index, uint16_t port)
+{
+	pthread_mutex_lock(&p->lock);
+	p->all[index].target = port;
+	pthread_mutex_unlock(&p->lock);
+}
+
+uint16_t
+proxies_port(const struct proxies *p, uint32_t index)
+{
+	struct sockaddr_in a;
+	socklen_t size = sizeof(a);
+
+	if (getsockname(p->all[index].listen_fd, (struct sockaddr *)&a,
+		&size) != 0)
+		abort();
+	return ntohs(a.sin_port);
+}
+
+void
+proxies_mode(struct proxies *p, uint32_t index, enum proxy_mode mode)
+{
+	pthread_mutex_lock(&p->lock);
+	p->all[index].mode = mode;
+	pthread_mutex_unlock(&p->lock);
+}
