--- a/include/ibisrail/error.h
+++ b/include/ibisrail/error.h
@@ -34,6 +34,7 @@
 	IR_E_NEVER_RECEIVED,   /* a gate has no record of the attempt */
 	IR_E_NO_PARENT,	       /* egress call without a running request */
 	IR_E_CANCELLED,	       /* withdrawn before it was started */
+	IR_E_CALLEE_OVERLOAD,  /* a service that it would call is overloaded */
 	IR_E_UPSTREAM_SHED,    /* the upstream itself refused to run it */
 	IR_E_UPSTREAM_FAILED,  /* connection to the upstream broke while running
 				*/
--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -306,6 +306,8 @@
 	ir_chooser_done(
 	    n->chooser, now, p->name, c->account, &r->load, now - a->sent_us);
 	forget(n, a);
+	if (r->in_vain && c->parent != NULL)
+		c->parent->callee_shed = true;
 	if (r->error == IR_OK)
 		pass_on(n, now, c, r);
 	else
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -84,7 +84,8 @@
 		node_log(n, IR_EVENT_OUTCOME_UNKNOWN,
 		    "error=%s service=%s account=%s", ir_error_info(e)->name,
 		    c->service, c->account);
-	if (c->parent != NULL && (e == IR_E_OVERLOAD || e == IR_E_DEADLINE))
+	if (c->parent != NULL && (e == IR_E_OVERLOAD || e == IR_E_DEADLINE ||
+				     e == IR_E_CALLEE_OVERLOAD))
 		c->parent->callee_shed = true;
 	log_end(n, now, c, e, 0);
 	answer_error(n, c->id, e, retry_after_ms);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -24,6 +24,7 @@
 #include "link/peer.h"
 #include "upstream/gate.h"
 #include "upstream/record.h"
+#include "upstream/vain.h"
 #include "zone/choose.h"
 #include "zone/place.h"
 
@@ -155,6 +156,7 @@
 	struct ir_wallet *wallet;
 	struct ir_mint *mint;
 	struct ir_gate *gate;
+	struct ir_vain *vain;
 	struct ir_records *records;
 	uint64_t random;
 	uint64_t next_attempt;
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -90,9 +90,10 @@
 	n->gate = ir_gate_new(n, &serve_gate_ops, n, n->settings.slots,
 	    n->settings.seed ^ 2, now);
 	n->records = ir_records_new(n);
+	n->vain = ir_vain_new(n);
 	return n->sections != NULL && n->lease != NULL && n->chooser != NULL &&
 	       n->wallet != NULL && n->mint != NULL && n->gate != NULL &&
-	       n->records != NULL;
+	       n->records != NULL && n->vain != NULL;
 }
 
 struct ir_node *
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -179,6 +179,9 @@
 		    "attempt=%s reason=answer-not-kept", r->attempt_text);
 	}
 	serve_log_ended(n, now, r, e, res->status);
+	r->in_vain = run_sample(r, res) == IR_SAMPLE_CALLEE_SHED;
+	ir_vain_ended(
+	    n->vain, now, r->route, r->in_vain, now - r->work.started_us);
 	ir_gate_done(n->gate, now, &r->work, run_sample(r, res));
 	serve_end_record(
 	    n, now, r, e, e == IR_E_UPSTREAM_SHED ? node_jitter_ms(n, 100) : 0);
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -32,6 +32,7 @@
 	out->error = r->error;
 	out->status = r->status;
 	out->retry_after_ms = r->retry_after_ms;
+	out->in_vain = r->in_vain;
 	out->load = node_load(n, now, r->account != NULL ? r->account : "");
 	out->headers.headers_val = r->headers;
 	out->headers.headers_len = r->header_count;
@@ -290,6 +291,41 @@
 	peer_reply(n, conn, xid, &m);
 }
 
+/* Runs of one route are alike in what they call. */
+static uint64_t
+route_key(struct ir_node *n, const struct ir_forward *f)
+{
+	const struct ir_view *v = node_view(n);
+	const struct ir_service *s = ir_view_service(v, f->service);
+	const struct ir_route *route = NULL;
+
+	if (f->authority != NULL && f->authority[0] != '\0')
+		route = ir_view_route(v, f->authority, f->path);
+	else if (s != NULL)
+		route = ir_service_route(s, f->method, f->path);
+	if (route == NULL)
+		return 0;
+	return XXH64(route->path, strlen(route->path),
+	    route->authority != NULL
+		? XXH64(route->authority, strlen(route->authority), 0)
+		: 0);
+}
+
+/* Nothing is sunk yet in a request that no other one waits for. */
+static enum ir_error
+check_vain(struct ir_node *n, int64_t now, const struct ir_record *r)
+{
+	const struct ir_forward *f = r->forward;
+
+	if (n->settings.plain || f->depth != 0 ||
+	    ir_vain_admits(n->vain, now, r->route, f->rank))
+		return IR_OK;
+	return IR_E_CALLEE_OVERLOAD;
+}
+
+/* When a callee may have room again: some windows of vain.h. */
+#define CALLEE_RETRY_MS 500
+
 static void
 set_work(struct ir_node *n, int64_t now, struct ir_record *r)
 {
@@ -329,8 +365,13 @@
 			ir_records_set_key(n->records, r, key);
 		talloc_free(key);
 	}
+	if (e == IR_OK) {
+		r->route = route_key(n, f);
+		e = check_vain(n, now, r);
+	}
 	if (e != IR_OK) {
-		uint32_t retry_ms = node_jitter_ms(n, 100);
+		uint32_t retry_ms = node_jitter_ms(
+		    n, e == IR_E_CALLEE_OVERLOAD ? CALLEE_RETRY_MS : 100);
 
 		log_gate_refused(n, now, r, e, retry_ms);
 		serve_end_record(n, now, r, e, retry_ms);
@@ -460,4 +501,5 @@
 	ir_records_each_open(n->records, expire_one, n);
 	ir_gate_tick(n->gate, now);
 	ir_records_expire(n->records, now);
+	ir_vain_trim(n->vain, now);
 }
--- a/src/link/peer.h
+++ b/src/link/peer.h
@@ -137,6 +137,7 @@
 	u_int status;
 	u_int retry_after_ms;
 	u_int tokens_left;
+	bool_t in_vain;
 	ir_load load;
 	struct {
 		u_int headers_len;
--- a/src/link/peer.x
+++ b/src/link/peer.x
@@ -114,6 +114,7 @@
 	unsigned int status;		/* HTTP status of the upstream, or 0 */
 	unsigned int retry_after_ms;
 	unsigned int tokens_left;
+	bool in_vain;	/* it failed because a call below was refused */
 	ir_load load;
 	ir_header headers<IR_MAX_HEADERS>;
 	opaque body<IR_MAX_BODY>;
--- a/src/link/peer_xdr.c
+++ b/src/link/peer_xdr.c
@@ -363,7 +363,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->error))
 				 return FALSE;
@@ -373,12 +373,15 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->tokens_left))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->in_vain))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->error);
 		IXDR_PUT_U_LONG(buf, objp->status);
 		IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
 		IXDR_PUT_U_LONG(buf, objp->tokens_left);
+		IXDR_PUT_BOOL(buf, objp->in_vain);
 		}
 		 if (!xdr_ir_load (xdrs, &objp->load))
 			 return FALSE;
@@ -393,7 +396,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->error))
 				 return FALSE;
@@ -403,12 +406,15 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->tokens_left))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->in_vain))
+				 return FALSE;
 
 		} else {
 		objp->error = IXDR_GET_U_LONG(buf);
 		objp->status = IXDR_GET_U_LONG(buf);
 		objp->retry_after_ms = IXDR_GET_U_LONG(buf);
 		objp->tokens_left = IXDR_GET_U_LONG(buf);
+		objp->in_vain = IXDR_GET_BOOL(buf);
 		}
 		 if (!xdr_ir_load (xdrs, &objp->load))
 			 return FALSE;
@@ -432,6 +438,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->tokens_left))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->in_vain))
+		 return FALSE;
 	 if (!xdr_ir_load (xdrs, &objp->load))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->headers.headers_val, (u_int *) &objp->headers.headers_len, IR_MAX_HEADERS,
--- a/src/upstream/record.h
+++ b/src/upstream/record.h
@@ -53,6 +53,8 @@
 	struct ir_ledger ledger;
 	struct call *children;	 /* egress calls of this request */
 	int64_t callee_since_us; /* since when there are any */
+	uint64_t route;		 /* what its run is counted by, in vain.h */
+	bool in_vain;		 /* done, and failed for such a call */
 	bool callee_shed;	 /* one was refused for overload */
 	struct ir_waiter *waiters;
 	struct ir_alias *aliases;
--- /dev/null
+++ b/src/upstream/vain.c
@@ -0,0 +1,166 @@
+/* Shares of routes by runs in vain. */
+#include "upstream/vain.h"
+#include "core/table.h"
+#include "ibisrail/limits.h"
+#include "upstream/priority.h"
+
+/* Under it, a window of quick runs tells too little. */
+#define MIN_WINDOW_US (200 * IR_US_PER_MS)
+#define MIN_ENDED 8
+/* A window with fewer runs counts after so long. */
+#define MAX_WINDOW_US IR_US_PER_S
+/* Single failures are no sign of overload. */
+#define TOLERATED_SHARE 0.1
+/* A window of vain runs only halves the share. */
+#define MAX_CUT 0.5
+/* Ten windows lead back from nearly nothing to all. */
+#define RISE 0.1
+/* Some are always started, to see whether the callee has recovered. */
+#define MIN_SHARE 0.05
+#define KEEP_US (30 * IR_US_PER_S)
+#define RUN_WEIGHT 0.125
+
+struct route {
+	uint64_t key;
+	double share;
+	double run_us; /* moving average */
+	uint32_t ended; /* in the window */
+	uint32_t in_vain;
+	int64_t window_us; /* its start */
+	int64_t used_us;
+	UT_hash_handle hh;
+};
+
+struct ir_vain {
+	struct route *routes;
+};
+
+static int
+free_routes(struct ir_vain *v)
+{
+	HASH_CLEAR(hh, v->routes);
+	return 0;
+}
+
+struct ir_vain *
+ir_vain_new(TALLOC_CTX *mem)
+{
+	struct ir_vain *v = talloc_zero(mem, struct ir_vain);
+
+	if (v != NULL)
+		talloc_set_destructor(v, free_routes);
+	return v;
+}
+
+static struct route *
+find(const struct ir_vain *v, uint64_t key)
+{
+	struct route *r;
+
+	HASH_FIND(hh, v->routes, &key, sizeof(key), r);
+	return r;
+}
+
+static struct route *
+add(struct ir_vain *v, int64_t now, uint64_t key)
+{
+	struct route *r = talloc_zero(v, struct route);
+
+	if (r == NULL)
+		return NULL;
+	r->key = key;
+	r->share = 1;
+	r->window_us = now;
+	HASH_ADD(hh, v->routes, key, sizeof(r->key), r);
+	return r;
+}
+
+static void
+judge(struct route *r)
+{
+	double vain = r->ended > 0 ? (double)r->in_vain / r->ended : 0;
+
+	if (vain > TOLERATED_SHARE)
+		r->share *= vain < MAX_CUT ? 1 - vain : MAX_CUT;
+	else
+		r->share += RISE;
+	if (r->share > 1)
+		r->share = 1;
+	if (r->share < MIN_SHARE)
+		r->share = MIN_SHARE;
+}
+
+static bool
+is_over(const struct route *r, int64_t now)
+{
+	int64_t age_us = now - r->window_us;
+
+	if (age_us >= MAX_WINDOW_US)
+		return true;
+	return r->ended >= MIN_ENDED && age_us >= MIN_WINDOW_US &&
+	       (double)age_us >= r->run_us;
+}
+
+static void
+step(struct route *r, int64_t now)
+{
+	r->used_us = now;
+	if (!is_over(r, now))
+		return;
+	judge(r);
+	r->ended = 0;
+	r->in_vain = 0;
+	r->window_us = now;
+}
+
+bool
+ir_vain_admits(struct ir_vain *v, int64_t now, uint64_t route, uint32_t rank)
+{
+	struct route *r = find(v, route);
+
+	if (r == NULL)
+		return true;
+	step(r, now);
+	return (double)(rank & IR_RANK_MASK) <
+	       r->share * (double)(IR_RANK_MASK + 1);
+}
+
+void
+ir_vain_ended(struct ir_vain *v, int64_t now, uint64_t route, bool in_vain,
+    int64_t run_us)
+{
+	struct route *r = find(v, route);
+
+	/* A route without vain runs needs no memory. */
+	if (r == NULL && in_vain)
+		r = add(v, now, route);
+	if (r == NULL)
+		return;
+	if (r->run_us <= 0)
+		r->run_us = (double)run_us;
+	r->run_us += RUN_WEIGHT * ((double)run_us - r->run_us);
+	r->ended++;
+	r->in_vain += in_vain;
+	step(r, now);
+}
+
+double
+ir_vain_share(const struct ir_vain *v, uint64_t route)
+{
+	const struct route *r = find(v, route);
+
+	return r != NULL ? r->share : 1;
+}
+
+void
+ir_vain_trim(struct ir_vain *v, int64_t now)
+{
+	struct route *r, *next;
+
+	HASH_ITER (hh, v->routes, r, next) {
+		if (now - r->used_us < KEEP_US)
+			continue;
+		HASH_DEL(v->routes, r);
+		talloc_free(r);
+	}
+}
