--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -108,8 +108,8 @@
 	end = strrchr(c->caller_attempt, n->settings.child_separator);
 	if (end == NULL)
 		return NULL;
-	return ir_records_by_caller(n->records, c->caller_attempt,
-	    (size_t)(end - c->caller_attempt));
+	return ir_records_by_caller(
+	    n->records, c->caller_attempt, (size_t)(end - c->caller_attempt));
 }
 
 /*
@@ -182,9 +182,13 @@
 
 	for (i = 0; i < route->part_count; i++)
 		sum += route->parts[i].weight;
-	at = node_random(n) % sum;
-	for (i = 0; at >= route->parts[i].weight; i++)
+	/* The parser takes no route without weight. */
+	at = sum > 0 ? node_random(n) % sum : 0;
+	for (i = 0; i + 1 < route->part_count; i++) {
+		if (at < route->parts[i].weight)
+			break;
 		at -= route->parts[i].weight;
+	}
 	return route->parts[i].service;
 }
 
--- a/src/ctl/trace.c
+++ b/src/ctl/trace.c
@@ -19,10 +19,14 @@
     "over. Clocks of nodes may differ by some milliseconds.",
     "0 printed, 1 nothing found or a file cannot be read, 2 wrong arguments."};
 
+struct line {
+	struct json_object *json;
+};
+
 struct trace {
 	const char *id;
 	bool children; /* of ids that extend it */
-	struct json_object **lines;
+	struct line *lines;
 	size_t count;
 };
 
@@ -68,7 +72,7 @@
 	}
 	t->lines =
 	    talloc_realloc(NULL, t->lines, struct json_object *, t->count + 1);
-	t->lines[t->count++] = line;
+	t->lines[t->count++].json = line;
 }
 
 static bool
@@ -97,8 +101,9 @@
 static int
 by_time(const void *a, const void *b)
 {
-	return strcmp(text_of(*(struct json_object *const *)a, "time"),
-	    text_of(*(struct json_object *const *)b, "time"));
+	const struct line *x = a, *y = b;
+
+	return strcmp(text_of(x->json, "time"), text_of(y->json, "time"));
 }
 
 static void
@@ -128,8 +133,8 @@
 	if (t->count > 1)
 		qsort(t->lines, t->count, sizeof(*t->lines), by_time);
 	for (size_t i = 0; i < t->count; i++) {
-		print_line(t, t->lines[i]);
-		json_object_put(t->lines[i]);
+		print_line(t, t->lines[i].json);
+		json_object_put(t->lines[i].json);
 	}
 	talloc_free(t->lines);
 	if (t->count == 0)
--- a/src/log/log.c
+++ b/src/log/log.c
@@ -192,12 +192,12 @@
 }
 
 static void
-add_field(struct line *l, const char *name, size_t name_bytes,
+add_field(struct line *l, bool first, const char *name, size_t name_bytes,
     const char *value, size_t value_bytes)
 {
 	size_t before = l->size;
 
-	if (l->text[l->size - 1] != '{')
+	if (!first)
 		add_text(l, ",");
 	add_string(l, name, name_bytes);
 	add_text(l, ":");
@@ -212,14 +212,17 @@
 static void
 add_fields(struct line *l, const char *s)
 {
+	bool first = true;
+
 	while (s != NULL && *s != '\0') {
 		size_t name = name_length(s);
 		size_t value = value_length(s + name);
 
 		if (name > 0)
-			add_field(l, s, name - 1, s + name, value);
+			add_field(l, first, s, name - 1, s + name, value);
 		else
-			add_field(l, "text", 4, s, value);
+			add_field(l, first, "text", 4, s, value);
+		first = false;
 		s += name + value;
 		s += strspn(s, " ");
 	}
@@ -400,8 +403,8 @@
 }
 
 static bool
-take_turn(struct ir_log *l, int64_t now, enum ir_event event,
-    uint64_t *suppressed)
+take_turn(
+    struct ir_log *l, int64_t now, enum ir_event event, uint64_t *suppressed)
 {
 	bool ok;
 
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -282,11 +282,11 @@
 uint16_t
 proxies_port(const struct proxies *p, uint32_t index)
 {
-	struct sockaddr_in a;
+	struct sockaddr_in a = {0};
 	socklen_t size = sizeof(a);
 
-	if (getsockname(p->all[index].listen_fd, (struct sockaddr *)&a,
-		&size) != 0)
+	if (getsockname(
+		p->all[index].listen_fd, (struct sockaddr *)&a, &size) != 0)
 		abort();
 	return ntohs(a.sin_port);
 }
