--- a/src/ctl/trace.c
+++ b/src/ctl/trace.c
@@ -71,7 +71,7 @@
 		return;
 	}
 	t->lines =
-	    talloc_realloc(NULL, t->lines, struct json_object *, t->count + 1);
+	    talloc_realloc(NULL, t->lines, struct line, t->count + 1);
 	t->lines[t->count++].json = line;
 }
 
