--- a/bench/capacity/world.c
+++ b/bench/capacity/world.c
@@ -431,6 +431,8 @@
 	end(w, t);
 }
 
+static char empty[] = "";
+
 void
 world_forward(struct world *w, uint32_t conn, bool run)
 {
@@ -441,6 +443,9 @@
 	    .body_bytes = sizeof(body)};
 	int64_t t;
 
+	f->authority = empty;
+	f->caller_attempt = empty;
+	f->origin = empty;
 	f->attempt.incarnation = 9;
 	f->attempt.sequence = w->next_attempt++;
 	f->service = ir_unconst("service-000");
--- a/src/conf/publication.c
+++ b/src/conf/publication.c
@@ -69,7 +69,9 @@
 
 	ir_json_known(in, top, "", known);
 	f->generation = read_generation(in, top);
-	f->store_region = ir_label(in, top, "", "store_region");
+	f->store_region = "";
+	if (ir_json_has(top, "store_region"))
+		f->store_region = ir_label(in, top, "", "store_region");
 	f->link_bytes_per_s = (uint64_t)ir_json_int(
 	    in, top, "", "link_bytes_per_s", 1, INT64_C(1000000000000));
 	f->serve_unconfirmed =
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -218,7 +218,7 @@
 	const struct ir_view *v = node_view(n);
 	const struct ir_host *h = ir_view_host(v, name);
 
-	return h != NULL && strcmp(h->region, v->store_region) == 0 &&
+	return h != NULL && ir_in_store_region(v, h->region) &&
 	       ir_is_reader(v, h);
 }
 
--- a/src/zone/place.c
+++ b/src/zone/place.c
@@ -111,10 +111,12 @@
 	return false;
 }
 
-static bool
-in_store_region(const struct ir_view *v, const struct ir_zone *z)
+bool
+ir_in_store_region(const struct ir_view *v, const char *region)
 {
-	return v->store_region && strcmp(z->region, v->store_region) == 0;
+	if (v->store_anywhere)
+		return true;
+	return v->store_region != NULL && strcmp(region, v->store_region) == 0;
 }
 
 size_t
@@ -126,7 +128,7 @@
 	*names =
 	    talloc_array(mem, const char *, v->zone_count *IR_READERS_PER_ZONE);
 	for (size_t i = 0; i < v->zone_count; i++) {
-		if (!in_store_region(v, &v->zones[i]))
+		if (!ir_in_store_region(v, v->zones[i].region))
 			continue;
 		for (size_t k = 0; k < IR_READERS_PER_ZONE; k++) {
 			h = live_at(&v->zones[i], k);
@@ -192,7 +194,7 @@
 	for (int pass = 0; pass < 2; pass++)
 		for (size_t i = 0; i < v->zone_count; i++)
 			if (&v->zones[i] != skip &&
-			    in_store_region(v, &v->zones[i]) == (pass == 0))
+			    ir_in_store_region(v, v->zones[i].region) == (pass == 0))
 				offer_readers(w, &v->zones[i]);
 }
 
--- a/src/zone/place.h
+++ b/src/zone/place.h
@@ -13,6 +13,9 @@
 
 bool ir_is_reader(const struct ir_view *v, const struct ir_host *h);
 
+/* Whether the store is in that region, for all that is told. */
+bool ir_in_store_region(const struct ir_view *v, const char *region);
+
 /* Names of the readers in the store's region, under mem. */
 size_t ir_store_readers(
     const struct ir_view *v, TALLOC_CTX *mem, const char ***names);
--- a/test/test_place.c
+++ b/test/test_place.c
@@ -24,6 +24,26 @@
 	talloc_free(v);
 }
 
+/*
+ * Found in an incident: without a region of the store no reader judged an
+ * outage, and minting stopped for all of it.
+ */
+static void
+test_readers_of_all_regions_where_the_store_is_anywhere(void **state)
+{
+	struct ir_view *v = fleet_new(NULL, 7, 443);
+	const char **names;
+
+	v->store_region = "";
+	assert_int_equal(ir_store_readers(v, v, &names), 0);
+	v->store_anywhere = true;
+	assert_int_equal(
+	    ir_store_readers(v, v, &names), 7 * IR_READERS_PER_ZONE);
+	for (size_t i = 0; i < v->host_count; i++)
+		assert_true(ir_in_store_region(v, v->hosts[i].region));
+	talloc_free(v);
+}
+
 static void
 test_leaving_host_reads_no_more(void **state)
 {
@@ -189,6 +209,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_each_zone_has_its_readers),
+	    cmocka_unit_test(
+		test_readers_of_all_regions_where_the_store_is_anywhere),
 	    cmocka_unit_test(test_leaving_host_reads_no_more),
 	    cmocka_unit_test(test_first_sources_form_a_shallow_tree),
 	    cmocka_unit_test(test_tries_reach_other_zones_and_wrap),
