--- a/src/conf/publication.c
+++ b/src/conf/publication.c
@@ -63,15 +63,15 @@
 ir_fleet_parse(struct ir_json_in *in, const char *text, size_t size_bytes)
 {
 	static const char *const known[] = {"generation", "store_region",
-	    "link_bytes_per_s", "unconfirmed_view", NULL};
+	    "link_bytes_per_s", "unconfirmed_view", "store_anywhere", NULL};
 	struct ir_fleet *f = talloc_zero(in->mem, struct ir_fleet);
 	struct json_object *top = ir_json_parse(in, text, size_bytes);
 
 	ir_json_known(in, top, "", known);
 	f->generation = read_generation(in, top);
-	f->store_region = "";
-	if (ir_json_has(top, "store_region"))
-		f->store_region = ir_label(in, top, "", "store_region");
+	f->store_region = ir_label(in, top, "", "store_region");
+	if (ir_json_has(top, "store_anywhere"))
+		f->store_anywhere = ir_json_bool(in, top, "", "store_anywhere");
 	f->link_bytes_per_s = (uint64_t)ir_json_int(
 	    in, top, "", "link_bytes_per_s", 1, INT64_C(1000000000000));
 	f->serve_unconfirmed =
--- a/src/conf/publication.h
+++ b/src/conf/publication.h
@@ -25,6 +25,7 @@
 struct ir_fleet {
 	uint64_t generation;
 	const char *store_region;
+	bool store_anywhere;
 	uint64_t link_bytes_per_s;
 	bool serve_unconfirmed;
 };
--- a/src/host/compile.c
+++ b/src/host/compile.c
@@ -187,7 +187,7 @@
 	v->store_region = "";
 	if (p->fleet != NULL) {
 		v->store_region = p->fleet->store_region;
-		v->store_anywhere = v->store_region[0] == '\0';
+		v->store_anywhere = p->fleet->store_anywhere;
 		v->link_bytes_per_s = p->fleet->link_bytes_per_s;
 		v->serve_unconfirmed = p->fleet->serve_unconfirmed;
 	}
--- a/src/host/view.h
+++ b/src/host/view.h
@@ -25,7 +25,8 @@
  *                     "zone":"z1", "address":"127.0.0.1",
  *                     "peer_port":7001, "caller_port":7002,
  *                     "state":"live"|"leaving"}
- * Optional: "store_region"; "slots" of a service or host, "upstream_id" of a host,
+ * Optional: "store_anywhere":true of the fleet, where nobody tells the store's
+ * region; "slots" of a service or host, "upstream_id" of a host,
  * "importance" of an account. An account without "rate_per_s" has no limit.
  */
 #ifndef IR_HOST_VIEW_H
@@ -43,9 +44,9 @@
  * nothing.
  */
 struct ir_rate_margin {
-	double share;	       /* of both */
-	double burst_tokens;   /* more of burst */
-	double rate_per_s; /* more of rate */
+	double share;	     /* of both */
+	double burst_tokens; /* more of burst */
+	double rate_per_s;   /* more of rate */
 };
 
 /* What a section's text is, by its name. */
@@ -133,8 +134,8 @@
 struct ir_view {
 	uint64_t config_revision;
 	uint64_t list_revision;
-	const char *store_region; /* "" until it is told */
-	bool store_anywhere; /* not told: readers of all regions are alike */
+	const char *store_region;  /* "" until it is told */
+	bool store_anywhere;	   /* readers of all regions are alike */
 	uint64_t link_bytes_per_s; /* between regions, each way */
 	bool serve_unconfirmed;	   /* "unconfirmed_view" is "serve" */
 	struct ir_service *services;
--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -27,7 +27,7 @@
 #define RING_SLOTS 64
 #define CONNECTIONS 4
 #define REQUEST_BYTES 16384
-#define OK(id, body) \
+#define OK(id, body)                                           \
 	"HTTP/1.1 200 OK\r\nX-Ibisrail-Attempt-Id: " id "\r\n" \
 	"X-Ibisrail-Response-Signature: s\r\nContent-Length: 2\r\n\r\n" body
 
@@ -49,6 +49,7 @@
 	int listen_fd;
 	uint64_t last_id;
 	const struct script *script; /* of each connection */
+	struct script one;	     /* with one answer */
 	int connections;
 	char request[REQUEST_BYTES]; /* the last that was read */
 };
@@ -148,8 +149,8 @@
 }
 
 static struct ir_to_core *
-run_with(struct fixture *f, const char *attempt, bool idempotent,
-    size_t body_bytes)
+run_with(
+    struct fixture *f, const char *attempt, bool idempotent, size_t body_bytes)
 {
 	struct pollfd p = {.fd = ir_wake_fd(f->core), .events = POLLIN};
 	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_RUN);
@@ -192,10 +193,10 @@
 static void
 expect_end(struct fixture *f, const char *answer, enum ir_run_end end)
 {
-	const struct script s = {.answers = {answer}};
 	struct ir_to_core *m;
 
-	f->script = &s;
+	f->one = (struct script){.answers = {answer}};
+	f->script = &f->one;
 	m = run_with(f, "1", false, 0);
 	assert_int_equal(m->u.result.end, end);
 	talloc_free(m);
@@ -249,7 +250,8 @@
 static void
 test_spare_answer_at_once(void **state)
 {
-	static const struct script s = {.answers = {OK("1", "aa") OK("1", "xx")}};
+	static const struct script s = {
+	    .answers = {OK("1", "aa") OK("1", "xx")}};
 	static const struct script next = {.answers = {OK("2", "bb")}};
 	struct fixture *f = *state;
 
@@ -283,7 +285,8 @@
 	    "X-Ibisrail-Response-Signature: s\r\n"
 	    "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
 	    IR_RUN_BROKEN);
-	/* Without the digest, or in another coding, it is not the upstream's. */
+	/* Without the digest, or in another coding, it is not the upstream's.
+	 */
 	expect_end(*state,
 	    "HTTP/1.1 200 OK\r\nX-Ibisrail-Attempt-Id: 1\r\n"
 	    "Content-Length: 2\r\n\r\nab",
