Doubled plumbing: one turn pump, one JSON reader, one core side

Cause: the queue pump of the io threads stood three times, the platform's JSON field readers three times, the tests' core side five times; eighteen files were not as clang-format writes them. Ruled out: a shared header of inline functions (five test programs would each hold a copy). Change: src/io/turn, platform/json, test/support/core_side; the benches link the io objects the shared test support needs; make format. Conclusion: no change of behaviour.

--- a/Makefile
+++ b/Makefile
@@ -87,7 +87,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/bench/%: $(BUILD)/obj/bench/%.o \
-    $(call obj,$(SUPPORT_SRC) $(FAKE_LIB_SRC)) $(BUILD)/libcore.a
+    $(call obj,$(SUPPORT_SRC) $(IO_SRC) $(FAKE_LIB_SRC)) $(BUILD)/libcore.a
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
--- a/include/ibisrail/dialect.h
+++ b/include/ibisrail/dialect.h
@@ -95,7 +95,7 @@
 	const char *settings_variable; /* names the settings file, or NULL */
 	const uint16_t
 	    *error_status;	   /* by error kind; 0 or NULL: the table's */
-	char child_separator; /* see struct ir_node_settings; 0: none */
+	char child_separator;	   /* see struct ir_node_settings; 0: none */
 	bool routes_by_host;	   /* callers name hosts, not services */
 	bool retry_after_fraction; /* Retry-After may be a fraction */
 	bool close_ends_answer;	   /* an answer without a length is whole */
--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -99,7 +99,8 @@
 	char id[NODE_ID_BYTES];
 
 	node_log(n, IR_EVENT_ATTEMPT_SENT,
-	    "id=%s attempt=%016llx-%llx host=%s try=%u held=%u limit=%u age_ms=%lld",
+	    "id=%s attempt=%016llx-%llx host=%s try=%u held=%u limit=%u "
+	    "age_ms=%lld",
 	    node_id_text(id, c->caller_attempt, &c->request),
 	    (unsigned long long)n->settings.incarnation,
 	    (unsigned long long)a->sequence, a->peer->name, c->tried_count,
@@ -274,8 +275,7 @@
 	    r->error < IR_ERROR_COUNT ? (enum ir_error)r->error : IR_E_INTERNAL;
 	enum ir_outcome o = ir_error_info(e)->outcome;
 
-	c->upstream_count +=
-	    o != IR_OUTCOME_NOT_RUN || e == IR_E_UPSTREAM_SHED;
+	c->upstream_count += o != IR_OUTCOME_NOT_RUN || e == IR_E_UPSTREAM_SHED;
 	c->doubt = c->doubt || o != IR_OUTCOME_NOT_RUN;
 	if (o == IR_OUTCOME_NOT_RUN)
 		call_refused(n, now, c, e, r->retry_after_ms);
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -40,8 +40,7 @@
 	n->place.address = "";
 	n->place.upstream_id = "";
 	n->place.leaving = true;
-	n->place.hash = XXH64(
-	    n->settings.host, strlen(n->settings.host), 0);
+	n->place.hash = XXH64(n->settings.host, strlen(n->settings.host), 0);
 	return n->settings.host != NULL && n->settings.service != NULL &&
 	       n->settings.region != NULL && n->settings.zone != NULL;
 }
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -105,8 +105,7 @@
 	node_log(n, event,
 	    "id=%s attempt=%s %s running=%u queued=%u limit=%u "
 	    "expected_ms=%u left_ms=%lld retry_ms=%u",
-	    node_id_text(
-		id, r->forward->caller_attempt, &r->forward->request),
+	    node_id_text(id, r->forward->caller_attempt, &r->forward->request),
 	    r->attempt_text, what, l.running, l.queued, l.limit,
 	    (unsigned)(l.service_time_us / IR_US_PER_MS),
 	    (long long)((r->work.deadline_us - now) / IR_US_PER_MS),
--- a/src/ctl/trace.c
+++ b/src/ctl/trace.c
@@ -70,8 +70,7 @@
 		json_object_put(line);
 		return;
 	}
-	t->lines =
-	    talloc_realloc(NULL, t->lines, struct line, t->count + 1);
+	t->lines = talloc_realloc(NULL, t->lines, struct line, t->count + 1);
 	t->lines[t->count++].json = line;
 }
 
--- a/src/io/callers.c
+++ b/src/io/callers.c
@@ -7,6 +7,7 @@
 
 #include "io/caller_conn.h"
 #include "io/clock.h"
+#include "io/turn.h"
 
 #define FLUSH_US (500 * IR_US_PER_MS)
 #define BACKLOG_RETRY_US 1000
@@ -141,27 +142,6 @@
 	    tevent_timeval_current_ofs(SWEEP_US / IR_US_PER_S, 0), sweep, c));
 }
 
-static void
-on_wake(struct tevent_context *loop, struct tevent_fd *event, uint16_t flags,
-    void *ctx)
-{
-	/* The ring is read by the loop. */
-}
-
-static void
-on_turn(struct tevent_context *loop, struct tevent_timer *timer,
-    struct timeval now, void *ctx)
-{
-	/* Ends one turn of the loop. */
-}
-
-static void
-set_turn(struct ir_callers *c)
-{
-	ir_must(tevent_add_timer(c->loop, c,
-	    tevent_timeval_current_ofs(0, BACKLOG_RETRY_US), on_turn, NULL));
-}
-
 static bool
 is_flushed(const struct ir_callers *c)
 {
@@ -193,13 +173,9 @@
 		if (is_ended(c))
 			break;
 		if (!ir_outbox_flush(&c->out) || c->flush_end_us != 0)
-			set_turn(c);
+			ir_turn_ends_after(c->loop, c, BACKLOG_RETRY_US);
 		set_sweep(c);
-		ir_wake_arm(c->channel->wake);
-		if (!ir_ring_empty(c->channel->from_core))
-			ir_wake_signal(c->channel->wake);
-		tevent_loop_once(c->loop);
-		ir_wake_disarm(c->channel->wake);
+		ir_turn(c->loop, c->channel->wake, c->channel->from_core);
 	}
 	return NULL;
 }
@@ -250,8 +226,7 @@
 	c->loop = tevent_context_init(c);
 	if (c->loop == NULL)
 		goto fail;
-	if (tevent_add_fd(c->loop, c, ir_wake_fd(channel->wake), TEVENT_FD_READ,
-		on_wake, c) == NULL)
+	if (!ir_turn_watch(c->loop, c, channel->wake))
 		goto fail;
 	if (!start(c, &c->callers, callers_fd))
 		goto fail;
--- a/src/io/peers.c
+++ b/src/io/peers.c
@@ -10,6 +10,7 @@
 #include "io/peer_conn.h"
 #include "io/peers.h"
 #include "io/report.h"
+#include "io/turn.h"
 #include "link/codec.h"
 
 #define BACKLOG_RETRY_US 1000
@@ -328,20 +329,6 @@
 	    tevent_timeval_current_ofs(SWEEP_US / IR_US_PER_S, 0), sweep, p);
 }
 
-static void
-on_wake(struct tevent_context *loop, struct tevent_fd *event, uint16_t flags,
-    void *ctx)
-{
-	/* The ring is read by the loop. */
-}
-
-static void
-on_flush_timer(struct tevent_context *loop, struct tevent_timer *timer,
-    struct timeval now, void *ctx)
-{
-	/* Ends one turn of the loop. */
-}
-
 void *
 ir_peers_run(void *ctx)
 {
@@ -355,14 +342,8 @@
 		if (!ir_outbox_flush(&p->out))
 			set_backlog_timer(p);
 		if (p->flush_end_us != 0)
-			tevent_add_timer(p->loop, p,
-			    tevent_timeval_current_ofs(0, BACKLOG_RETRY_US),
-			    on_flush_timer, NULL);
-		ir_wake_arm(p->channel->wake);
-		if (!ir_ring_empty(p->channel->from_core))
-			ir_wake_signal(p->channel->wake);
-		tevent_loop_once(p->loop);
-		ir_wake_disarm(p->channel->wake);
+			ir_turn_ends_after(p->loop, p, BACKLOG_RETRY_US);
+		ir_turn(p->loop, p->channel->wake, p->channel->from_core);
 	}
 	return NULL;
 }
@@ -403,8 +384,7 @@
 	    tevent_add_fd(p->loop, p, listen_fd, TEVENT_FD_READ, on_listen, p);
 	if (p->listen_event == NULL)
 		goto fail;
-	if (tevent_add_fd(p->loop, p, ir_wake_fd(channel->wake), TEVENT_FD_READ,
-		on_wake, p) == NULL)
+	if (!ir_turn_watch(p->loop, p, channel->wake))
 		goto fail;
 	return p;
 
--- a/src/io/platform.c
+++ b/src/io/platform.c
@@ -281,8 +281,8 @@
 
 /* What a joint read says of the configuration. */
 static void
-pass_on_config(struct ir_platform *p, int64_t asked_us,
-    const struct ir_store_page *page)
+pass_on_config(
+    struct ir_platform *p, int64_t asked_us, const struct ir_store_page *page)
 {
 	struct watch *w = &p->config;
 	struct ir_store_page config = {
--- a/src/io/store_book.c
+++ b/src/io/store_book.c
@@ -11,9 +11,9 @@
 	char *text;
 	uint64_t revision;
 	uint64_t created;
-	uint64_t round; /* of the last whole read that named it */
-	bool gone; /* removed; forgotten once the hold is over */
-	bool held; /* gone, perhaps only lapsed */
+	uint64_t round;	 /* of the last whole read that named it */
+	bool gone;	 /* removed; forgotten once the hold is over */
+	bool held;	 /* gone, perhaps only lapsed */
 	bool unreadable; /* names no host */
 	UT_hash_handle hh;
 };
@@ -32,7 +32,7 @@
 	struct told *told;
 	uint64_t round;
 	uint64_t revision; /* highest passed on */
-	bool returning; /* the first read after a failure is taken */
+	bool returning;	   /* the first read after a failure is taken */
 	int64_t hold_until_us;
 };
 
@@ -139,7 +139,6 @@
 	}
 }
 
-
 static void
 drop_gone(struct ir_store_book *b, int64_t now)
 {
@@ -259,5 +258,4 @@
 	r->whole = all;
 	r->sections = list;
 	r->revision = b->revision;
-
 }
--- a/src/io/store_book.h
+++ b/src/io/store_book.h
@@ -24,8 +24,7 @@
 /* A read of the whole list begins; what it does not name is gone. */
 void ir_store_book_begin_whole(struct ir_store_book *b);
 /* True when the item cannot be read (no section) and could be before. */
-bool ir_store_book_put(
-    struct ir_store_book *b, const struct ir_store_item *in);
+bool ir_store_book_put(struct ir_store_book *b, const struct ir_store_item *in);
 void ir_store_book_end_whole(struct ir_store_book *b);
 /*
  * The store answers again after a failure: what the read that follows shows
@@ -35,8 +34,8 @@
 
 /*
  * Moves the sections that changed since the last call, or with all every
- * section, to r, under mem. r->revision becomes that of the last change, r->reached
- * is the store's already.
+ * section, to r, under mem. r->revision becomes that of the last change,
+ * r->reached is the store's already.
  */
 void ir_store_book_take(struct ir_store_book *b, int64_t now, TALLOC_CTX *mem,
     bool all, struct ir_store_read *r);
--- a/src/io/upstream.c
+++ b/src/io/upstream.c
@@ -3,6 +3,7 @@
 
 #include "io/clock.h"
 #include "io/report.h"
+#include "io/turn.h"
 #include "io/upstream_conn.h"
 
 #define BACKLOG_RETRY_US 1000
@@ -114,33 +115,13 @@
 	    tevent_timeval_current_ofs(SWEEP_US / IR_US_PER_S, 0), sweep, u));
 }
 
-static void
-on_wake(struct tevent_context *loop, struct tevent_fd *event, uint16_t flags,
-    void *ctx)
-{
-	/* The ring is read by the loop. */
-}
-
-static void
-on_turn(struct tevent_context *loop, struct tevent_timer *timer,
-    struct timeval now, void *ctx)
-{
-	/* Ends one turn of the loop. */
-}
-
 static void
 turn(struct ir_upstream *u)
 {
 	if (!ir_outbox_flush(&u->out))
-		ir_must(tevent_add_timer(u->loop, u,
-		    tevent_timeval_current_ofs(0, BACKLOG_RETRY_US), on_turn,
-		    NULL));
+		ir_turn_ends_after(u->loop, u, BACKLOG_RETRY_US);
 	set_sweep(u);
-	ir_wake_arm(u->channel->wake);
-	if (!ir_ring_empty(u->channel->from_core))
-		ir_wake_signal(u->channel->wake);
-	tevent_loop_once(u->loop);
-	ir_wake_disarm(u->channel->wake);
+	ir_turn(u->loop, u->channel->wake, u->channel->from_core);
 }
 
 void *
@@ -191,8 +172,7 @@
 	u->loop = tevent_context_init(u);
 	if (u->loop == NULL || u->address.address == NULL)
 		goto fail;
-	if (tevent_add_fd(u->loop, u, ir_wake_fd(channel->wake), TEVENT_FD_READ,
-		on_wake, u) == NULL)
+	if (!ir_turn_watch(u->loop, u, channel->wake))
 		goto fail;
 	return u;
 
--- a/src/upstream/gate.c
+++ b/src/upstream/gate.c
@@ -272,8 +272,8 @@
 
 	if (g->policy == IR_GATE_PLAIN)
 		return;
-	while ((below = ir_queue_below(g->queue, class, w->deadline_us)) !=
-	       NULL)
+	while (
+	    (below = ir_queue_below(g->queue, class, w->deadline_us)) != NULL)
 		refuse_queued(g, now, below, IR_E_DEADLINE);
 }
 
--- a/src/upstream/vain.c
+++ b/src/upstream/vain.c
@@ -23,7 +23,7 @@
 struct route {
 	uint64_t key;
 	double share;
-	double run_us; /* moving average */
+	double run_us;	/* moving average */
 	uint32_t ended; /* in the window */
 	uint32_t in_vain;
 	int64_t window_us; /* its start */
--- a/src/zone/choose.c
+++ b/src/zone/choose.c
@@ -307,8 +307,8 @@
 }
 
 const struct ir_load *
-ir_chooser_load(const struct ir_chooser *c, int64_t now, const char *host,
-    int64_t *age_us)
+ir_chooser_load(
+    const struct ir_chooser *c, int64_t now, const char *host, int64_t *age_us)
 {
 	const struct ir_seen *s = ir_seen_find(c->seen, host);
 
--- a/src/zone/choose.h
+++ b/src/zone/choose.h
@@ -53,7 +53,7 @@
 void ir_chooser_trim(struct ir_chooser *c, const struct ir_view *v);
 
 /* Load last seen of a host with its age; NULL when none. */
-const struct ir_load *ir_chooser_load(const struct ir_chooser *c, int64_t now,
-    const char *host, int64_t *age_us);
+const struct ir_load *ir_chooser_load(
+    const struct ir_chooser *c, int64_t now, const char *host, int64_t *age_us);
 
 #endif
--- a/src/zone/place.c
+++ b/src/zone/place.c
@@ -194,7 +194,8 @@
 	for (int pass = 0; pass < 2; pass++)
 		for (size_t i = 0; i < v->zone_count; i++)
 			if (&v->zones[i] != skip &&
-			    ir_in_store_region(v, v->zones[i].region) == (pass == 0))
+			    ir_in_store_region(v, v->zones[i].region) ==
+				(pass == 0))
 				offer_readers(w, &v->zones[i]);
 }
 
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -10,10 +10,10 @@
 
 enum proxy_mode {
 	PROXY_PASS,
-	PROXY_DELAY,  /* each piece waits for PROXY_DELAY_MS */
-	PROXY_SILENT, /* nothing passes; connections stay open */
+	PROXY_DELAY,   /* each piece waits for PROXY_DELAY_MS */
+	PROXY_SILENT,  /* nothing passes; connections stay open */
 	PROXY_ONE_WAY, /* only towards the server */
-	PROXY_RESET,  /* open connections and new ones are reset */
+	PROXY_RESET,   /* open connections and new ones are reset */
 	PROXY_MODES
 };
 
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -117,13 +117,15 @@
 {
 	int64_t since = s->withdrawn_us[q->key];
 
-	if (since == 0 || q->outcome != 'r' || q->sent_us < since + KEY_BOUND_US)
+	if (since == 0 || q->outcome != 'r' ||
+	    q->sent_us < since + KEY_BOUND_US)
 		return;
 	/* In an outage of the store nobody can learn of it. */
 	if (s->store_bad_us + KEY_BOUND_US > since)
 		return;
-	note_broken(s, "request %" PRIu64 " ran %" PRId64 " ms after its key "
-		       "was withdrawn",
+	note_broken(s,
+	    "request %" PRIu64 " ran %" PRId64 " ms after its key "
+	    "was withdrawn",
 	    id, (q->sent_us - since) / IR_US_PER_MS);
 }
 
@@ -247,10 +249,10 @@
 set_store(struct soak *s)
 {
 	s->store_bad_us = INT64_MAX / 2;
-	pr_faults(p,
-	    talloc_asprintf(p, "{\"down\":%s,\"stale\":%s,\"lag_ms\":0}",
-		s->store_down ? "true" : "false",
-		s->store_stale ? "true" : "false"));
+	pr_faults(
+	    p, talloc_asprintf(p, "{\"down\":%s,\"stale\":%s,\"lag_ms\":0}",
+		   s->store_down ? "true" : "false",
+		   s->store_stale ? "true" : "false"));
 	if (!s->store_down && !s->store_stale)
 		s->store_bad_us = ir_clock_now();
 }
--- /dev/null
+++ b/test/support/core_side.c
@@ -0,0 +1,19 @@
+/* The core's side of a channel, played by a test. */
+#include <poll.h>
+
+#include "support/core_side.h"
+
+struct ir_to_core *
+core_side_next(struct ir_wake *core, struct ir_channel *channel)
+{
+	struct pollfd p = {.fd = ir_wake_fd(core), .events = POLLIN};
+	struct ir_to_core *m;
+
+	while ((m = ir_ring_pop(channel->to_core)) == NULL) {
+		ir_wake_arm(core);
+		if (ir_ring_empty(channel->to_core))
+			poll(&p, 1, -1);
+		ir_wake_disarm(core);
+	}
+	return m;
+}
--- a/test/test_caller_conn.c
+++ b/test/test_caller_conn.c
@@ -23,12 +23,13 @@
 #include "io/callers.h"
 #include "io/listen.h"
 #include "platform/platform.h"
+#include "support/core_side.h"
 #include "support/raw_http.h"
 
 #define RING_SLOTS 128
-#define GET(id) \
+#define GET(id)                                              \
 	"GET /a/b?q=1 HTTP/1.1\r\nHost: Shop.Example:80\r\n" \
-	"X-Ibisrail-Attempt-Id: " id "\r\n" \
+	"X-Ibisrail-Attempt-Id: " id "\r\n"                  \
 	"X-Ibisrail-Deadline-Remaining: 5000\r\nX-Api-Key: k1\r\n\r\n"
 
 struct fixture {
@@ -71,16 +72,7 @@
 static struct ir_to_core *
 next(struct fixture *f)
 {
-	struct pollfd p = {.fd = ir_wake_fd(f->core), .events = POLLIN};
-	struct ir_to_core *m;
-
-	while ((m = ir_ring_pop(f->channel->to_core)) == NULL) {
-		ir_wake_arm(f->core);
-		if (ir_ring_empty(f->channel->to_core))
-			poll(&p, 1, -1);
-		ir_wake_disarm(f->core);
-	}
-	return m;
+	return core_side_next(f->core, f->channel);
 }
 
 static void
@@ -146,12 +138,10 @@
 	expect_400(*state,
 	    "POST /a/ HTTP/1.1\r\nHost: x\r\n"
 	    "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n");
-	expect_400(*state,
-	    "POST /a/ HTTP/1.0\r\nHost: x\r\n"
-	    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
-	expect_400(*state,
-	    "POST /a/ HTTP/1.1\r\nHost: x\r\n"
-	    "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n");
+	expect_400(*state, "POST /a/ HTTP/1.0\r\nHost: x\r\n"
+			   "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+	expect_400(*state, "POST /a/ HTTP/1.1\r\nHost: x\r\n"
+			   "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n");
 	expect_400(*state, "GET http://x/a/ HTTP/1.1\r\nHost: x\r\n\r\n");
 	expect_400(*state, "CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n");
 	expect_400(*state, "GET /a/ HTTP/1.1\r\n\r\n");
--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -20,6 +20,7 @@
 
 #include "io/callers.h"
 #include "io/listen.h"
+#include "support/core_side.h"
 #include "support/raw_http.h"
 
 #define RING_SLOTS 4
@@ -77,16 +78,7 @@
 static struct ir_to_core *
 next(struct fixture *f)
 {
-	struct pollfd p = {.fd = ir_wake_fd(f->core), .events = POLLIN};
-	struct ir_to_core *m;
-
-	while ((m = ir_ring_pop(f->channel->to_core)) == NULL) {
-		ir_wake_arm(f->core);
-		if (ir_ring_empty(f->channel->to_core))
-			poll(&p, 1, -1);
-		ir_wake_disarm(f->core);
-	}
-	return m;
+	return core_side_next(f->core, f->channel);
 }
 
 static void
@@ -302,8 +294,9 @@
 	size_t bytes = IR_MAX_BODY + 1;
 	char *body = talloc_zero_size(NULL, bytes);
 	char text[RAW_ANSWER_BYTES];
-	int fd = raw_ask(f->port, "POST /s/ HTTP/1.1\r\nHost: x\r\n"
-			      "Transfer-Encoding: chunked\r\n\r\n400001\r\n");
+	int fd =
+	    raw_ask(f->port, "POST /s/ HTTP/1.1\r\nHost: x\r\n"
+			     "Transfer-Encoding: chunked\r\n\r\n400001\r\n");
 
 	raw_say(fd, body, bytes);
 	raw_say(fd, "\r\n0\r\n\r\n", 7);
@@ -341,7 +334,8 @@
 	int refused = 0;
 
 	for (int i = 0; i < RING_SLOTS; i++) {
-		p[i].fd = raw_ask(f->port, "GET /s/ HTTP/1.1\r\nHost: x\r\n\r\n");
+		p[i].fd =
+		    raw_ask(f->port, "GET /s/ HTTP/1.1\r\nHost: x\r\n\r\n");
 		p[i].events = POLLIN;
 	}
 	assert_int_equal(poll(p, RING_SLOTS, -1), 1);
--- a/test/test_store_watch.c
+++ b/test/test_store_watch.c
@@ -16,6 +16,7 @@
 #include "fakes/lib/server.h"
 #include "io/platform.h"
 #include "io/store_text.h"
+#include "support/core_side.h"
 
 #define RING_SLOTS 64
 #define WHOLE                                                  \
@@ -112,16 +113,7 @@
 static struct ir_to_core *
 next(struct fixture *f)
 {
-	struct pollfd p = {.fd = ir_wake_fd(f->core), .events = POLLIN};
-	struct ir_to_core *m;
-
-	while ((m = ir_ring_pop(f->channel->to_core)) == NULL) {
-		ir_wake_arm(f->core);
-		if (ir_ring_empty(f->channel->to_core))
-			poll(&p, 1, -1);
-		ir_wake_disarm(f->core);
-	}
-	return m;
+	return core_side_next(f->core, f->channel);
 }
 
 static void
--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -23,6 +23,7 @@
 #include "io/listen.h"
 #include "io/upstream.h"
 #include "platform/platform.h"
+#include "support/core_side.h"
 
 #define RING_SLOTS 64
 #define CONNECTIONS 4
@@ -152,7 +153,6 @@
 run_with(
     struct fixture *f, const char *attempt, bool idempotent, size_t body_bytes)
 {
-	struct pollfd p = {.fd = ir_wake_fd(f->core), .events = POLLIN};
 	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_RUN);
 	struct ir_run *r = &m->u.run;
 	struct ir_to_core *ran;
@@ -173,12 +173,7 @@
 	r->body = talloc_zero_size(m, body_bytes);
 	r->body_bytes = body_bytes;
 	ir_ring_push(f->channel->from_core, m);
-	while ((ran = ir_ring_pop(f->channel->to_core)) == NULL) {
-		ir_wake_arm(f->core);
-		if (ir_ring_empty(f->channel->to_core))
-			poll(&p, 1, -1);
-		ir_wake_disarm(f->core);
-	}
+	ran = core_side_next(f->core, f->channel);
 	assert_int_equal(ran->kind, IR_TO_CORE_RAN);
 	assert_int_equal(ran->id, f->last_id);
 	return ran;
--- a/test/test_vain.c
+++ b/test/test_vain.c
@@ -133,17 +133,15 @@
 				   : (double)CALLEE / (ending * CALLS);
 
 		for (uint32_t i = 0; i < COME; i++)
-			started[t] += !with ||
-				      ir_vain_admits(v, now, ROUTE,
-					  ir_random_below(
-					      &random, IR_RANK_MASK));
+			started[t] += !with || ir_vain_admits(v, now, ROUTE,
+						   ir_random_below(
+						       &random, IR_RANK_MASK));
 		for (uint32_t i = 0; i < ending; i++) {
 			bool vain = false;
 
 			for (int k = 0; k < CALLS; k++)
-				vain = vain ||
-				       ir_random_below(&random, 1000) >=
-					   taken * 1000;
+				vain = vain || ir_random_below(&random, 1000) >=
+						   taken * 1000;
 			ir_vain_ended(v, now, ROUTE, vain, 400 * MS);
 			served += !vain && t >= STEPS / 2;
 		}
