test_upstream_conn: a script belongs to its connection

Cause: TSan, first run on this test: expect_end rewrote the one script while the server thread still asked it for a next answer (4 reports). Ruled out: the product's own threads (no report in them). Change: a new script for each run, handed over atomically and taken up at the next accept. Conclusion: a fault of the test, no check changed.

--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -50,7 +50,6 @@
 	int listen_fd;
 	uint64_t last_id;
 	const struct script *script; /* of each connection */
-	struct script one;	     /* with one answer */
 	int connections;
 	char request[REQUEST_BYTES]; /* the last that was read */
 };
@@ -82,10 +81,10 @@
 }
 
 static void
-serve_one(struct fixture *f, int fd)
+serve_one(struct fixture *f, const struct script *s, int fd)
 {
-	for (int i = 0; f->script->answers[i] != NULL; i++) {
-		const char *a = f->script->answers[i];
+	for (int i = 0; s->answers[i] != NULL; i++) {
+		const char *a = s->answers[i];
 
 		if (!read_request(f, fd))
 			return;
@@ -95,7 +94,7 @@
 		}
 		if (send(fd, a, strlen(a), MSG_NOSIGNAL) < 0)
 			return;
-		if (f->script->early && read(fd, f->request, 1) <= 0)
+		if (s->early && read(fd, f->request, 1) <= 0)
 			return;
 	}
 }
@@ -108,7 +107,7 @@
 
 	while ((fd = accept(f->listen_fd, NULL, NULL)) >= 0) {
 		__atomic_add_fetch(&f->connections, 1, __ATOMIC_SEQ_CST);
-		serve_one(f, fd);
+		serve_one(f, __atomic_load_n(&f->script, __ATOMIC_SEQ_CST), fd);
 		close(fd);
 	}
 	return NULL;
@@ -149,6 +148,13 @@
 	return 0;
 }
 
+/* The server thread takes it up at the next connection. */
+static void
+play(struct fixture *f, const struct script *s)
+{
+	__atomic_store_n(&f->script, s, __ATOMIC_SEQ_CST);
+}
+
 static struct ir_to_core *
 run_with(
     struct fixture *f, const char *attempt, bool idempotent, size_t body_bytes)
@@ -188,10 +194,11 @@
 static void
 expect_end(struct fixture *f, const char *answer, enum ir_run_end end)
 {
+	struct script *s = talloc_zero(f, struct script);
 	struct ir_to_core *m;
 
-	f->one = (struct script){.answers = {answer}};
-	f->script = &f->one;
+	s->answers[0] = answer;
+	play(f, s);
 	m = run_with(f, "1", false, 0);
 	assert_int_equal(m->u.result.end, end);
 	talloc_free(m);
@@ -220,7 +227,7 @@
 	    "X-Ibisrail-Tenant-Name: shops\r\n",
 	    "X-Ibisrail-Caller-Service: search\r\n"};
 
-	f->script = &s;
+	play(f, &s);
 	expect_body(run(f, "7.1"), "ok");
 	for (size_t i = 0; i < sizeof(lines) / sizeof(*lines); i++)
 		assert_non_null(strstr(f->request, lines[i]));
@@ -235,7 +242,7 @@
 	    .answers = {OK("1", "aa"), OK("1", "xx") OK("2", "bb")}};
 	struct fixture *f = *state;
 
-	f->script = &s;
+	play(f, &s);
 	expect_body(run(f, "1"), "aa");
 	expect_body(run(f, "2"), "bb");
 	assert_int_equal(f->connections, 1);
@@ -250,9 +257,9 @@
 	static const struct script next = {.answers = {OK("2", "bb")}};
 	struct fixture *f = *state;
 
-	f->script = &s;
+	play(f, &s);
 	expect_body(run(f, "1"), "aa");
-	f->script = &next;
+	play(f, &next);
 	expect_body(run(f, "2"), "bb");
 	assert_int_equal(f->connections, 2);
 }
@@ -307,7 +314,7 @@
 	static const struct script s = {.answers = {unframed}};
 	struct fixture *f = *state;
 
-	f->script = &s;
+	play(f, &s);
 	expect_body(run(f, "1"), "abc");
 }
 
@@ -347,9 +354,9 @@
 	static const struct script next = {.answers = {OK("2", "bb")}};
 	struct fixture *f = *state;
 
-	f->script = &early;
+	play(f, &early);
 	expect_body(run_with(f, "1", true, 8 * 1024 * 1024), "aa");
-	f->script = &next;
+	play(f, &next);
 	expect_body(run(f, "2"), "bb");
 	assert_int_equal(f->connections, 2);
 }
