--- a/src/contract/seek.c
+++ b/src/contract/seek.c
@@ -12,6 +12,11 @@
 /* When to try a host again that could not be sent to, or does not answer. */
 #define UNSENT_RETRY_US (10 * IR_US_PER_MS)
 #define AWAY_RETRY_US (100 * IR_US_PER_MS)
+/*
+ * For how long it may then go unasked and still count as out of reach: two
+ * retries. A call that comes later waits for its answer.
+ */
+#define AWAY_BELIEF_US (2 * AWAY_RETRY_US)
 /* Tokens are asked for in advance from this rate of spending on. */
 #define AHEAD_MIN_PER_S 20
 #define AHEAD_MIN_US (2 * IR_US_PER_MS)
@@ -55,7 +60,8 @@
 		return SOURCE_OUT;
 	if (c->now < s->refused_until_us)
 		return SOURCE_REFUSED;
-	if (s->away && c->now - s->away_since_us >= IR_ASK_PATIENCE_US)
+	if (s->away && c->now - s->away_since_us >= IR_ASK_PATIENCE_US &&
+	    c->now - s->try_us < AWAY_BELIEF_US)
 		return SOURCE_OUT;
 	DL_FOREACH (c->purse->asks, q) {
 		if (q->bucket == s->bucket && !q->silent && is_late(c, q))
@@ -105,14 +111,16 @@
 	return true;
 }
 
+/* It is away, since then, and may be tried again at try_us. */
 static void
-note_unsent(const struct ir_scene *c, struct ir_source *s)
+note_away(struct ir_source *s, int64_t since_us, int64_t try_us)
 {
 	if (!s->away) {
 		s->away = true;
-		s->away_since_us = c->now;
+		s->away_since_us = since_us;
 	}
-	s->try_us = c->now + UNSENT_RETRY_US;
+	if (try_us > s->try_us)
+		s->try_us = try_us;
 }
 
 static struct ir_open_ask *
@@ -130,7 +138,7 @@
 	if (send_ask(c, s, sequence, q->want))
 		return q;
 	ir_purse_drop_ask(c->purse, q);
-	note_unsent(c, s);
+	note_away(s, c->now, c->now + UNSENT_RETRY_US);
 	return NULL;
 }
 
@@ -296,12 +304,9 @@
 
 		if (age_us >= IR_ASK_PATIENCE_US && !q->silent) {
 			q->silent = true;
-			if (q->bucket < p->source_count &&
-			    !p->sources[q->bucket].away) {
-				p->sources[q->bucket].away = true;
-				p->sources[q->bucket].away_since_us =
-				    q->asked_us;
-			}
+			if (q->bucket < p->source_count)
+				note_away(&p->sources[q->bucket], q->asked_us,
+				    c->now);
 		}
 		if (age_us >= IR_GRANT_VALID_US)
 			ir_purse_drop_ask(p, q);
--- a/test/test_wallet.c
+++ b/test/test_wallet.c
@@ -64,6 +64,18 @@
 		f->retaken[i] = take(f, now);
 }
 
+/* The minter of the last ask says that it does not mint yet. */
+static void
+grant_none(struct fixture *f, int64_t now)
+{
+	struct ir_grant g = {.sequence = f->asked.sequence,
+	    .account = (char *)"acme",
+	    .bucket = f->asked.bucket,
+	    .valid_us = IR_GRANT_VALID_US};
+
+	ir_wallet_granted(f->wallet, now, f->minter, &g);
+}
+
 static int
 setup(void **state)
 {
@@ -218,6 +230,47 @@
 	assert_int_equal(take(f, now), IR_TAKEN);
 }
 
+/*
+ * Found by the fault matrix: a call was refused at once by what a bucket had
+ * said seconds ago, when it did not mint yet.
+ */
+static void
+test_old_silence_is_asked_again(void **state)
+{
+	struct fixture *f = *state;
+	int asks;
+
+	f->at_once = 0;
+	assert_int_equal(take(f, 1 * S), IR_TAKE_WAIT);
+	grant_none(f, 1 * S + MS);
+	assert_int_equal(take(f, 1 * S + 10 * MS), IR_TAKE_WAIT);
+	assert_int_equal(f->asks, 2);
+	grant_none(f, 1 * S + 11 * MS);
+	assert_int_equal(take(f, 1 * S + 50 * MS), IR_TAKE_DENIED);
+	asks = f->asks;
+	assert_int_equal(take(f, 3 * S), IR_TAKE_WAIT);
+	assert_true(f->asks > asks);
+	grant(f, 3 * S + MS, 1, 0);
+	assert_int_equal(take(f, 3 * S + MS), IR_TAKEN);
+}
+
+/* A fleet that is cut off is waited for once, not by each of many calls. */
+static void
+test_fresh_silence_is_not_waited_for(void **state)
+{
+	struct fixture *f = *state;
+	int waited = 0;
+
+	for (int64_t t = 1 * S; t < 3 * S; t += 20 * MS) {
+		if (t >= 2 * S)
+			waited += take(f, t) == IR_TAKE_WAIT;
+		else
+			(void)take(f, t);
+		ir_wallet_tick(f->wallet, t + 10 * MS, f->view, f->self);
+	}
+	assert_int_equal(waited, 0);
+}
+
 static void
 test_minter_in_this_process_may_answer_at_once(void **state)
 {
@@ -582,6 +635,8 @@
 	    with_fixture(test_takes_no_more_than_asked_nor_from_others),
 	    with_fixture(test_later_process_asks_with_other_sequences),
 	    with_fixture(test_silence_leads_on_and_ends),
+	    with_fixture(test_old_silence_is_asked_again),
+	    with_fixture(test_fresh_silence_is_not_waited_for),
 	    with_fixture(test_minter_in_this_process_may_answer_at_once),
 	    with_fixture(test_each_call_is_judged_by_its_own_wait),
 	    with_fixture(test_unsent_asks_are_tried_again),
