--- a/src/core/control.c
+++ b/src/core/control.c
@@ -213,26 +213,25 @@
 }
 
 static bool
-is_store_reader(struct ir_node *n, const char *name)
+is_reader(struct ir_node *n, const char *name)
 {
 	const struct ir_view *v = node_view(n);
 	const struct ir_host *h = ir_view_host(v, name);
 
-	return h != NULL && ir_in_store_region(v, h->region) &&
-	       ir_is_reader(v, h);
+	return h != NULL && ir_is_reader(v, h);
 }
 
 static void
 judge_outage(struct ir_node *n, int64_t now)
 {
-	const char **names = NULL;
+	struct ir_reader *readers = NULL;
 	uint64_t config, list;
-	size_t count = ir_store_readers(node_view(n), n, &names);
+	size_t count = ir_readers(node_view(n), n, &readers);
 
 	ir_node_revisions(n, &config, &list);
 	ir_lease_judge_outage(
-	    n->lease, now, n->settings.host, names, count, config, list);
-	talloc_free(names);
+	    n->lease, now, n->settings.host, readers, count, config, list);
+	talloc_free(readers);
 }
 
 static void
@@ -257,10 +256,10 @@
 		remove_absent(n, true, m->list_revision,
 		    m->sections.sections_val, m->sections.sections_len);
 	ir_sections_reach(n->sections, m->config_revision, m->list_revision);
-	ir_lease_peer_answered(n->lease, p->view_asked_us, p->name,
-	    is_store_reader(n, p->name), m);
-	/* Not at the next poll: other regions wait for the evidence. */
-	if (is_store_reader(n, n->settings.host) &&
+	ir_lease_peer_answered(
+	    n->lease, p->view_asked_us, p->name, is_reader(n, p->name), m);
+	/* Not at the next poll: the relays wait for the evidence. */
+	if (is_reader(n, n->settings.host) &&
 	    ir_lease_age(n->lease, now) >= reader_lag_us(n))
 		judge_outage(n, now);
 }
@@ -411,20 +410,20 @@
 	ir_mint_view(n->mint, now, v, self, send_handover, n);
 }
 
-/* Readers in the store's region hear one another out during an outage. */
+/* Readers hear one another out during an outage. */
 static void
-ask_store_readers(struct ir_node *n, int64_t now, const struct ir_view *v)
+ask_readers(struct ir_node *n, int64_t now, const struct ir_view *v)
 {
-	const char **names = NULL;
-	size_t count = ir_store_readers(v, n, &names);
+	struct ir_reader *readers = NULL;
+	size_t count = ir_readers(v, n, &readers);
 
 	for (size_t i = 0; i < count; i++) {
-		struct peer *p = peer_get(n, names[i]);
+		struct peer *p = peer_get(n, readers[i].name);
 
 		if (p != NULL && !peer_is_self(n, p))
 			send_view_ask(n, now, p);
 	}
-	talloc_free(names);
+	talloc_free(readers);
 	judge_outage(n, now);
 }
 
@@ -460,8 +459,8 @@
 	if (reader && n->heard_view &&
 	    ir_lease_age(n->lease, now) < reader_lag_us(n))
 		return;
-	if (is_store_reader(n, self->name))
-		ask_store_readers(n, now, v);
+	if (reader)
+		ask_readers(n, now, v);
 	else
 		ask_source(n, now, v, self);
 }
--- a/src/host/lease.c
+++ b/src/host/lease.c
@@ -21,7 +21,7 @@
 	int64_t time_us;
 };
 
-/* What a reader in the store's region said of itself. */
+/* What a reader said of itself. */
 struct report {
 	char *name;
 	int64_t asked_us;
@@ -222,7 +222,7 @@
 
 void
 ir_lease_peer_answered(struct ir_lease *l, int64_t asked_us, const char *peer,
-    bool store_reader, const struct ir_view_msg *m)
+    bool reader, const struct ir_view_msg *m)
 {
 	int64_t confirmed_us = moment(asked_us, m->confirm_age_us);
 
@@ -230,7 +230,7 @@
 	confirm(&l->confirmed[LIST], m->list_revision, confirmed_us);
 	keep_evidence(l, moment(asked_us, m->outage_age_us),
 	    m->outage_config_revision, m->outage_list_revision);
-	if (store_reader)
+	if (reader)
 		keep_report(l, asked_us, peer, m);
 }
 
@@ -262,38 +262,94 @@
 	return (x < y) - (x > y);
 }
 
+/* What is asked of the readers, and what the reader that asks knows itself. */
+struct question {
+	const struct ir_reader *readers;
+	size_t count;
+	const char *self;
+	struct report own;
+	int64_t now;
+	uint64_t revision[PARTS];
+};
+
+/* The answers of one region's readers. */
+struct ballot {
+	size_t readers;
+	size_t votes;
+	int64_t *times; /* of the votes */
+	bool against;
+};
+
+static void
+hear_reader(const struct ir_lease *l, const struct question *q,
+    const char *name, struct ballot *b)
+{
+	const struct report *r = &q->own;
+
+	b->readers++;
+	if (strcmp(name, q->self) != 0)
+		r = find_report(l, name);
+	if (r == NULL)
+		return;
+	switch (vote_of(r, q->now, q->revision)) {
+	case VOTE_FOR:
+		b->times[b->votes++] = r->tried_us;
+		break;
+	case VOTE_AGAINST:
+		b->against = true;
+		break;
+	default:
+		break;
+	}
+}
+
+/* As old as the oldest of the latest votes that make a majority. */
+static int64_t
+majority_us(const struct ballot *b)
+{
+	size_t majority = b->readers / 2 + 1;
+
+	if (b->against || b->votes < majority)
+		return NEVER;
+	qsort(b->times, b->votes, sizeof *b->times, compare_latest_first);
+	return b->times[majority - 1];
+}
+
+static int64_t
+region_proved_us(const struct ir_lease *l, const struct question *q,
+    const char *region, int64_t *times)
+{
+	struct ballot b = {.times = times};
+
+	for (size_t i = 0; i < q->count; i++)
+		if (strcmp(q->readers[i].region, region) == 0)
+			hear_reader(l, q, q->readers[i].name, &b);
+	return majority_us(&b);
+}
+
 void
 ir_lease_judge_outage(struct ir_lease *l, int64_t now, const char *self,
-    const char *const *store_readers, size_t count, uint64_t config_revision,
+    const struct ir_reader *readers, size_t count, uint64_t config_revision,
     uint64_t list_revision)
 {
-	const uint64_t revision[PARTS] = {config_revision, list_revision};
-	struct report own = own_report(l);
+	struct question q = {.readers = readers,
+	    .count = count,
+	    .self = self,
+	    .own = own_report(l),
+	    .now = now,
+	    .revision = {config_revision, list_revision}};
 	int64_t *times = talloc_array(l, int64_t, count);
-	size_t votes = 0, majority = count / 2 + 1;
-
-	own.revision[CONFIG] = config_revision;
-	own.revision[LIST] = list_revision;
-	for (size_t i = 0; i < count; i++) {
-		const struct report *r = &own;
-		enum vote v;
-
-		if (strcmp(store_readers[i], self) != 0)
-			r = find_report(l, store_readers[i]);
-		if (r == NULL)
-			continue;
-		v = vote_of(r, now, revision);
-		if (v == VOTE_AGAINST)
-			goto out;
-		if (v == VOTE_FOR)
-			times[votes++] = r->tried_us;
-	}
-	if (votes < majority)
-		goto out;
-	/* As old as the oldest of the latest ones that make a majority. */
-	qsort(times, votes, sizeof *times, compare_latest_first);
-	keep_evidence(l, times[majority - 1], config_revision, list_revision);
-out:
+	int64_t proved_us = count > 0 ? INT64_MAX : NEVER;
+
+	q.own.revision[CONFIG] = config_revision;
+	q.own.revision[LIST] = list_revision;
+	/* A region that comes twice in the list is only asked twice. */
+	for (size_t i = 0; i < count; i++)
+		if (i == 0 ||
+		    strcmp(readers[i].region, readers[i - 1].region) != 0)
+			proved_us = earlier(proved_us,
+			    region_proved_us(l, &q, readers[i].region, times));
+	keep_evidence(l, proved_us, config_revision, list_revision);
 	talloc_free(times);
 }
 
--- a/src/host/lease.h
+++ b/src/host/lease.h
@@ -8,9 +8,9 @@
  * of that revision or a higher one. Configuration and list are confirmed
  * apart; the older of both is the age of the lease.
  *
- * Outage evidence: a majority of the readers in the store's region report,
- * each within the lease, that the store gives them nothing current, hold the
- * same revisions, and no reader reports a current answer. It is passed on as an
+ * Outage evidence: in each region a majority of the readers report, each
+ * within the lease, that the store gives them nothing current, hold the same
+ * revisions, and no reader reports a current answer. It is passed on as an
  * age with those revisions, and counts only for a holder of exactly these.
  *
  * All times are microseconds of the caller's clock, which must go on while
@@ -48,20 +48,18 @@
 
 /*
  * A peer answered the very VIEW_ASK that was sent at asked_us; m is its
- * reply, peer its name, store_reader whether the view makes it a reader in
- * the store's region.
+ * reply, peer its name, reader whether the view makes it one.
  */
 struct ir_view_msg;
 void ir_lease_peer_answered(struct ir_lease *l, int64_t asked_us,
-    const char *peer, bool store_reader, const struct ir_view_msg *m);
+    const char *peer, bool reader, const struct ir_view_msg *m);
 
 /*
- * Reader in the store's region only: draws outage evidence from own tries and
- * the reports of the other store_readers (names, this host among them), for
- * the revisions held.
+ * Readers only: draws outage evidence from own tries and the reports of the
+ * other readers (this host among them), for the revisions held.
  */
 void ir_lease_judge_outage(struct ir_lease *l, int64_t now, const char *self,
-    const char *const *store_readers, size_t count, uint64_t config_revision,
+    const struct ir_reader *readers, size_t count, uint64_t config_revision,
     uint64_t list_revision);
 
 /* The state of a view of these revisions. */
--- a/src/host/view.h
+++ b/src/host/view.h
@@ -119,6 +119,12 @@
 	uint64_t hash;		 /* XXH64 of the name, seed 0 */
 };
 
+/* One that reads the store, named apart from the view. */
+struct ir_reader {
+	const char *name;
+	const char *region;
+};
+
 struct ir_zone {
 	const char *name;
 	const char *region;
@@ -135,7 +141,7 @@
 	uint64_t config_revision;
 	uint64_t list_revision;
 	const char *store_region;  /* "" until it is told */
-	bool store_anywhere;	   /* readers of all regions are alike */
+	bool store_anywhere;	   /* its region is not told: none goes first */
 	uint64_t link_bytes_per_s; /* between regions, each way */
 	bool serve_unconfirmed;	   /* "unconfirmed_view" is "serve" */
 	struct ir_service *services;
--- a/src/zone/place.c
+++ b/src/zone/place.c
@@ -111,8 +111,9 @@
 	return false;
 }
 
-bool
-ir_in_store_region(const struct ir_view *v, const char *region)
+/* Whether the store is in that region, for all that is told. */
+static bool
+in_store_region(const struct ir_view *v, const char *region)
 {
 	if (v->store_anywhere)
 		return true;
@@ -120,23 +121,24 @@
 }
 
 size_t
-ir_store_readers(const struct ir_view *v, TALLOC_CTX *mem, const char ***names)
+ir_readers(const struct ir_view *v, TALLOC_CTX *mem, struct ir_reader **readers)
 {
 	const struct ir_host *h;
+	struct ir_reader *r;
 	size_t n = 0;
 
-	*names =
-	    talloc_array(mem, const char *, v->zone_count *IR_READERS_PER_ZONE);
+	r = talloc_array(
+	    mem, struct ir_reader, v->zone_count * IR_READERS_PER_ZONE);
 	for (size_t i = 0; i < v->zone_count; i++) {
-		if (!ir_in_store_region(v, v->zones[i].region))
-			continue;
 		for (size_t k = 0; k < IR_READERS_PER_ZONE; k++) {
 			h = live_at(&v->zones[i], k);
 			if (!h)
 				break;
-			(*names)[n++] = talloc_strdup(*names, h->name);
+			r[n].name = talloc_strdup(r, h->name);
+			r[n++].region = talloc_strdup(r, h->region);
 		}
 	}
+	*readers = r;
 	return n;
 }
 
@@ -194,7 +196,7 @@
 	for (int pass = 0; pass < 2; pass++)
 		for (size_t i = 0; i < v->zone_count; i++)
 			if (&v->zones[i] != skip &&
-			    ir_in_store_region(v, v->zones[i].region) ==
+			    in_store_region(v, v->zones[i].region) ==
 				(pass == 0))
 				offer_readers(w, &v->zones[i]);
 }
--- a/src/zone/place.h
+++ b/src/zone/place.h
@@ -13,19 +13,16 @@
 
 bool ir_is_reader(const struct ir_view *v, const struct ir_host *h);
 
-/* Whether the store is in that region, for all that is told. */
-bool ir_in_store_region(const struct ir_view *v, const char *region);
-
-/* Names of the readers in the store's region, under mem. */
-size_t ir_store_readers(
-    const struct ir_view *v, TALLOC_CTX *mem, const char ***names);
+/* The readers of all zones, under mem; the number of them. */
+size_t ir_readers(
+    const struct ir_view *v, TALLOC_CTX *mem, struct ir_reader **readers);
 
 /*
  * The host that self asks for its view on try number try (0 first): its
  * parent in the zone's relay tree, then that one's parent, then the readers
- * of its zone and of the others. A reader asks those of the store's region
- * first: in an outage only they know of it, its own zone's are as blind as
- * itself. NULL when self has no one to ask.
+ * of its zone and of the others, those of the store's region first: when the
+ * regions are cut apart, these can still read. NULL when self has no one to
+ * ask.
  */
 const struct ir_host *ir_view_source(
     const struct ir_view *v, const struct ir_host *self, uint32_t try);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -333,6 +333,32 @@
 	end_fleet(f);
 }
 
+/*
+ * Found by fuzzing (925496): the readers in the store's region, cut off from
+ * the store and from the other region, took it for down and went on with a
+ * withdrawn key, while the other region read the withdrawal.
+ */
+static void
+test_readers_of_one_region_prove_no_outage(void **state)
+{
+	struct fleet *f = make_fleet(12);
+
+	settle(f);
+	for (int a = 0; a < f->node_count; a++) {
+		bool first = strcmp(f->nodes[a].region, "r1") == 0;
+
+		f->store_cut[a] = first;
+		for (int b = 0; b < f->node_count; b++)
+			if ((strcmp(f->nodes[b].region, "r1") == 0) != first)
+				fleet_cut(f, a, b, true);
+	}
+	fleet_publish_account(f, 1000, 1000, false);
+	fleet_run(f, 4 * IR_US_PER_S);
+	assert_int_equal(
+	    call_and_wait(f, 0, &read_request), IR_E_VIEW_UNCONFIRMED);
+	end_fleet(f);
+}
+
 int
 main(void)
 {
@@ -347,6 +373,7 @@
 	    cmocka_unit_test(test_repeat_keeps_its_answer_over_a_lost_link),
 	    cmocka_unit_test(test_unconfirmed_gate_runs_nothing),
 	    cmocka_unit_test(test_tokens_end_with_their_grant),
+	    cmocka_unit_test(test_readers_of_one_region_prove_no_outage),
 	    cmocka_unit_test(test_open_flag_is_not_believed),
 	};
 
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -78,6 +78,12 @@
     /* A host that slept through its leave started what it had queued. */
     {106777, 600, "530,532,544,545,552,553,554,568,572,574,584,588,589"},
     {107805, 600, NULL},
+    /* Readers of one region, cut off from all else, took it for down. */
+    {111075, 600,
+	"6,64,66,248,271,272,281,286,288,289,292,327,393,395,399,412,416,428,"
+	"433,442,444,447,451,466,473,484,496,497,510,526,527,529,532,536,542,"
+	"550,553,555,556,557,558,564,567,570,572,573,576,577,578,588,589"},
+    {925496, 600, NULL},
     /* Readers that were cut off took the store for down; others read it. */
     {205895, 600, NULL},
     /* More important work was refused by an estimate, less important ran. */
--- a/test/test_lease.c
+++ b/test/test_lease.c
@@ -14,7 +14,8 @@
 #define MS IR_US_PER_MS
 #define T0 (1000 * IR_US_PER_S)
 
-static const char *const readers[] = {"n0", "n1", "n2"};
+static const struct ir_reader readers[] = {
+    {"n0", "r1"}, {"n1", "r1"}, {"n2", "r1"}};
 
 static struct ir_view_msg
 message(uint64_t config, uint64_t list, uint64_t age_us)
--- a/test/test_lease_fleet.c
+++ b/test/test_lease_fleet.c
@@ -28,7 +28,8 @@
 #define MAX_EVENTS 4096
 #define MAX_MOVES 4096
 
-static const char *const readers[] = {"n0", "n1", "n2"};
+static const struct ir_reader readers[] = {
+    {"n0", "r1"}, {"n1", "r1"}, {"n2", "r1"}};
 
 enum event_kind {
 	EVENT_FREE,
@@ -296,7 +297,7 @@
 		poll_others(f, i);
 	}
 	if (i < REGION_READERS)
-		ir_lease_judge_outage(n->lease, clock_of(f, i), readers[i],
+		ir_lease_judge_outage(n->lease, clock_of(f, i), readers[i].name,
 		    readers, REGION_READERS, n->held[0], n->held[1]);
 	check_node(f, i);
 }
--- a/test/test_place.c
+++ b/test/test_place.c
@@ -13,14 +13,13 @@
 test_each_zone_has_its_readers(void **state)
 {
 	struct ir_view *v = fleet_new(NULL, 7, 443);
-	const char **names;
+	struct ir_reader *readers;
 	size_t n = 0;
 
 	for (size_t i = 0; i < v->host_count; i++)
 		n += ir_is_reader(v, &v->hosts[i]);
 	assert_int_equal(n, 7 * IR_READERS_PER_ZONE);
-	assert_int_equal(
-	    ir_store_readers(v, v, &names), 4 * IR_READERS_PER_ZONE);
+	assert_int_equal(ir_readers(v, v, &readers), 7 * IR_READERS_PER_ZONE);
 	talloc_free(v);
 }
 
@@ -29,18 +28,17 @@
  * outage, and minting stopped for all of it.
  */
 static void
-test_readers_of_all_regions_where_the_store_is_anywhere(void **state)
+test_readers_without_a_region_of_the_store(void **state)
 {
 	struct ir_view *v = fleet_new(NULL, 7, 443);
-	const char **names;
+	struct ir_reader *readers;
 
 	v->store_region = "";
-	assert_int_equal(ir_store_readers(v, v, &names), 0);
+	assert_int_equal(ir_readers(v, v, &readers), 7 * IR_READERS_PER_ZONE);
 	v->store_anywhere = true;
-	assert_int_equal(
-	    ir_store_readers(v, v, &names), 7 * IR_READERS_PER_ZONE);
-	for (size_t i = 0; i < v->host_count; i++)
-		assert_true(ir_in_store_region(v, v->hosts[i].region));
+	assert_int_equal(ir_readers(v, v, &readers), 7 * IR_READERS_PER_ZONE);
+	for (size_t i = 0; i < 7 * IR_READERS_PER_ZONE; i++)
+		assert_true(ir_is_reader(v, ir_view_host(v, readers[i].name)));
 	talloc_free(v);
 }
 
@@ -209,8 +207,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_each_zone_has_its_readers),
-	    cmocka_unit_test(
-		test_readers_of_all_regions_where_the_store_is_anywhere),
+	    cmocka_unit_test(test_readers_without_a_region_of_the_store),
 	    cmocka_unit_test(test_leaving_host_reads_no_more),
 	    cmocka_unit_test(test_first_sources_form_a_shallow_tree),
 	    cmocka_unit_test(test_tries_reach_other_zones_and_wrap),
