--- a/include/ibisrail/limits.h
+++ b/include/ibisrail/limits.h
@@ -33,5 +33,7 @@
 #define IR_MAX_CALLS 16384
 
 #define IR_MAX_IMPORTANCE 3
+/* Of an account that is not told one: a step is left above, two below. */
+#define IR_ACCOUNT_IMPORTANCE 2
 
 #endif
--- a/src/conf/collect_diff.c
+++ b/src/conf/collect_diff.c
@@ -98,6 +98,8 @@
 	diff_number(d, "burst", (double)old->burst_mt / MT_PER_TOKEN,
 	    (double)new->burst_mt / MT_PER_TOKEN, true, false);
 	diff_number(d, "weight", old->weight, new->weight, false, false);
+	diff_number(
+	    d, "importance", old->importance, new->importance, false, true);
 	diff_keys(d, old, new, "withdrawn", true);
 	diff_keys(d, new, old, "added", false);
 }
--- a/src/conf/publication.c
+++ b/src/conf/publication.c
@@ -133,9 +133,9 @@
 		burst = ir_json_number(
 		    in, obj, path, "burst", 1, IR_MAX_RATE_PER_S);
 	}
-	a->importance = -1;
+	a->importance = IR_ACCOUNT_IMPORTANCE;
 	if (ir_json_has(obj, "importance"))
-		a->importance = (int8_t)ir_json_int(
+		a->importance = (uint8_t)ir_json_int(
 		    in, obj, path, "importance", 0, IR_MAX_IMPORTANCE);
 	a->rate_mt_per_s = (uint64_t)llround(rate * MT_PER_TOKEN);
 	a->burst_mt = (uint64_t)llround(burst * MT_PER_TOKEN);
--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "core/internal.h"
+#include "upstream/priority.h"
 
 /* Plain policy: retries that each hop allows itself. */
 #define PLAIN_RETRIES 3
@@ -144,7 +145,7 @@
 	char digest[IR_KEY_DIGEST_HEX + 1] = "";
 
 	c->open = route->open;
-	c->importance = route->importance;
+	c->importance = ir_importance(IR_ACCOUNT_IMPORTANCE, route->importance);
 	c->own.tokens = route->retries;
 	c->ledger = &c->own;
 	c->request.high = node_random(n);
@@ -168,8 +169,7 @@
 		return IR_E_KEY_UNKNOWN;
 	c->account = talloc_strdup(c, a->name);
 	c->key_digest = talloc_strdup(c, digest);
-	if (a->importance >= 0)
-		c->importance = (uint32_t)a->importance;
+	c->importance = ir_importance(a->importance, route->importance);
 	return IR_OK;
 }
 
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "core/internal.h"
+#include "upstream/priority.h"
 
 /* Time to come back after refusals that are soon over. */
 #define SHORT_RETRY_MS 200
@@ -127,10 +128,11 @@
 	char id[NODE_ID_BYTES];
 
 	node_log(n, IR_EVENT_CALL_ADMITTED,
-	    "id=%s service=%s account=%s importance=%u depth=%u "
-	    "deadline_ms=%lld config=%llu",
+	    "id=%s service=%s account=%s importance=%u "
+	    "account_importance=%u depth=%u deadline_ms=%lld config=%llu",
 	    node_id_text(id, c->caller_attempt, &c->request), c->service,
-	    c->account, c->importance, c->depth,
+	    c->account, ir_importance_of_route(c->importance),
+	    ir_importance_of_account(c->importance), c->depth,
 	    (long long)((c->deadline_us - now) / IR_US_PER_MS),
 	    (unsigned long long)c->config_revision);
 }
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/internal.h"
+#include "upstream/priority.h"
 
 #define LEAVE_GRACE_US IR_US_PER_S
 
@@ -57,7 +58,7 @@
 	out.caller_attempt = f->caller_attempt;
 	out.origin = f->origin;
 	out.upstream_id = node_self(n) != NULL ? node_self(n)->upstream_id : "";
-	out.importance = f->importance;
+	out.importance = ir_importance_of_route(f->importance);
 	out.remaining_ms =
 	    (uint32_t)((r->work.deadline_us - now) / IR_US_PER_MS);
 	out.idempotent = f->idempotent;
--- a/src/host/view.h
+++ b/src/host/view.h
@@ -27,7 +27,8 @@
  *                     "state":"live"|"leaving"}
  * Optional: "store_anywhere":true of the fleet, where nobody tells the store's
  * region; "slots" of a service or host, "upstream_id" of a host,
- * "importance" of an account. An account without "rate_per_s" has no limit.
+ * "importance" of an account, 2 unless told. An account without "rate_per_s"
+ * has no limit.
  */
 #ifndef IR_HOST_VIEW_H
 #define IR_HOST_VIEW_H
@@ -99,7 +100,7 @@
 	uint64_t rate_mt_per_s; /* thousandths of a token a second */
 	uint64_t burst_mt;	/* thousandths of a token */
 	uint32_t weight;
-	int8_t importance;	  /* of its requests; -1: that of the route */
+	uint8_t importance;	  /* goes before that of the route */
 	bool unlimited;		  /* has no rate */
 	const char **key_digests; /* lower-case hexadecimal SHA-256 */
 	size_t key_digest_count;
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -120,8 +120,9 @@
 	"Look at the upstream's own log at this time."},
     {IR_EVENT_CALL_ADMITTED,
 	"id: of the request, the caller's own where it gives one; service, "
-	"account, importance, deadline_ms: what it may do; config: revision "
-	"of the configuration that decided it; depth: calls above it",
+	"account, deadline_ms: what it may do; account_importance, then "
+	"importance: what goes before it; config: revision of the "
+	"configuration that decided it; depth: calls above it",
 	"A request was admitted at this entry.",
 	"Nothing. ibisrailctl trace ID follows the request."},
     {IR_EVENT_CALL_REFUSED,
--- a/src/upstream/queue.h
+++ b/src/upstream/queue.h
@@ -17,7 +17,8 @@
 #include "ibisrail/limits.h"
 #include "upstream/gate.h"
 
-#define IR_CLASS_COUNT (2 * (IR_MAX_IMPORTANCE + 1))
+/* Importance of accounts and routes, entering and inside a chain. */
+#define IR_CLASS_COUNT (2 * (IR_MAX_IMPORTANCE + 1) * (IR_MAX_IMPORTANCE + 1))
 
 /* Work of one account in one class. */
 struct ir_flow {
--- a/test/test_collect.c
+++ b/test/test_collect.c
@@ -221,6 +221,8 @@
 	"account b: burst raised from 2 to 3"},
     {ACCOUNTS, "\"weight\":1", "\"weight\":2", "accounts", false,
 	"account b: weight raised from 1 to 2"},
+    {ACCOUNTS, "\"weight\":1", "\"weight\":1,\"importance\":1", "accounts",
+	true, "account b: importance lowered from 2 to 1"},
     {ACCOUNTS, "\"" A64 "\"", "", "accounts", true,
 	"account a: key aaaaaaaa withdrawn"},
     {ACCOUNTS, "[]", "[\"" B64 "\"]", "accounts", false,
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -359,6 +359,56 @@
 	end_fleet(f);
 }
 
+static void
+publish_account_of_importance(
+    struct fleet *f, uint64_t generation, int importance)
+{
+	char digest[IR_KEY_DIGEST_HEX + 1];
+	char *text;
+
+	ir_key_digest(fleet_key, digest);
+	text = talloc_asprintf(f,
+	    "{\"generation\":%llu,\"accounts\":[{\"name\":\"a\","
+	    "\"rate_per_s\":1000,\"burst\":1000,\"weight\":1,"
+	    "\"importance\":%d,\"key_digests\":[\"%s\"]}]}",
+	    (unsigned long long)generation, importance, digest);
+	fleet_publish(f, "accounts", text);
+	talloc_free(text);
+	fleet_run(f, 3 * IR_US_PER_S);
+}
+
+/* The importance of a request's first attempt, served well. */
+static uint32_t
+importance_of(struct fleet *f, const struct fleet_request *r)
+{
+	int first = f->attempt_count;
+
+	assert_int_equal(call_and_wait(f, 1, r), IR_OK);
+	assert_true(f->attempt_count > first);
+	return f->attempts[first].importance;
+}
+
+/*
+ * Found on scale-2 of the finder: as all accounts were of one importance, that
+ * of the routes did not count.
+ */
+static void
+test_route_counts_among_accounts_of_one_importance(void **state)
+{
+	struct fleet *f = make_fleet(13);
+	uint32_t read, write;
+
+	publish_account_of_importance(f, 100, 1);
+	settle(f);
+	read = importance_of(f, &read_request);
+	write = importance_of(f, &write_request);
+	assert_true(read < write);
+	/* That of the account goes before. */
+	publish_account_of_importance(f, 101, 2);
+	assert_true(write < importance_of(f, &read_request));
+	end_fleet(f);
+}
+
 int
 main(void)
 {
@@ -374,6 +424,8 @@
 	    cmocka_unit_test(test_unconfirmed_gate_runs_nothing),
 	    cmocka_unit_test(test_tokens_end_with_their_grant),
 	    cmocka_unit_test(test_readers_of_one_region_prove_no_outage),
+	    cmocka_unit_test(
+		test_route_counts_among_accounts_of_one_importance),
 	    cmocka_unit_test(test_open_flag_is_not_believed),
 	};
 
