--- a/src/zone/seen.c
+++ b/src/zone/seen.c
@@ -4,6 +4,7 @@
 #include "ibisrail/limits.h"
 #include "upstream/priority.h"
 
+/* Five heartbeats of a link in use. */
 #define LOAD_VALID_US IR_US_PER_S
 #define MIN_BACKOFF_US (200 * IR_US_PER_MS)
 #define MAX_BACKOFF_US (2 * IR_US_PER_S)
@@ -119,6 +120,7 @@
 ir_seen_lost(struct ir_seen *s, int64_t now)
 {
 	s->unreachable = true;
+	s->has_load = false;
 	s->backoff_us *= 2;
 	if (s->backoff_us < MIN_BACKOFF_US)
 		s->backoff_us = MIN_BACKOFF_US;
@@ -210,15 +212,28 @@
 	}
 }
 
+/* A host that is not chosen is not heard: the list tells that it is back. */
+static void
+follow_list(struct ir_seen *s, const struct ir_host *h)
+{
+	if (s->listed_leaving && !h->leaving)
+		s->has_load = false;
+	s->listed_leaving = h->leaving;
+}
+
 void
 ir_seen_trim(struct ir_seen_table *t, const struct ir_view *v)
 {
+	const struct ir_host *h;
 	struct ir_seen *s, *tmp;
 
 	HASH_ITER (hh, t->hosts, s, tmp) {
+		h = ir_view_host(v, s->host);
 		trim_levels(s, v);
-		if (ir_view_host(v, s->host) != NULL)
+		if (h != NULL) {
+			follow_list(s, h);
 			continue;
+		}
 		HASH_DEL(t->hosts, s);
 		talloc_free(s);
 	}
--- a/src/zone/seen.h
+++ b/src/zone/seen.h
@@ -29,6 +29,7 @@
 	struct ir_load load;
 	int64_t load_us;
 	struct ir_seen_level *levels; /* by account */
+	bool listed_leaving;	      /* by the last view */
 	bool unreachable;
 	int64_t try_us; /* when unreachable: next try */
 	int64_t backoff_us;
--- a/test/test_choose.c
+++ b/test/test_choose.c
@@ -422,6 +422,35 @@
 
 #define CHOOSE_TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
+/*
+ * Found by processes that restart: a host that was leaving when it was heard
+ * last was never tried again, as nothing but a try would hear it.
+ */
+static void
+test_host_that_was_leaving_is_tried_again(void **state)
+{
+	struct fixture *f = *state;
+	struct ir_load load = {.limit = 10, .leaving = true};
+
+	for (int i = 1; i < HOSTS; i++)
+		f->hosts[i].leaving = true;
+	/* The list said so too, and says now that it is back. */
+	ir_chooser_heard(f->chooser, f->now, "h00", &load);
+	f->hosts[0].leaving = true;
+	ir_chooser_trim(f->chooser, &f->view);
+	ir_chooser_heard(f->chooser, f->now, "h00", &load);
+	f->hosts[0].leaving = false;
+	assert_int_equal(choose(f, 1), IR_CHOICE_NONE);
+	ir_chooser_trim(f->chooser, &f->view);
+	assert_int_equal(choose(f, 1), IR_CHOSEN);
+	/* Its link was lost: it may have restarted. */
+	ir_chooser_heard(f->chooser, f->now, "h00", &load);
+	ir_chooser_reachable(f->chooser, f->now, "h00", false);
+	assert_int_equal(choose(f, 1), IR_CHOICE_NONE);
+	f->now += IR_US_PER_S / 2;
+	assert_int_equal(choose(f, 1), IR_CHOSEN);
+}
+
 int
 main(void)
 {
@@ -431,6 +460,7 @@
 	    CHOOSE_TEST(test_less_loaded_is_chosen),
 	    CHOOSE_TEST(test_own_requests_count_once),
 	    CHOOSE_TEST(test_leaving_hosts_are_never_chosen),
+	    CHOOSE_TEST(test_host_that_was_leaving_is_tried_again),
 	    CHOOSE_TEST(test_excluded_hosts_are_skipped),
 	    CHOOSE_TEST(test_lost_hosts_back_off),
 	    CHOOSE_TEST(test_shed_zone_overflows_then_refuses),
