--- a/src/core/control.c
+++ b/src/core/control.c
@@ -434,8 +434,15 @@
 	const struct ir_host *h = ir_view_source(v, self, n->view_try);
 	struct peer *p = h != NULL ? peer_get(n, h->name) : NULL;
 
+	/* The first links are not up yet: a poll's time for each. */
+	if (p != NULL && !n->heard_view && !n->view_waited &&
+	    !peer_keep(n, now, p)) {
+		n->view_waited = true;
+		return;
+	}
 	/* Cleared by a reply: the next poll then asks the nearest again. */
 	n->view_try++;
+	n->view_waited = false;
 	if (p == NULL)
 		return;
 	if (p->view_xid != 0 && now - p->view_asked_us > IR_SILENCE_US)
@@ -459,7 +466,8 @@
 	if (reader && n->heard_view &&
 	    ir_lease_age(n->lease, now) < reader_lag_us(n))
 		return;
-	if (reader)
+	/* A new process asks for all: of one host, not of each. */
+	if (reader && n->heard_view)
 		ask_readers(n, now, v);
 	else
 		ask_source(n, now, v, self);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -176,6 +176,7 @@
 	int64_t start_us;
 	int64_t view_poll_us; /* last VIEW_ASK of the poll */
 	uint32_t view_try;
+	bool view_waited;	  /* for the link to that source */
 	int64_t hosts_changed_us; /* last change to the own service's hosts */
 	uint64_t hosts_changes;
 	int64_t lease_ok_us; /* when the view's lease was last seen to hold */
--- a/src/zone/place.c
+++ b/src/zone/place.c
@@ -180,6 +180,28 @@
 	}
 }
 
+/* Lower is asked before; the bits say what is missing. */
+enum {
+	OTHER_ZONE = 1,
+	OTHER_REGION = 2,
+	WITHOUT_STORE = 4,
+	DISTANCES = 8
+};
+
+static int
+distance(const struct walk *w, const struct ir_zone *z)
+{
+	int d = 0;
+
+	if (strcmp(z->name, w->self->zone) != 0)
+		d |= OTHER_ZONE;
+	if (strcmp(z->region, w->self->region) != 0)
+		d |= OTHER_REGION;
+	if (!in_store_region(w->view, z->region))
+		d |= WITHOUT_STORE;
+	return d;
+}
+
 static void
 walk_sources(struct walk *w)
 {
@@ -193,11 +215,10 @@
 		offer_ancestors(w, own);
 		offer_readers(w, own);
 	}
-	for (int pass = 0; pass < 2; pass++)
+	for (int d = 0; d < DISTANCES; d++)
 		for (size_t i = 0; i < v->zone_count; i++)
 			if (&v->zones[i] != skip &&
-			    in_store_region(v, v->zones[i].region) ==
-				(pass == 0))
+			    distance(w, &v->zones[i]) == d)
 				offer_readers(w, &v->zones[i]);
 }
 
--- a/src/zone/place.h
+++ b/src/zone/place.h
@@ -21,8 +21,8 @@
  * The host that self asks for its view on try number try (0 first): its
  * parent in the zone's relay tree, then that one's parent, then the readers
  * of its zone and of the others, those of the store's region first: when the
- * regions are cut apart, these can still read. NULL when self has no one to
- * ask.
+ * regions are cut apart, these can still read. Among these the nearest first.
+ * NULL when self has no one to ask.
  */
 const struct ir_host *ir_view_source(
     const struct ir_view *v, const struct ir_host *self, uint32_t try);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -441,6 +441,24 @@
 	end_fleet(f);
 }
 
+/*
+ * Found in an incident (9a85): each of twelve readers that started together
+ * asked all others for all that they hold, most of them over the link between
+ * the regions.
+ */
+static void
+test_new_process_asks_one_host_for_all(void **state)
+{
+	struct fleet *f = make_fleet(15);
+
+	/* The first poll connects, the second one asks. */
+	fleet_run(f, IR_VIEW_POLL_US * 3 / 2);
+	for (int i = 0; i < f->node_count; i++)
+		assert_in_range(
+		    ir_node_counter(f->nodes[i].node, IR_VIEW_ASKS), 1, 2);
+	end_fleet(f);
+}
+
 int
 main(void)
 {
@@ -460,6 +478,7 @@
 		test_route_counts_among_accounts_of_one_importance),
 	    cmocka_unit_test(
 		test_runs_that_need_a_service_without_hosts_are_not_started),
+	    cmocka_unit_test(test_new_process_asks_one_host_for_all),
 	    cmocka_unit_test(test_open_flag_is_not_believed),
 	};
 
--- a/test/test_place.c
+++ b/test/test_place.c
@@ -202,6 +202,23 @@
 	talloc_free(v);
 }
 
+/* What a new process asks for may be large. */
+static void
+test_nearest_reader_is_asked_first(void **state)
+{
+	struct ir_view *v = fleet_new(NULL, 4, 10);
+	const struct ir_host *h;
+
+	v->store_anywhere = true;
+	for (size_t i = 0; i < v->host_count; i++) {
+		h = ir_view_source(v, &v->hosts[i], 0);
+		assert_string_equal(h->zone, v->hosts[i].zone);
+		h = ir_view_source(v, &v->hosts[i], 4);
+		assert_string_equal(h->region, v->hosts[i].region);
+	}
+	talloc_free(v);
+}
+
 int
 main(void)
 {
@@ -212,6 +229,7 @@
 	    cmocka_unit_test(test_first_sources_form_a_shallow_tree),
 	    cmocka_unit_test(test_tries_reach_other_zones_and_wrap),
 	    cmocka_unit_test(test_readers_ask_the_store_region_first),
+	    cmocka_unit_test(test_nearest_reader_is_asked_first),
 	    cmocka_unit_test(test_bucket_count_follows_burst_and_live_zones),
 	    cmocka_unit_test(
 		test_buckets_lie_in_different_zones_and_move_little),
