--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -123,7 +123,6 @@
 }
 
 fleet_end() {
-	trap - EXIT INT TERM
 	for pid in $PIDS; do
 		kill -TERM "$pid" 2>/dev/null
 	done
