--- a/src/upstream/vain.c
+++ b/src/upstream/vain.c
@@ -12,10 +12,17 @@
 #define MAX_WINDOW_US IR_US_PER_S
 /* Single failures are no sign of overload. */
 #define TOLERATED_SHARE 0.1
-/* A window of vain runs only halves the share. */
-#define MAX_CUT 0.5
-/* Ten windows lead back from nearly nothing to all. */
+/*
+ * Part of the vain runs by which a share is cut: with several calls a run, a
+ * load that is over by a tenth makes more than a tenth of the runs vain.
+ */
+#define CUT_PART 0.5
+/*
+ * What a window without vain runs adds. A lasting overload shows after one or
+ * two of them; where more follow it is over, and each adds twice as much.
+ */
 #define RISE 0.1
+#define SLOW_WINDOWS 2
 /* Some are always started, to see whether the callee has recovered. */
 #define MIN_SHARE 0.05
 #define KEEP_US (30 * IR_US_PER_S)
@@ -24,6 +31,8 @@
 struct route {
 	uint64_t key;
 	double share;
+	double rise;		  /* what the next window may add */
+	uint32_t clean;		  /* windows without vain runs, in a row */
 	struct ir_fair *accounts; /* NULL without memory: all alike */
 	double run_us;		  /* moving average */
 	uint32_t ended;		  /* in the window */
@@ -72,21 +81,38 @@
 		return NULL;
 	r->key = key;
 	r->share = 1;
+	r->rise = RISE;
 	r->accounts = ir_fair_new(r);
 	r->window_us = now;
 	HASH_ADD(hh, v->routes, key, sizeof(r->key), r);
 	return r;
 }
 
+static void
+cut(struct route *r, double vain)
+{
+	r->share *= 1 - CUT_PART * vain;
+	r->rise = RISE;
+	r->clean = 0;
+}
+
+static void
+rise(struct route *r)
+{
+	if (++r->clean > SLOW_WINDOWS && r->share < 1)
+		r->rise *= 2;
+	r->share += r->rise;
+}
+
 static void
 judge(struct route *r)
 {
 	double vain = r->ended > 0 ? (double)r->in_vain / r->ended : 0;
 
 	if (vain > TOLERATED_SHARE)
-		r->share *= vain < MAX_CUT ? 1 - vain : MAX_CUT;
+		cut(r, vain);
 	else
-		r->share += RISE;
+		rise(r);
 	if (r->share > 1)
 		r->share = 1;
 	if (r->share < MIN_SHARE)
--- a/src/upstream/vain.h
+++ b/src/upstream/vain.h
@@ -7,10 +7,10 @@
  * refused at one of several calls, after most of its work is done. A window
  * lasts as long as a run, so that what it shows is what the last decision did:
  * the share falls in proportion to the vain runs and rises by a step without
- * them. The share is divided among the client accounts (fair.h), by what each
- * asks for. Which of an account's requests make up its part is decided by their
- * rank, which is the same at each host. Only requests in which nothing is sunk
- * yet are to be asked about.
+ * them, by more once several windows had none. The share is divided among the
+ * client accounts (fair.h), by what each asks for. Which of an account's
+ * requests make up its part is decided by their rank, which is the same at each
+ * host. Only requests in which nothing is sunk yet are to be asked about.
  */
 #ifndef IR_UPSTREAM_VAIN_H
 #define IR_UPSTREAM_VAIN_H
