--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -118,7 +118,8 @@
 {
 	char what[64];
 
-	(void)snprintf(what, sizeof(what), "error=%s", ir_error_info(e)->name);
+	(void)snprintf(what, sizeof(what), "error=%s started_percent=%.0f",
+	    ir_error_info(e)->name, 100 * ir_vain_share(n->vain, r->route));
 	log_gate(n, now, r, IR_EVENT_GATE_REFUSED, what, retry_after_ms);
 }
 
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -141,11 +141,13 @@
 	"the gate; expected_ms: what a run takes; left_ms: to its deadline",
 	"The gate took the request.", "Nothing."},
     {IR_EVENT_GATE_REFUSED,
-	"id; attempt; error; running, queued, limit, expected_ms, left_ms: "
-	"what decided it; retry_ms: when to come back",
+	"id; attempt; error; started_percent: part of the route's fresh "
+	"requests that is started; running, queued, limit, expected_ms, "
+	"left_ms: what decided it; retry_ms: when to come back",
 	"The gate refused the request; it did not run here.",
 	"deadline: it could not end in time any more. overload: more "
-	"important or earlier work fills the queue."},
+	"important or earlier work fills the queue. callee-overload: runs of "
+	"its route failed for calls that were refused below; look there."},
     {IR_EVENT_RUN_STARTED,
 	"id; attempt; waited_ms: in the queue; left_ms: to its deadline; "
 	"upstream: the id that was expected",
