--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 CORE_DIRS = core host zone link contract upstream conf log metric
 CORE_SRC = $(foreach d,$(CORE_DIRS),$(wildcard src/$d/*.c))
-IO_SRC = $(wildcard src/io/*.c)
+IO_SRC = $(wildcard src/io/*.c src/io/*/*.c)
 DAEMON_SRC = $(wildcard src/daemon/*.c)
 DAEMON_LIB_SRC = $(filter-out src/daemon/main.c,$(DAEMON_SRC))
 # The adapter to our users' platform, a daemon of its own.
@@ -19,7 +19,7 @@
 ALL_C = $(CORE_SRC) $(IO_SRC) $(DAEMON_SRC) $(PLATFORM_SRC) $(CTL_SRC) \
 	$(FAKE_LIB_SRC) \
 	$(FAKE_SRC) $(TEST_SRC) $(SUPPORT_SRC) $(SOAK_SRC) $(BENCH_SRC) $(CAPACITY_SRC)
-ALL_H = $(wildcard include/ibisrail/*.h src/*/*.h platform/*.h test/*/*.h test/fakes/lib/*.h \
+ALL_H = $(wildcard include/ibisrail/*.h src/*/*.h src/io/*/*.h platform/*.h test/*/*.h test/fakes/lib/*.h \
 	bench/*.h bench/capacity/*.h)
 GENERATED = src/link/peer.h src/link/peer_xdr.c
 WRITTEN_C = $(filter-out $(GENERATED),$(ALL_C))
@@ -62,7 +62,7 @@
     $(call obj,$(IO_SRC)) $(BUILD)/libcore.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/ibisrailctl: $(call obj,$(CTL_SRC) src/io/store_text.c) \
+$(BUILD)/ibisrailctl: $(call obj,$(CTL_SRC) src/io/store/store_text.c) \
     $(BUILD)/libcore.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
--- a/src/ctl/check.c
+++ b/src/ctl/check.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "ctl/ctl.h"
-#include "io/store_text.h"
+#include "io/store/store_text.h"
 
 #define CONFIG_PATH "/v1/config?after=0"
 
--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -15,16 +15,16 @@
 
 #include "daemon/process.h"
 #include "ibisrail/version.h"
-#include "io/admin.h"
-#include "io/callers.h"
+#include "io/admin/admin.h"
+#include "io/admin/report.h"
+#include "io/callers/callers.h"
 #include "io/clock.h"
-#include "io/core_loop.h"
+#include "io/core/core_loop.h"
 #include "io/descriptors.h"
 #include "io/listen.h"
-#include "io/peers.h"
-#include "io/platform.h"
-#include "io/report.h"
-#include "io/upstream.h"
+#include "io/peers/peers.h"
+#include "io/store/platform.h"
+#include "io/upstream/upstream.h"
 
 #define RING_SLOTS 4096
 #define POLL_MS 100
--- a/src/io/admin.c
+++ b/src/io/admin/admin.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "ibisrail/version.h"
-#include "io/admin.h"
+#include "io/admin/admin.h"
 #include "io/clock.h"
 #include "metric/exposition.h"
 
--- a/src/io/report.c
+++ b/src/io/admin/report.c
@@ -3,8 +3,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "io/admin/report.h"
 #include "io/clock.h"
-#include "io/report.h"
 
 #define FIELDS_BYTES 512
 
--- a/src/io/caller_answer.c
+++ b/src/io/callers/caller_answer.c
@@ -2,7 +2,7 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include "io/caller_answer.h"
+#include "io/callers/caller_answer.h"
 #include "io/http_head.h"
 #include "io/message.h"
 
--- a/src/io/caller_answer.h
+++ b/src/io/callers/caller_answer.h
@@ -3,7 +3,7 @@
 #define IR_IO_CALLER_ANSWER_H
 
 #include "ibisrail/dialect.h"
-#include "io/caller_headers.h"
+#include "io/callers/caller_headers.h"
 
 /* How an answer is to be written. */
 struct ir_answer_form {
--- a/src/io/caller_conn.c
+++ b/src/io/callers/caller_conn.c
@@ -9,7 +9,7 @@
 #include <unistd.h>
 #include <utlist.h>
 
-#include "io/caller_conn.h"
+#include "io/callers/caller_conn.h"
 #include "io/clock.h"
 #include "io/http_head.h"
 
--- a/src/io/caller_conn.h
+++ b/src/io/callers/caller_conn.h
@@ -13,9 +13,9 @@
 #include <tevent.h>
 
 #include "core/table.h"
-#include "io/caller_answer.h"
-#include "io/caller_headers.h"
-#include "io/callers.h"
+#include "io/callers/caller_answer.h"
+#include "io/callers/caller_headers.h"
+#include "io/callers/callers.h"
 
 enum request_state {
 	REQUEST_RECEIVING,
--- a/src/io/caller_headers.c
+++ b/src/io/callers/caller_headers.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <strings.h>
 
-#include "io/caller_headers.h"
+#include "io/callers/caller_headers.h"
 #include "io/hop_headers.h"
 
 #define HTTP_HEADERS_TOO_LARGE 431
--- a/src/io/caller_request.c
+++ b/src/io/callers/caller_request.c
@@ -2,8 +2,8 @@
 #include <string.h>
 #include <strings.h>
 
-#include "io/caller_conn.h"
-#include "io/report.h"
+#include "io/admin/report.h"
+#include "io/callers/caller_conn.h"
 
 #define RING_FULL_RETRY_MS 1000
 #define MAX_METHOD_BYTES 16
--- a/src/io/callers.c
+++ b/src/io/callers/callers.c
@@ -5,7 +5,7 @@
 #include <unistd.h>
 #include <utlist.h>
 
-#include "io/caller_conn.h"
+#include "io/callers/caller_conn.h"
 #include "io/clock.h"
 #include "io/turn.h"
 
--- a/src/io/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -4,7 +4,7 @@
 #include <utlist.h>
 
 #include "io/clock.h"
-#include "io/core_out.h"
+#include "io/core/core_out.h"
 
 #define TICK_US (10 * IR_US_PER_MS)
 #define BACKLOG_POLL_MS 1
--- a/src/io/core_out.c
+++ b/src/io/core/core_out.c
@@ -1,9 +1,9 @@
 /* Actions of the node, passed on to the other threads. */
 #include <utlist.h>
 
+#include "io/admin/report.h"
 #include "io/clock.h"
-#include "io/core_out.h"
-#include "io/report.h"
+#include "io/core/core_out.h"
 #include "link/codec.h"
 
 #define MAX_RUN_BACKLOG 4096
--- a/src/io/core_out.h
+++ b/src/io/core/core_out.h
@@ -3,7 +3,7 @@
 #define IR_IO_CORE_OUT_H
 
 #include "core/table.h"
-#include "io/core_loop.h"
+#include "io/core/core_loop.h"
 
 /* A peer connection whose close was ordered because of a full ring. */
 struct doomed {
--- a/src/io/descriptors.c
+++ b/src/io/descriptors.c
@@ -1,10 +1,10 @@
 /* The process's limit of file descriptors. */
 #include <sys/resource.h>
 
-#include "io/admin.h"
-#include "io/callers.h"
+#include "io/admin/admin.h"
+#include "io/callers/callers.h"
 #include "io/descriptors.h"
-#include "io/peers.h"
+#include "io/peers/peers.h"
 
 /* Not for connections: files (200 where sockets share the limit with them),
  * listeners, loops, wake-ups, standard streams, reads of the platform. */
--- a/src/io/own_dialect.c
+++ b/src/io/own_dialect.c
@@ -4,7 +4,7 @@
 #include "conf/settings.h"
 #include "ibisrail/dialect.h"
 #include "ibisrail/node.h"
-#include "io/store_text.h"
+#include "io/store/store_text.h"
 #include "link/peer.h"
 
 #define HTTP_OK 200
--- a/src/io/peer_conn.c
+++ b/src/io/peers/peer_conn.c
@@ -10,8 +10,8 @@
 #include <utlist.h>
 
 #include "io/clock.h"
-#include "io/peer_conn.h"
-#include "io/peers.h"
+#include "io/peers/peer_conn.h"
+#include "io/peers/peers.h"
 #include "link/codec.h"
 
 #define READ_BYTES 65536
--- a/src/io/peers.c
+++ b/src/io/peers/peers.c
@@ -5,11 +5,11 @@
 #include <stdlib.h>
 #include <unistd.h>
 
+#include "io/admin/report.h"
 #include "io/clock.h"
 #include "io/listen.h"
-#include "io/peer_conn.h"
-#include "io/peers.h"
-#include "io/report.h"
+#include "io/peers/peer_conn.h"
+#include "io/peers/peers.h"
 #include "io/turn.h"
 #include "link/codec.h"
 
--- a/src/io/curl_finished.c
+++ b/src/io/store/curl_finished.c
@@ -1,7 +1,7 @@
 /* Transfers of libcurl that have ended. */
 #include <stddef.h>
 
-#include "io/curl_finished.h"
+#include "io/store/curl_finished.h"
 
 void *
 ir_curl_finished(CURLM *multi, CURLcode *code)
--- a/src/io/platform.c
+++ b/src/io/store/platform.c
@@ -4,12 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "io/admin/report.h"
 #include "io/clock.h"
-#include "io/curl_finished.h"
-#include "io/platform.h"
-#include "io/report.h"
-#include "io/store_book.h"
-#include "io/store_text.h"
+#include "io/store/curl_finished.h"
+#include "io/store/platform.h"
+#include "io/store/store_book.h"
+#include "io/store/store_text.h"
 
 /* For an answer, beyond the wait for a change: under IR_VIEW_POLL_US. */
 #define ANSWER_MS 350
--- a/src/io/store_book.c
+++ b/src/io/store/store_book.c
@@ -3,7 +3,7 @@
 
 #include "core/table.h"
 #include "io/message.h"
-#include "io/store_book.h"
+#include "io/store/store_book.h"
 
 struct item {
 	char *key;
--- a/src/io/store_text.c
+++ b/src/io/store/store_text.c
@@ -2,7 +2,7 @@
 #include <json.h>
 #include <string.h>
 
-#include "io/store_text.h"
+#include "io/store/store_text.h"
 #include "link/peer.h"
 
 #define MAX_DEPTH 8
--- a/src/io/upstream.c
+++ b/src/io/upstream/upstream.c
@@ -1,10 +1,10 @@
 /* The upstream's thread. */
 #include <string.h>
 
+#include "io/admin/report.h"
 #include "io/clock.h"
-#include "io/report.h"
 #include "io/turn.h"
-#include "io/upstream_conn.h"
+#include "io/upstream/upstream_conn.h"
 
 #define BACKLOG_RETRY_US 1000
 #define SWEEP_US IR_US_PER_S
--- a/src/io/upstream_answer.c
+++ b/src/io/upstream/upstream_answer.c
@@ -3,7 +3,7 @@
 #include <strings.h>
 
 #include "io/hop_headers.h"
-#include "io/upstream_answer.h"
+#include "io/upstream/upstream_answer.h"
 
 #define HTTP_SUCCESS 2
 #define HTTP_CLASS 100
--- a/src/io/upstream_conn.c
+++ b/src/io/upstream/upstream_conn.c
@@ -12,7 +12,7 @@
 
 #include "io/clock.h"
 #include "io/listen.h"
-#include "io/upstream_conn.h"
+#include "io/upstream/upstream_conn.h"
 
 #define READ_BYTES 16384
 #define CONNECT_TIMEOUT_US IR_US_PER_S
--- a/src/io/upstream_conn.h
+++ b/src/io/upstream/upstream_conn.h
@@ -12,8 +12,8 @@
 #include <tevent.h>
 
 #include "core/table.h"
-#include "io/upstream.h"
-#include "io/upstream_answer.h"
+#include "io/upstream/upstream.h"
+#include "io/upstream/upstream_answer.h"
 
 struct upstream_conn;
 
--- a/src/io/upstream_request.c
+++ b/src/io/upstream/upstream_request.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <strings.h>
 
-#include "io/upstream_conn.h"
+#include "io/upstream/upstream_conn.h"
 
 static char *
 add(char *text, const char *name, const char *value)
--- a/test/test_caller_conn.c
+++ b/test/test_caller_conn.c
@@ -20,7 +20,7 @@
 
 #include <cmocka.h>
 
-#include "io/callers.h"
+#include "io/callers/callers.h"
 #include "io/listen.h"
 #include "platform/platform.h"
 #include "support/core_side.h"
--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -18,7 +18,7 @@
 
 #include <cmocka.h>
 
-#include "io/callers.h"
+#include "io/callers/callers.h"
 #include "io/listen.h"
 #include "support/core_side.h"
 #include "support/raw_http.h"
--- a/test/test_core_out.c
+++ b/test/test_core_out.c
@@ -8,7 +8,7 @@
 
 #include <cmocka.h>
 
-#include "io/core_out.h"
+#include "io/core/core_out.h"
 
 #define RING_SLOTS 8
 #define TEXT_BYTES 32
--- a/test/test_peer_conn.c
+++ b/test/test_peer_conn.c
@@ -17,7 +17,7 @@
 #include <cmocka.h>
 
 #include "io/listen.h"
-#include "io/peers.h"
+#include "io/peers/peers.h"
 #include "link/codec.h"
 
 #define RING_SLOTS 4
--- a/test/test_store_book.c
+++ b/test/test_store_book.c
@@ -10,7 +10,7 @@
 
 #include <cmocka.h>
 
-#include "io/store_book.h"
+#include "io/store/store_book.h"
 #include "link/peer.h"
 
 struct fixture {
--- a/test/test_store_watch.c
+++ b/test/test_store_watch.c
@@ -14,8 +14,8 @@
 #include <curl/curl.h>
 
 #include "fakes/lib/server.h"
-#include "io/platform.h"
-#include "io/store_text.h"
+#include "io/store/platform.h"
+#include "io/store/store_text.h"
 #include "support/core_side.h"
 
 #define RING_SLOTS 64
--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -21,7 +21,7 @@
 #include <cmocka.h>
 
 #include "io/listen.h"
-#include "io/upstream.h"
+#include "io/upstream/upstream.h"
 #include "platform/platform.h"
 #include "support/core_side.h"
 
--- a/test/test_upstream_run.c
+++ b/test/test_upstream_run.c
@@ -23,7 +23,7 @@
 #include <curl/curl.h>
 
 #include "io/listen.h"
-#include "io/upstream.h"
+#include "io/upstream/upstream.h"
 #include "support/core_side.h"
 
 #define RING_SLOTS 64
