--- a/src/host/lease.c
+++ b/src/host/lease.c
@@ -317,14 +317,15 @@
 
 static int64_t
 region_proved_us(const struct ir_lease *l, const struct question *q,
-    const char *region, int64_t *times)
+    const char *region, struct ballot *b)
 {
-	struct ballot b = {.times = times};
-
+	b->readers = 0;
+	b->votes = 0;
+	b->against = false;
 	for (size_t i = 0; i < q->count; i++)
 		if (strcmp(q->readers[i].region, region) == 0)
-			hear_reader(l, q, q->readers[i].name, &b);
-	return majority_us(&b);
+			hear_reader(l, q, q->readers[i].name, b);
+	return majority_us(b);
 }
 
 void
@@ -338,7 +339,7 @@
 	    .own = own_report(l),
 	    .now = now,
 	    .revision = {config_revision, list_revision}};
-	int64_t *times = talloc_array(l, int64_t, count);
+	struct ballot b = {.times = talloc_array(l, int64_t, count)};
 	int64_t proved_us = count > 0 ? INT64_MAX : NEVER;
 
 	q.own.revision[CONFIG] = config_revision;
@@ -348,9 +349,9 @@
 		if (i == 0 ||
 		    strcmp(readers[i].region, readers[i - 1].region) != 0)
 			proved_us = earlier(proved_us,
-			    region_proved_us(l, &q, readers[i].region, times));
+			    region_proved_us(l, &q, readers[i].region, &b));
 	keep_evidence(l, proved_us, config_revision, list_revision);
-	talloc_free(times);
+	talloc_free(b.times);
 }
 
 static bool
