--- a/test/support/fleet_check.c
+++ b/test/support/fleet_check.c
@@ -1,5 +1,4 @@
 /* The oracle: what must hold after each event and at the end. */
-
 #include "core/internal.h"
 #include "support/fleet_priv.h"
 
