Memory: counted by use, measured, and served as gauges

Change: struct ir_memory divides a process's limit among its uses, as descriptors are divided; the core counts calls and records in it and measures the process's own pages each 100 ms. Nothing acts on any of it yet.

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -21,6 +21,7 @@
 #include "ibisrail/event.h"
 #include "ibisrail/histogram.h"
 #include "ibisrail/limits.h"
+#include "ibisrail/memory.h"
 
 struct ir_node;
 struct ir_msg;
@@ -133,7 +134,8 @@
 	bool keyless_is_inner; /* calls without key are the upstream's own */
 	uint64_t incarnation; /* unique to this start of the process, above 0 */
 	uint64_t seed;
-	bool plain; /* baseline policy, for measurements only */
+	struct ir_memory *memory; /* NULL: the node keeps one of its own */
+	bool plain;		  /* baseline policy, for measurements only */
 };
 
 struct ir_node *ir_node_new(TALLOC_CTX *mem, int64_t now,
@@ -212,6 +214,7 @@
 	int64_t hosts; /* that the list names */
 	int64_t config_revision;
 	int64_t list_revision;
+	int64_t records;     /* attempts that the gate remembers */
 	int64_t view_age_ms; /* of the last confirmation; -1 without one */
 };
 void ir_node_gauges(struct ir_node *n, int64_t now, struct ir_node_gauges *out);
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -10,11 +10,13 @@
 #include "conf/settings.h"
 
 #define DEFAULT_DRAIN_MS 20000
+#define MIN_MEMORY_MB 32
+#define MAX_MEMORY_MB (1024 * 1024)
 
 static const char *const known[] = {"host", "service", "region", "zone",
     "callers", "egress", "peers", "admin", "metrics", "upstream", "platform",
-    "slots", "upstream_connections", "drain_ms", "leave_ms", "log_level",
-    "policy", "zones", "rate_tolerance", NULL};
+    "slots", "upstream_connections", "memory_mb", "drain_ms", "leave_ms",
+    "log_level", "policy", "zones", "rate_tolerance", NULL};
 static const char *const known_endpoint[] = {"address", "port", NULL};
 
 static bool
@@ -99,6 +101,9 @@
 	    "error", "warning", "notice", "debug"};
 	static const char *const policies[] = {"full", "plain"};
 
+	if (ir_json_has(top, "memory_mb"))
+		s->memory_mb = (uint32_t)ir_json_number(
+		    in, top, "", "memory_mb", MIN_MEMORY_MB, MAX_MEMORY_MB);
 	s->drain_ms = DEFAULT_DRAIN_MS;
 	if (ir_json_has(top, "drain_ms"))
 		s->drain_ms =
@@ -232,6 +237,8 @@
 		return "slots";
 	if (a->upstream_connections != b->upstream_connections)
 		return "upstream_connections";
+	if (a->memory_mb != b->memory_mb)
+		return "memory_mb";
 	return a->plain != b->plain ? "policy" : "none";
 }
 
--- a/src/conf/settings.h
+++ b/src/conf/settings.h
@@ -50,8 +50,9 @@
 	struct ir_endpoint platform;   /* the configuration service */
 	uint32_t slots;		       /* 1 to 4096 */
 	uint32_t upstream_connections; /* 1 to 65535 */
-	uint32_t drain_ms; /* SIGTERM to forced end, 100 to 120000 */
-	uint32_t leave_ms; /* SIGTERM to refusing callers, 0 to drain_ms */
+	uint32_t memory_mb; /* the process ends above it, from 32; 0: unknown */
+	uint32_t drain_ms;  /* SIGTERM to forced end, 100 to 120000 */
+	uint32_t leave_ms;  /* SIGTERM to refusing callers, 0 to drain_ms */
 	enum ir_level log_level; /* "error".."debug" */
 	bool plain;		 /* "policy": "plain" or "full" */
 	struct ir_rate_tolerance rate_tolerance; /* zeroes: exact */
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -62,6 +62,7 @@
 	if (c->parent != NULL)
 		serve_child_ended(c->parent, now, c);
 	HASH_DEL(n->calls, c);
+	ir_memory_release(n->settings.memory, IR_MEMORY_CALLS, c->held_bytes);
 	talloc_free(c);
 }
 
@@ -187,6 +188,8 @@
 		return;
 	}
 	HASH_ADD(hh, n->calls, id, sizeof(c->id), c);
+	c->held_bytes = ir_memory_of(c);
+	ir_memory_hold(n->settings.memory, IR_MEMORY_CALLS, c->held_bytes);
 	c->state = CALL_OUT;
 	log_admitted(n, now, c);
 	ir_retry_budget_fresh(attempt_budget(n, c->service), now);
--- a/src/core/dump.c
+++ b/src/core/dump.c
@@ -168,6 +168,7 @@
 	out->gate_running = l.running;
 	out->gate_queued = l.queued;
 	out->gate_limit = l.limit;
+	out->records = (int64_t)ir_records_count(n->records);
 	out->hosts = (int64_t)node_view(n)->host_count;
 	out->config_revision = (int64_t)config;
 	out->list_revision = (int64_t)list;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -65,6 +65,7 @@
 	uint32_t header_count;
 	uint8_t *body;
 	uint32_t body_bytes;
+	size_t held_bytes; /* of this call, counted */
 	enum call_state state;
 	struct ir_ledger own;
 	struct ir_ledger *ledger; /* own, or that of the parent's record */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -27,6 +27,12 @@
 copy_settings(struct ir_node *n, const struct ir_node_settings *s)
 {
 	n->settings = *s;
+	if (n->settings.memory == NULL) {
+		n->settings.memory = talloc(n, struct ir_memory);
+		if (n->settings.memory == NULL)
+			return false;
+		ir_memory_init(n->settings.memory, 0);
+	}
 	if (n->settings.read_period_us == 0)
 		n->settings.read_period_us = IR_VIEW_POLL_US;
 	n->settings.host = talloc_strdup(n, s->host);
@@ -88,7 +94,7 @@
 		ir_mint_set_wait(n->mint, IR_MINT_SHORT_WAIT_US);
 	n->gate = ir_gate_new(n, &serve_gate_ops, n, n->settings.slots,
 	    n->settings.seed ^ 2, now);
-	n->records = ir_records_new(n);
+	n->records = ir_records_new(n, n->settings.memory);
 	n->vain = ir_vain_new(n);
 	return n->sections != NULL && n->lease != NULL && n->chooser != NULL &&
 	       n->wallet != NULL && n->mint != NULL && n->gate != NULL &&
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -356,6 +356,7 @@
 	r->account = talloc_strdup(r, f->account);
 	r->ledger.tokens = f->retry_tokens;
 	add_waiter(r, conn, xid, &f->attempt, false);
+	ir_records_filled(n->records, r);
 	e = check_forward(n, now, f);
 	if (e == IR_OK && !f->idempotent && f->idempotency_key[0] != '\0') {
 		char *key = idempotency_text(r, f);
--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -27,6 +27,7 @@
 #include "io/upstream/upstream.h"
 
 #define RING_SLOTS 4096
+#define BYTES_PER_MB (UINT64_C(1024) * 1024)
 #define POLL_MS 100
 /* A changed file counts within this, also without a signal. */
 #define SETTINGS_POLL_MS 1000
@@ -56,6 +57,7 @@
 	struct timespec settings_time; /* of its last change that was seen */
 	const struct ir_dialect *dialect;
 	struct ir_descriptors descriptors;
+	struct ir_memory memory;
 	struct ir_log *log;
 	struct ir_core_loop loop;
 	int listen_fds[LISTENER_COUNT];
@@ -124,6 +126,7 @@
 	l->log = p->log;
 	l->settings = p->settings;
 	l->dialect = p->dialect;
+	l->memory = &p->memory;
 	l->incarnation = new_incarnation();
 	randombytes_buf(&l->seed, sizeof(l->seed));
 	l->wake = ir_wake_new(p);
@@ -263,6 +266,7 @@
 	if (p->log == NULL || ir_log_start(p->log) != 0)
 		goto fail;
 	divide_descriptors(p);
+	ir_memory_init(&p->memory, settings->memory_mb * BYTES_PER_MB);
 	if (listen_all(p) != 0 || make_loop(p) != 0 || make_duties(p) != 0)
 		goto fail;
 	/* Threads cannot be taken back: the process ends without clean-up. */
--- a/src/io/admin/admin.c
+++ b/src/io/admin/admin.c
@@ -92,11 +92,18 @@
 	return respond(connection, status, "text/plain; charset=utf-8", text);
 }
 
+static int64_t
+memory_held(const struct ir_memory *m, enum ir_memory_use use)
+{
+	return (int64_t)ir_memory_held(m, use);
+}
+
 static enum MHD_Result
 respond_counters(struct ir_admin *a, struct MHD_Connection *connection,
     struct ir_from_core *m)
 {
 	const struct ir_node_gauges *g = &m->u.report.gauges;
+	const struct ir_memory *mem = &m->u.report.memory;
 	const struct ir_gauge gauges[] = {
 	    {"ibisrail_calls", "Requests that have no answer yet.", g->calls},
 	    {"ibisrail_gate_running", "Runs at the local upstream.",
@@ -105,6 +112,9 @@
 		g->gate_queued},
 	    {"ibisrail_gate_limit", "Runs that the gate allows at a time.",
 		g->gate_limit},
+	    {"ibisrail_gate_records",
+		"Attempts that the gate remembers, answered or not.",
+		g->records},
 	    {"ibisrail_hosts", "Hosts that the list names.", g->hosts},
 	    {"ibisrail_config_revision", "Of the configuration in force.",
 		g->config_revision},
@@ -112,6 +122,26 @@
 		g->list_revision},
 	    {"ibisrail_view_age_milliseconds",
 		"Since the view was confirmed; -1: never.", g->view_age_ms},
+	    {"ibisrail_memory_limit_bytes",
+		"Above it the process is ended, or the default that divides.",
+		(int64_t)mem->limit_bytes},
+	    {"ibisrail_memory_process_bytes",
+		"The process's own pages, those of files not counted.",
+		(int64_t)mem->process_bytes},
+	    {"ibisrail_memory_callers_bytes",
+		"Requests being read and answers not yet sent.",
+		memory_held(mem, IR_MEMORY_CALLERS)},
+	    {"ibisrail_memory_calls_bytes", "Calls that have no answer yet.",
+		memory_held(mem, IR_MEMORY_CALLS)},
+	    {"ibisrail_memory_records_bytes",
+		"Attempts at the gate, and their answers.",
+		memory_held(mem, IR_MEMORY_RECORDS)},
+	    {"ibisrail_memory_upstream_bytes",
+		"Requests being sent and answers being read.",
+		memory_held(mem, IR_MEMORY_UPSTREAM)},
+	    {"ibisrail_memory_peers_bytes",
+		"Messages being read and those not yet sent.",
+		memory_held(mem, IR_MEMORY_PEERS)},
 	};
 	const struct ir_exposed e = {&m->u.report.counters, gauges,
 	    sizeof(gauges) / sizeof(gauges[0]), &m->u.report.histograms};
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -5,6 +5,7 @@
 
 #include "io/clock.h"
 #include "io/core/core_out.h"
+#include "io/memory.h"
 
 #define TICK_US (10 * IR_US_PER_MS)
 #define BACKLOG_POLL_MS 1
@@ -17,6 +18,8 @@
 #define TOLD_LEAVING 2
 /* Messages taken from one ring before the next one has its turn. */
 #define BATCH 64
+/* How often the process's memory is measured. */
+#define MEASURE_US (100 * IR_US_PER_MS)
 
 /* The node's counters and those of all threads. */
 static void
@@ -34,12 +37,25 @@
 	}
 }
 
+static void
+copy_memory(const struct core *c, struct ir_memory *to)
+{
+	const struct ir_memory *m = c->loop->memory;
+
+	to->limit_bytes = m->limit_bytes;
+	to->process_bytes =
+	    __atomic_load_n(&m->process_bytes, __ATOMIC_RELAXED);
+	for (int u = 0; u < IR_MEMORY_USE_COUNT; u++)
+		to->held_bytes[u] = ir_memory_held(m, u);
+}
+
 static void
 measure(struct core *c, int64_t now, struct ir_from_core *m)
 {
 	sum_counters(c, &m->u.report.counters);
 	m->u.report.histograms = *ir_node_histograms(c->node);
 	ir_node_gauges(c->node, now, &m->u.report.gauges);
+	copy_memory(c, &m->u.report.memory);
 }
 
 static void
@@ -75,6 +91,7 @@
 	    .keyless_is_inner = !s->has_egress,
 	    .incarnation = l->incarnation,
 	    .seed = l->seed,
+	    .memory = l->memory,
 	    .plain = s->plain,
 	};
 
@@ -271,6 +288,10 @@
 	if (now < c->next_tick_us)
 		return;
 	c->next_tick_us = now + TICK_US;
+	if (now >= c->next_measure_us) {
+		ir_memory_measure(c->loop->memory);
+		c->next_measure_us = now + MEASURE_US;
+	}
 	ir_node_tick(c->node, now);
 	pay_owed(c);
 	order_store(c);
--- a/src/io/core/core_loop.h
+++ b/src/io/core/core_loop.h
@@ -28,6 +28,7 @@
 	struct ir_channel *channels[IR_DUTY_COUNT];
 	struct ir_counters counters; /* of this thread, beside the node's */
 	struct ir_log *log;
+	struct ir_memory *memory;
 	const struct ir_settings *settings;
 	const struct ir_dialect *dialect;
 	uint64_t incarnation;
--- a/src/io/core/core_out.h
+++ b/src/io/core/core_out.h
@@ -25,10 +25,11 @@
 	struct doomed *doomed;
 	struct owed *owed;
 	int64_t next_tick_us;
-	int64_t drain_end_us;  /* 0: not stopping */
-	int64_t leave_end_us;  /* callers may still come until then */
-	uint32_t told_leaving; /* questions for readiness since the stop */
-	int64_t idle_us;       /* stopping: held nothing since then; 0 */
+	int64_t next_measure_us; /* of the process's memory */
+	int64_t drain_end_us;	 /* 0: not stopping */
+	int64_t leave_end_us;	 /* callers may still come until then */
+	uint32_t told_leaving;	 /* questions for readiness since the stop */
+	int64_t idle_us;	 /* stopping: held nothing since then; 0 */
 	bool store_wanted;
 	uint64_t config_revision;
 	uint64_t list_revision;
--- a/src/io/message.h
+++ b/src/io/message.h
@@ -93,6 +93,7 @@
 			struct ir_counters counters;
 			struct ir_histograms histograms;
 			struct ir_node_gauges gauges;
+			struct ir_memory memory;
 		} report;
 	} u;
 };
--- /dev/null
+++ b/src/metric/memory.c
@@ -0,0 +1,65 @@
+/* Bytes held for work in progress. */
+#include <talloc.h>
+
+#include "ibisrail/memory.h"
+
+#define PERCENT 100
+/* Header of talloc, and what malloc adds and rounds up to. */
+#define CHUNK_BYTES 112
+
+static const uint8_t share_percent[IR_MEMORY_USE_COUNT] = {
+    [IR_MEMORY_CALLERS] = 15,
+    [IR_MEMORY_CALLS] = 10,
+    [IR_MEMORY_RECORDS] = 15,
+    [IR_MEMORY_UPSTREAM] = 5,
+    [IR_MEMORY_PEERS] = 15,
+};
+
+void
+ir_memory_init(struct ir_memory *m, uint64_t limit_bytes)
+{
+	*m = (struct ir_memory){0};
+	m->enforced = limit_bytes != 0;
+	m->limit_bytes =
+	    limit_bytes != 0 ? limit_bytes : IR_MEMORY_DEFAULT_BYTES;
+	for (int u = 0; u < IR_MEMORY_USE_COUNT; u++)
+		m->bound_bytes[u] = m->limit_bytes * share_percent[u] / PERCENT;
+}
+
+void
+ir_memory_hold(struct ir_memory *m, enum ir_memory_use use, size_t bytes)
+{
+	uint64_t *p = &m->held_bytes[use];
+
+	__atomic_store_n(
+	    p, __atomic_load_n(p, __ATOMIC_RELAXED) + bytes, __ATOMIC_RELAXED);
+}
+
+void
+ir_memory_release(struct ir_memory *m, enum ir_memory_use use, size_t bytes)
+{
+	uint64_t *p = &m->held_bytes[use];
+
+	__atomic_store_n(
+	    p, __atomic_load_n(p, __ATOMIC_RELAXED) - bytes, __ATOMIC_RELAXED);
+}
+
+uint64_t
+ir_memory_held(const struct ir_memory *m, enum ir_memory_use use)
+{
+	return __atomic_load_n(&m->held_bytes[use], __ATOMIC_RELAXED);
+}
+
+bool
+ir_memory_has_room(
+    const struct ir_memory *m, enum ir_memory_use use, size_t bytes)
+{
+	return ir_memory_held(m, use) + bytes <= m->bound_bytes[use];
+}
+
+size_t
+ir_memory_of(const void *tree)
+{
+	return talloc_total_size(tree) +
+	       talloc_total_blocks(tree) * CHUNK_BYTES;
+}
--- a/src/upstream/record.c
+++ b/src/upstream/record.c
@@ -17,6 +17,7 @@
 };
 
 struct ir_records {
+	struct ir_memory *memory;
 	struct ir_alias *aliases;
 	struct ir_record *by_attempt;
 	struct ir_record *by_run;
@@ -41,12 +42,14 @@
 }
 
 struct ir_records *
-ir_records_new(TALLOC_CTX *mem)
+ir_records_new(TALLOC_CTX *mem, struct ir_memory *memory)
 {
 	struct ir_records *rs = talloc_zero(mem, struct ir_records);
 
-	if (rs != NULL)
-		talloc_set_destructor(rs, clear_tables);
+	if (rs == NULL)
+		return NULL;
+	rs->memory = memory;
+	talloc_set_destructor(rs, clear_tables);
 	return rs;
 }
 
@@ -186,6 +189,16 @@
 		    strlen(r->forward->caller_attempt), r);
 }
 
+void
+ir_records_filled(struct ir_records *rs, struct ir_record *r)
+{
+	size_t bytes = ir_memory_of(r);
+
+	ir_memory_release(rs->memory, IR_MEMORY_RECORDS, r->held_bytes);
+	ir_memory_hold(rs->memory, IR_MEMORY_RECORDS, bytes);
+	r->held_bytes = bytes;
+}
+
 /* The oldest answers make room for new ones. */
 static void
 bound_held_bytes(struct ir_records *rs)
@@ -201,6 +214,7 @@
 		TALLOC_FREE(r->body);
 		r->body_bytes = 0;
 		r->error = IR_E_ANSWER_DROPPED;
+		ir_records_filled(rs, r);
 	}
 }
 
@@ -223,6 +237,7 @@
 	DL_DELETE(rs->open, r);
 	rs->open_count--;
 	rs->held_bytes += r->body_bytes;
+	ir_records_filled(rs, r);
 	r->refused = was_refused(r);
 	if (r->refused)
 		DL_APPEND(rs->refused, r);
@@ -246,6 +261,7 @@
 	else
 		DL_DELETE(rs->ran, r);
 	rs->held_bytes -= r->body_bytes;
+	ir_memory_release(rs->memory, IR_MEMORY_RECORDS, r->held_bytes);
 	talloc_free(r);
 }
 
--- a/src/upstream/record.h
+++ b/src/upstream/record.h
@@ -16,6 +16,7 @@
 #include "contract/ledger.h"
 #include "ibisrail/error.h"
 #include "ibisrail/limits.h"
+#include "ibisrail/memory.h"
 #include "link/peer.h"
 #include "upstream/gate.h"
 
@@ -65,6 +66,7 @@
 	uint32_t header_count;
 	uint8_t *body;
 	uint32_t body_bytes;
+	size_t held_bytes; /* of this record, counted */
 	int64_t done_us;
 	bool refused;		/* done, and not run */
 	struct ir_record *prev; /* among the open or the done ones */
@@ -77,7 +79,8 @@
 
 struct ir_records;
 
-struct ir_records *ir_records_new(TALLOC_CTX *mem);
+/* memory: where their bytes are counted, IR_MEMORY_RECORDS. */
+struct ir_records *ir_records_new(TALLOC_CTX *mem, struct ir_memory *memory);
 struct ir_record *ir_records_find(
     struct ir_records *rs, const struct ir_attempt_id *id);
 struct ir_record *ir_records_by_run(struct ir_records *rs, uint64_t run);
@@ -91,6 +94,8 @@
 /* NULL when the table is full. */
 struct ir_record *ir_records_add(
     struct ir_records *rs, const struct ir_attempt_id *id);
+/* Counts what r holds now: its request was filled in. */
+void ir_records_filled(struct ir_records *rs, struct ir_record *r);
 /* Lets ir_records_find() find r by a further attempt id, of a repeat. */
 void ir_records_alias(
     struct ir_records *rs, struct ir_record *r, const struct ir_attempt_id *id);
