Records: kept until the origin's deadline, within a bound of bytes

Cause: each attempt was remembered for 60 s with up to 48 MB of answers and in a table of 65,536, whatever the limit of the process; at 2,000 to 2,600 runs a second that is 2.4 to 3 KB a run for a minute. Change: only the origin asks after an attempt, and only until its call's deadline; so a record without Idempotency-Key is kept until then and a quarter of a second more. Those with a key are kept 60 s as before. Their bytes have a bound: answers give way first, oldest first, then new work is refused, not run. An origin takes no gate's word that it never got an attempt after the deadline, as the gate may have forgotten it. Why it holds: bytes follow the rate times the deadline, no longer a minute, and no rate takes them over the bound.

--- a/include/ibisrail/limits.h
+++ b/include/ibisrail/limits.h
@@ -20,15 +20,11 @@
 #define IR_SILENCE_US (700 * IR_US_PER_MS)
 /* How long a grant may be spent, from when it was asked for. */
 #define IR_GRANT_VALID_US (400 * IR_US_PER_MS)
-/* A gate remembers an answered attempt this long; over any deadline. */
+/* A gate remembers an Idempotency-Key this long; over any deadline. */
 #define IR_ATTEMPT_KEEP_US (60 * IR_US_PER_S)
 #define IR_MAX_DEADLINE_MS 30000
 /* Of a route; a call is cut to IR_MAX_DEADLINE_MS. */
 #define IR_MAX_ROUTE_DEADLINE_MS 600000
-/* Attempts that a gate remembers; work beyond it is refused. */
-#define IR_MAX_ATTEMPTS 65536
-/* Bytes of answers that a gate holds for late repeats. */
-#define IR_MAX_HELD_ANSWER_BYTES (48 * 1024 * 1024)
 /* Calls of callers and of the local upstream in one node at a time. */
 #define IR_MAX_CALLS 16384
 
--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -267,12 +267,25 @@
 	call_end(n, now, c, &answer);
 }
 
+/*
+ * A gate remembers an attempt until its call's deadline; that it knows none
+ * says nothing afterwards.
+ */
+static enum ir_error
+error_of(int64_t now, const struct call *c, const struct ir_reply *r)
+{
+	if (r->error >= IR_ERROR_COUNT)
+		return IR_E_INTERNAL;
+	if (r->error == IR_E_NEVER_RECEIVED && now >= c->deadline_us)
+		return IR_E_TIMEOUT;
+	return (enum ir_error)r->error;
+}
+
 static void
 failed_answer(
     struct ir_node *n, int64_t now, struct call *c, const struct ir_reply *r)
 {
-	enum ir_error e =
-	    r->error < IR_ERROR_COUNT ? (enum ir_error)r->error : IR_E_INTERNAL;
+	enum ir_error e = error_of(now, c, r);
 	enum ir_outcome o = ir_error_info(e)->outcome;
 
 	c->upstream_count += o != IR_OUTCOME_NOT_RUN || e == IR_E_UPSTREAM_SHED;
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -92,6 +92,7 @@
 	end_children(n, now, r);
 	ir_records_done(n->records, r, now);
 	send_answers(n, now, r);
+	ir_records_trim(n->records, 0);
 }
 
 /* What the gate decided, with what it decided by. */
@@ -173,6 +174,16 @@
 		send_answers(n, now, r);
 }
 
+static size_t
+forward_bytes(const struct ir_forward *f)
+{
+	size_t bytes = f->body.body_len + strlen(f->path);
+
+	for (uint32_t i = 0; i < f->headers.headers_len; i++)
+		bytes += strlen(f->headers.headers_val[i].value);
+	return bytes;
+}
+
 static struct ir_forward *
 copy_forward(TALLOC_CTX *mem, const struct ir_forward *f)
 {
@@ -345,7 +356,8 @@
 offer(struct ir_node *n, int64_t now, uint32_t conn, uint32_t xid,
     const struct ir_forward *f)
 {
-	struct ir_record *r = ir_records_add(n->records, &f->attempt);
+	struct ir_record *r =
+	    ir_records_add(n->records, &f->attempt, forward_bytes(f));
 	enum ir_error e;
 
 	if (r == NULL) {
@@ -449,7 +461,7 @@
 	}
 	if (ref->gate_incarnation != n->settings.incarnation)
 		return;
-	r = ir_records_add(n->records, &ref->attempt);
+	r = ir_records_add(n->records, &ref->attempt, 0);
 	if (r == NULL)
 		return;
 	add_waiter(r, conn, xid, &ref->attempt, true);
--- a/src/upstream/record.c
+++ b/src/upstream/record.c
@@ -16,6 +16,16 @@
 	UT_hash_handle hh;
 };
 
+/* Done records are kept in a wheel of times at which they are forgotten. */
+#define SLOT_US IR_RECORD_MARGIN_US
+#define SLOTS 256
+
+_Static_assert(SLOTS *SLOT_US > IR_ATTEMPT_KEEP_US + 2 * SLOT_US,
+    "the wheel must hold what is kept longest");
+
+/* What a record takes beside its request. */
+#define RECORD_BYTES 2048
+
 struct ir_records {
 	struct ir_memory *memory;
 	struct ir_alias *aliases;
@@ -24,10 +34,10 @@
 	struct ir_record *by_key;
 	struct ir_record *by_caller;
 	struct ir_record *open;
-	struct ir_record *ran;	   /* done, oldest first */
-	struct ir_record *refused; /* done without a run, oldest first */
+	struct ir_record *done[SLOTS]; /* by drop_us */
+	int64_t swept_us;	       /* all before it are forgotten */
+	struct ir_record *answered;    /* oldest first */
 	size_t open_count;
-	size_t held_bytes;
 };
 
 static int
@@ -143,11 +153,14 @@
 }
 
 struct ir_record *
-ir_records_add(struct ir_records *rs, const struct ir_attempt_id *id)
+ir_records_add(
+    struct ir_records *rs, const struct ir_attempt_id *id, size_t request_bytes)
 {
+	size_t bytes = RECORD_BYTES + request_bytes;
 	struct ir_record *r;
 
-	if (HASH_CNT(hh, rs->by_attempt) >= IR_MAX_ATTEMPTS)
+	ir_records_trim(rs, bytes);
+	if (!ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, bytes))
 		return NULL;
 	r = talloc_zero(rs, struct ir_record);
 	if (r == NULL)
@@ -199,23 +212,24 @@
 	r->held_bytes = bytes;
 }
 
-/* The oldest answers make room for new ones. */
 static void
-bound_held_bytes(struct ir_records *rs)
+forget_answer(struct ir_records *rs, struct ir_record *r)
 {
-	struct ir_record *r;
+	DL_DELETE2(rs->answered, r, answered_prev, answered_next);
+	TALLOC_FREE(r->headers);
+	r->header_count = 0;
+	TALLOC_FREE(r->body);
+	r->body_bytes = 0;
+	r->error = IR_E_ANSWER_DROPPED;
+	ir_records_filled(rs, r);
+}
 
-	DL_FOREACH (rs->ran, r) {
-		if (rs->held_bytes <= IR_MAX_HELD_ANSWER_BYTES)
-			return;
-		if (r->body == NULL)
-			continue;
-		rs->held_bytes -= r->body_bytes;
-		TALLOC_FREE(r->body);
-		r->body_bytes = 0;
-		r->error = IR_E_ANSWER_DROPPED;
-		ir_records_filled(rs, r);
-	}
+void
+ir_records_trim(struct ir_records *rs, size_t room_bytes)
+{
+	while (rs->answered != NULL &&
+	       !ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, room_bytes))
+		forget_answer(rs, rs->answered);
 }
 
 static bool
@@ -224,31 +238,51 @@
 	return ir_error_info(r->error)->outcome == IR_OUTCOME_NOT_RUN;
 }
 
+static int64_t
+drop_time(const struct ir_record *r, int64_t now)
+{
+	int64_t deadline_us = r->work.deadline_us;
+
+	if (r->idempotency != NULL)
+		return now + IR_ATTEMPT_KEEP_US;
+	if (r->error == IR_E_NEVER_RECEIVED)
+		return now + IR_NEVER_RECEIVED_KEEP_US;
+	return (deadline_us > now ? deadline_us : now) + IR_RECORD_MARGIN_US;
+}
+
+/* Of those that are forgotten at the end of the slot of that time. */
+static struct ir_record **
+slot_at(struct ir_records *rs, int64_t us)
+{
+	return &rs->done[(uint64_t)(us / SLOT_US) % SLOTS];
+}
+
 void
 ir_records_done(struct ir_records *rs, struct ir_record *r, int64_t now)
 {
+	struct ir_record **slot;
+
 	if (r->run != 0)
 		HASH_DELETE(run_hh, rs->by_run, r);
 	if (has_caller_id(r))
 		HASH_DELETE(caller_hh, rs->by_caller, r);
 	r->state = IR_RECORD_DONE;
-	r->done_us = now;
+	r->drop_us = drop_time(r, now);
 	TALLOC_FREE(r->forward);
 	DL_DELETE(rs->open, r);
 	rs->open_count--;
-	rs->held_bytes += r->body_bytes;
 	ir_records_filled(rs, r);
 	r->refused = was_refused(r);
-	if (r->refused)
-		DL_APPEND(rs->refused, r);
-	else
-		DL_APPEND(rs->ran, r);
-	bound_held_bytes(rs);
+	slot = slot_at(rs, r->drop_us);
+	DL_APPEND(*slot, r);
+	if (r->error == IR_OK)
+		DL_APPEND2(rs->answered, r, answered_prev, answered_next);
 }
 
 static void
 drop(struct ir_records *rs, struct ir_record *r)
 {
+	struct ir_record **slot = slot_at(rs, r->drop_us);
 	struct ir_alias *a;
 
 	LL_FOREACH (r->aliases, a)
@@ -256,23 +290,35 @@
 	if (r->idempotency != NULL)
 		HASH_DELETE(key_hh, rs->by_key, r);
 	HASH_DELETE(hh, rs->by_attempt, r);
-	if (r->refused)
-		DL_DELETE(rs->refused, r);
-	else
-		DL_DELETE(rs->ran, r);
-	rs->held_bytes -= r->body_bytes;
+	DL_DELETE(*slot, r);
+	if (r->error == IR_OK)
+		DL_DELETE2(rs->answered, r, answered_prev, answered_next);
 	ir_memory_release(rs->memory, IR_MEMORY_RECORDS, r->held_bytes);
 	talloc_free(r);
 }
 
+/* After a pause the slot may hold records of a later turn of the wheel. */
+static void
+drop_slot(struct ir_records *rs, int64_t us, int64_t now)
+{
+	struct ir_record *r, *next;
+
+	DL_FOREACH_SAFE (*slot_at(rs, us), r, next) {
+		if (r->drop_us <= now)
+			drop(rs, r);
+	}
+}
+
 void
 ir_records_expire(struct ir_records *rs, int64_t now)
 {
-	while (rs->refused != NULL &&
-	       now - rs->refused->done_us >= IR_REFUSED_KEEP_US)
-		drop(rs, rs->refused);
-	while (rs->ran != NULL && now - rs->ran->done_us >= IR_ATTEMPT_KEEP_US)
-		drop(rs, rs->ran);
+	int64_t from_us = now - SLOTS * SLOT_US;
+
+	/* After a long pause all slots are due once. */
+	if (rs->swept_us < from_us)
+		rs->swept_us = from_us;
+	for (; now - rs->swept_us >= SLOT_US; rs->swept_us += SLOT_US)
+		drop_slot(rs, rs->swept_us, now);
 }
 
 size_t
--- a/src/upstream/record.h
+++ b/src/upstream/record.h
@@ -3,9 +3,11 @@
  * answer, or refused. A repeated attempt id finds its record and never starts
  * a second run; so does a repeated Idempotency-Key of the same account.
  *
- * A record outlives its answer by IR_ATTEMPT_KEEP_US, a refused one by
- * IR_REFUSED_KEEP_US. Answer bodies over IR_MAX_HELD_ANSWER_BYTES in all are
- * dropped, oldest first; the record then tells IR_E_ANSWER_DROPPED.
+ * A record with an Idempotency-Key outlives its answer by IR_ATTEMPT_KEEP_US.
+ * Any other is kept until its origin, which ends its call at the deadline, can
+ * no longer ask after it. Where the bound IR_MEMORY_RECORDS leaves no room,
+ * answers are dropped, oldest first; the record then tells
+ * IR_E_ANSWER_DROPPED.
  */
 #ifndef IR_UPSTREAM_RECORD_H
 #define IR_UPSTREAM_RECORD_H
@@ -20,7 +22,13 @@
 #include "link/peer.h"
 #include "upstream/gate.h"
 
-#define IR_REFUSED_KEEP_US (10 * IR_US_PER_S)
+/*
+ * Kept past the deadline, which the gate may take for earlier than the origin
+ * does by what the origin keeps back for the answer's way, 20 ms.
+ */
+#define IR_RECORD_MARGIN_US (250 * IR_US_PER_MS)
+/* Of attempts that were asked after and never came. */
+#define IR_NEVER_RECEIVED_KEEP_US (10 * IR_US_PER_S)
 
 /* Where an answer is to be sent: the attempt that asks for it. */
 struct ir_waiter {
@@ -66,11 +74,13 @@
 	uint32_t header_count;
 	uint8_t *body;
 	uint32_t body_bytes;
-	size_t held_bytes; /* of this record, counted */
-	int64_t done_us;
+	size_t held_bytes;	/* of this record, counted */
+	int64_t drop_us;	/* done: when it is forgotten */
 	bool refused;		/* done, and not run */
-	struct ir_record *prev; /* among the open or the done ones */
+	struct ir_record *prev; /* among the open ones, or those kept as long */
 	struct ir_record *next;
+	struct ir_record *answered_prev; /* among those that hold an answer */
+	struct ir_record *answered_next;
 	UT_hash_handle hh;
 	UT_hash_handle run_hh;
 	UT_hash_handle key_hh;
@@ -91,9 +101,9 @@
     struct ir_records *rs, const char *id, size_t id_bytes);
 struct ir_record *ir_records_by_key(
     struct ir_records *rs, const char *idempotency);
-/* NULL when the table is full. */
-struct ir_record *ir_records_add(
-    struct ir_records *rs, const struct ir_attempt_id *id);
+/* NULL when there is no room for it and a request of so many bytes. */
+struct ir_record *ir_records_add(struct ir_records *rs,
+    const struct ir_attempt_id *id, size_t request_bytes);
 /* Counts what r holds now: its request was filled in. */
 void ir_records_filled(struct ir_records *rs, struct ir_record *r);
 /* Lets ir_records_find() find r by a further attempt id, of a repeat. */
@@ -105,6 +115,8 @@
     struct ir_records *rs, struct ir_record *r, uint64_t run);
 /* The record got its end; its request's memory is let go. */
 void ir_records_done(struct ir_records *rs, struct ir_record *r, int64_t now);
+/* Drops answers, oldest first, until the bound leaves room for so much. */
+void ir_records_trim(struct ir_records *rs, size_t room_bytes);
 void ir_records_expire(struct ir_records *rs, int64_t now);
 size_t ir_records_count(const struct ir_records *rs);
 /* Records not yet done. */
--- a/test/test_node_memory.c
+++ b/test/test_node_memory.c
@@ -375,6 +375,71 @@
 	assert_int_equal(ir_memory_held(&g->memory, IR_MEMORY_RECORDS), 0);
 }
 
+static void
+greeted(struct gate *g)
+{
+	struct ir_msg m = {.kind = IR_MSG_HELLO_REPLY};
+
+	ir_node_connected(g->node, g->now, g->conn);
+	m.ir_msg_u.hello_reply.accepted = true;
+	m.ir_msg_u.hello_reply.host = ir_unconst("shop-1");
+	m.ir_msg_u.hello_reply.incarnation = PEER_INCARNATION;
+	ir_node_message(g->node, g->now, g->conn, g->xid, &m);
+}
+
+static void
+answer_status(struct gate *g, enum ir_error e)
+{
+	struct ir_msg m = {.kind = IR_MSG_STATUS_REPLY};
+	struct ir_reply *r = &m.ir_msg_u.status_reply;
+
+	r->attempt.incarnation = OWN_INCARNATION;
+	r->attempt.sequence = g->status_sequence;
+	r->incarnation = PEER_INCARNATION;
+	r->error = e;
+	ir_node_message(g->node, g->now, g->conn, g->xid, &m);
+}
+
+/* A call of 1 s whose link is lost once it was sent; its status is asked. */
+static void
+call_and_lose_link(struct gate *g)
+{
+	call(g, 1, "shop", 0);
+	greeted(g);
+	assert_int_equal(g->sent_sequence, 1);
+	ir_node_closed(g->node, g->now, g->conn);
+	for (int t = 0; t < 50 && g->status_sequence == 0; t++) {
+		uint32_t before = g->conn;
+
+		tick(g);
+		if (g->conn != before)
+			greeted(g);
+	}
+	assert_int_equal(g->status_sequence, 1);
+}
+
+static void
+test_unknown_attempt_is_not_run_within_the_deadline(void **state)
+{
+	struct gate *g = *state;
+
+	call_and_lose_link(g);
+	answer_status(g, IR_E_NEVER_RECEIVED);
+	assert_int_equal(g->refused, 1);
+}
+
+static void
+test_attempt_forgotten_after_its_deadline_is_not_told_as_not_run(void **state)
+{
+	struct gate *g = *state;
+
+	call_and_lose_link(g);
+	g->now += IR_US_PER_S;
+	answer_status(g, IR_E_NEVER_RECEIVED);
+	assert_int_equal(g->refused, 0);
+	assert_int_equal(g->unknown, 1);
+}
+
 int
 main(void)
 {
@@ -385,6 +450,8 @@
 	    T(test_refused_attempts_do_not_outgrow_the_host),
 	    T(test_requests_that_run_long_do_not_outgrow_the_host),
 	    T(test_waiting_calls_do_not_outgrow_the_host),
+	    T(test_unknown_attempt_is_not_run_within_the_deadline),
+	    T(test_attempt_forgotten_after_its_deadline_is_not_told_as_not_run),
 	    T(test_counts_are_zero_when_all_has_ended),
 	};
 
