Calls: a new one is refused when those in flight leave no room

Callers would see the whole host go, with all that it had passed on. Cause: calls in flight were bounded by number, 16,384, with bodies of up to 4 MB each. Why it works: what is admitted is counted until it has its answer. Test: test_node_memory, test_waiting_calls_do_not_outgrow_the_host: 103,205 KB held before where 16,384 are the bound; passes now.

--- a/src/core/call.c
+++ b/src/core/call.c
@@ -163,6 +163,17 @@
 	talloc_free(c);
 }
 
+/* What a call takes beside its body, typically. */
+#define CALL_BYTES 4096
+
+static bool
+has_room(const struct ir_node *n, const struct ir_call *in)
+{
+	return HASH_COUNT(n->calls) < IR_MAX_CALLS &&
+	       ir_memory_has_room(n->settings.memory, IR_MEMORY_CALLS,
+		   CALL_BYTES + in->body_bytes);
+}
+
 void
 ir_node_call(struct ir_node *n, int64_t now, const struct ir_call *in)
 {
@@ -174,7 +185,7 @@
 	e = admit_check(in);
 	if (e == IR_OK && n->stopping && now >= n->refuse_us && !in->egress)
 		e = IR_E_STOPPING;
-	if (e == IR_OK && HASH_COUNT(n->calls) >= IR_MAX_CALLS)
+	if (e == IR_OK && !has_room(n, in))
 		e = IR_E_OVERLOAD;
 	if (e == IR_OK) {
 		c = admit_new(n, now, in);
