Memory: a process close to its limit takes no new work

Cause: the bounds are of what is counted; nothing looked at the process itself. Change: each 100 ms the process's own pages are compared with the limit of the settings. Over 80% new calls and new work at the gate are refused as overload, not run, until it is under 75%; what is held ends as it would. memory-short (109) tells both moments with what is held for each use. Why it works: the measure does not depend on knowing the holder. Test: test_node_memory, test_process_near_its_limit_takes_no_new_work; test_memory. Neither could be written before: nothing to ask.

--- a/include/ibisrail/memory.h
+++ b/include/ibisrail/memory.h
@@ -29,6 +29,7 @@
 	uint64_t limit_bytes;
 	bool enforced;		/* the process ends above limit_bytes */
 	uint64_t process_bytes; /* as measured last, 0 before */
+	bool short_of;		/* see ir_memory_is_short() */
 	uint64_t bound_bytes[IR_MEMORY_USE_COUNT];
 	uint64_t held_bytes[IR_MEMORY_USE_COUNT];
 };
@@ -46,6 +47,18 @@
 bool ir_memory_has_room(
     const struct ir_memory *m, enum ir_memory_use use, size_t bytes);
 
+/*
+ * Notes what the process was measured to hold. True when
+ * ir_memory_is_short() changed. For one thread only.
+ */
+bool ir_memory_note(struct ir_memory *m, uint64_t process_bytes);
+/*
+ * Whether the process came close to the limit that is enforced on it, and has
+ * not gone well below since. No new work is taken then, whatever the bounds
+ * leave: what is in none of the counts fills the process too.
+ */
+bool ir_memory_is_short(const struct ir_memory *m);
+
 /* Bytes of a talloc tree, with what each chunk takes beside its content. */
 size_t ir_memory_of(const void *tree);
 
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -170,6 +170,7 @@
 has_room(const struct ir_node *n, const struct ir_call *in)
 {
 	return HASH_COUNT(n->calls) < IR_MAX_CALLS &&
+	       !ir_memory_is_short(n->settings.memory) &&
 	       ir_memory_has_room(n->settings.memory, IR_MEMORY_CALLS,
 		   CALL_BYTES + in->body_bytes);
 }
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -1,8 +1,11 @@
 /* The core's thread. */
+#include <inttypes.h>
 #include <json.h>
+#include <malloc.h>
 #include <poll.h>
 #include <utlist.h>
 
+#include "io/admin/report.h"
 #include "io/clock.h"
 #include "io/core/core_out.h"
 #include "io/memory.h"
@@ -280,6 +283,37 @@
 		ir_outbox_push(&c->out[d], ir_from_core_new(IR_FROM_CORE_STOP));
 }
 
+static void
+log_memory(struct core *c)
+{
+	const struct ir_memory *m = c->loop->memory;
+
+	ir_report(c->loop->log, IR_EVENT_MEMORY_SHORT, NULL,
+	    "state=%s process=%" PRIu64 " limit=%" PRIu64 " callers=%" PRIu64
+	    " calls=%" PRIu64 " records=%" PRIu64 " upstream=%" PRIu64
+	    " peers=%" PRIu64,
+	    ir_memory_is_short(m) ? "short" : "relieved", m->process_bytes,
+	    m->limit_bytes, ir_memory_held(m, IR_MEMORY_CALLERS),
+	    ir_memory_held(m, IR_MEMORY_CALLS),
+	    ir_memory_held(m, IR_MEMORY_RECORDS),
+	    ir_memory_held(m, IR_MEMORY_UPSTREAM),
+	    ir_memory_held(m, IR_MEMORY_PEERS));
+}
+
+static void
+measure_memory(struct core *c, int64_t now)
+{
+	if (now < c->next_measure_us)
+		return;
+	c->next_measure_us = now + MEASURE_US;
+	if (!ir_memory_measure(c->loop->memory))
+		return;
+	log_memory(c);
+	/* Gives back what the allocator holds and nothing uses. */
+	if (ir_memory_is_short(c->loop->memory))
+		(void)malloc_trim(0);
+}
+
 static void
 tick(struct core *c)
 {
@@ -288,10 +322,7 @@
 	if (now < c->next_tick_us)
 		return;
 	c->next_tick_us = now + TICK_US;
-	if (now >= c->next_measure_us) {
-		ir_memory_measure(c->loop->memory);
-		c->next_measure_us = now + MEASURE_US;
-	}
+	measure_memory(c, now);
 	ir_node_tick(c->node, now);
 	pay_owed(c);
 	order_store(c);
--- a/src/io/memory.c
+++ b/src/io/memory.c
@@ -30,14 +30,13 @@
 	return *resident >= *of_files;
 }
 
-void
+bool
 ir_memory_measure(struct ir_memory *m)
 {
 	uint64_t resident, of_files;
 
 	if (!read_pages(&resident, &of_files))
-		return;
-	__atomic_store_n(&m->process_bytes,
-	    (resident - of_files) * (uint64_t)sysconf(_SC_PAGESIZE),
-	    __ATOMIC_RELAXED);
+		return false;
+	return ir_memory_note(
+	    m, (resident - of_files) * (uint64_t)sysconf(_SC_PAGESIZE));
 }
--- a/src/io/memory.h
+++ b/src/io/memory.h
@@ -5,10 +5,10 @@
 #include "ibisrail/memory.h"
 
 /*
- * Notes the process's own pages, those of files not counted, in
- * m->process_bytes. Any one thread; leaves the last value when the system does
- * not tell.
+ * Notes the process's own pages, those of files not counted; leaves the last
+ * value when the system does not tell. True when ir_memory_is_short() changed.
+ * For one thread only.
  */
-void ir_memory_measure(struct ir_memory *m);
+bool ir_memory_measure(struct ir_memory *m);
 
 #endif
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -48,6 +48,15 @@
 	"The reader of the log stalled; lines were left out, requests went "
 	"on.",
 	"Look at what reads the process's standard output."},
+    {IR_EVENT_MEMORY_SHORT,
+	"state: short or relieved; process: its own pages, bytes; limit: of "
+	"the settings, bytes; callers, calls, records, upstream, peers: bytes "
+	"held for each",
+	"The process came close to the limit of its memory and takes no new "
+	"work until it is well below; or it is.",
+	"Compare what is held with the process: where the parts do not add up "
+	"to it, views or the allocator hold the rest. If it returns, raise "
+	"memory_mb with the limit of the service, or add hosts."},
     {IR_EVENT_VIEW_CHANGED,
 	"config, list: the revisions of configuration and host list; hosts: "
 	"how many the list names",
--- a/src/metric/memory.c
+++ b/src/metric/memory.c
@@ -4,6 +4,9 @@
 #include "ibisrail/memory.h"
 
 #define PERCENT 100
+/* Of the limit: above the one a process is short, below the other no more. */
+#define SHORT_PERCENT 80
+#define RELIEVED_PERCENT 75
 /* Header of talloc, and what malloc adds and rounds up to. */
 #define CHUNK_BYTES 112
 
@@ -57,6 +60,25 @@
 	return ir_memory_held(m, use) + bytes <= m->bound_bytes[use];
 }
 
+bool
+ir_memory_note(struct ir_memory *m, uint64_t process_bytes)
+{
+	bool was = ir_memory_is_short(m);
+	uint64_t percent = was ? RELIEVED_PERCENT : SHORT_PERCENT;
+	bool is =
+	    m->enforced && process_bytes > m->limit_bytes * percent / PERCENT;
+
+	__atomic_store_n(&m->process_bytes, process_bytes, __ATOMIC_RELAXED);
+	__atomic_store_n(&m->short_of, is, __ATOMIC_RELAXED);
+	return is != was;
+}
+
+bool
+ir_memory_is_short(const struct ir_memory *m)
+{
+	return __atomic_load_n(&m->short_of, __ATOMIC_RELAXED);
+}
+
 size_t
 ir_memory_of(const void *tree)
 {
--- a/src/upstream/record.c
+++ b/src/upstream/record.c
@@ -160,7 +160,8 @@
 	struct ir_record *r;
 
 	ir_records_trim(rs, bytes);
-	if (!ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, bytes))
+	if (ir_memory_is_short(rs->memory) ||
+	    !ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, bytes))
 		return NULL;
 	r = talloc_zero(rs, struct ir_record);
 	if (r == NULL)
--- /dev/null
+++ b/test/test_memory.c
@@ -0,0 +1,115 @@
+/* The bounds of a process's memory, and when it is short. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "io/memory.h"
+
+#define MB (UINT64_C(1024) * 1024)
+
+static void
+test_bounds_leave_two_fifths(void **state)
+{
+	struct ir_memory m;
+	uint64_t sum = 0;
+
+	ir_memory_init(&m, 160 * MB);
+	for (int u = 0; u < IR_MEMORY_USE_COUNT; u++)
+		sum += m.bound_bytes[u];
+	assert_true(sum <= 160 * MB * 60 / 100);
+	assert_int_equal(m.limit_bytes, 160 * MB);
+	assert_true(m.enforced);
+}
+
+static void
+test_without_a_limit_the_default_divides(void **state)
+{
+	struct ir_memory m;
+
+	ir_memory_init(&m, 0);
+	assert_int_equal(m.limit_bytes, IR_MEMORY_DEFAULT_BYTES);
+	assert_false(m.enforced);
+	assert_false(ir_memory_note(&m, 100 * IR_MEMORY_DEFAULT_BYTES));
+	assert_false(ir_memory_is_short(&m));
+}
+
+static void
+test_room_is_what_the_bound_leaves(void **state)
+{
+	struct ir_memory m;
+	size_t bound;
+
+	ir_memory_init(&m, 100 * MB);
+	bound = m.bound_bytes[IR_MEMORY_CALLS];
+	assert_true(ir_memory_has_room(&m, IR_MEMORY_CALLS, bound));
+	assert_false(ir_memory_has_room(&m, IR_MEMORY_CALLS, bound + 1));
+	ir_memory_hold(&m, IR_MEMORY_CALLS, 10);
+	assert_false(ir_memory_has_room(&m, IR_MEMORY_CALLS, bound));
+	assert_true(ir_memory_has_room(
+	    &m, IR_MEMORY_PEERS, m.bound_bytes[IR_MEMORY_PEERS]));
+	ir_memory_release(&m, IR_MEMORY_CALLS, 10);
+	assert_int_equal(ir_memory_held(&m, IR_MEMORY_CALLS), 0);
+}
+
+static void
+test_short_until_well_below(void **state)
+{
+	struct ir_memory m;
+
+	ir_memory_init(&m, 100 * MB);
+	assert_false(ir_memory_note(&m, 79 * MB));
+	assert_true(ir_memory_note(&m, 81 * MB));
+	assert_true(ir_memory_is_short(&m));
+	assert_false(ir_memory_note(&m, 77 * MB));
+	assert_true(ir_memory_is_short(&m));
+	assert_true(ir_memory_note(&m, 74 * MB));
+	assert_false(ir_memory_is_short(&m));
+}
+
+static void
+test_own_pages_are_measured(void **state)
+{
+	struct ir_memory m;
+	uint64_t before;
+	uint8_t *p;
+
+	ir_memory_init(&m, 0);
+	ir_memory_measure(&m);
+	before = m.process_bytes;
+	assert_true(before > 0);
+	p = talloc_size(NULL, 64 * MB);
+	memset(p, 1, 64 * MB);
+	ir_memory_measure(&m);
+	assert_true(m.process_bytes >= before + 60 * MB);
+	talloc_free(p);
+}
+
+static void
+test_tree_counts_its_chunks(void **state)
+{
+	TALLOC_CTX *tree = talloc_new(NULL);
+	size_t empty = ir_memory_of(tree);
+
+	assert_non_null(talloc_size(tree, 1000));
+	assert_true(ir_memory_of(tree) > empty + 1000);
+	talloc_free(tree);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_bounds_leave_two_fifths),
+	    cmocka_unit_test(test_without_a_limit_the_default_divides),
+	    cmocka_unit_test(test_room_is_what_the_bound_leaves),
+	    cmocka_unit_test(test_short_until_well_below),
+	    cmocka_unit_test(test_own_pages_are_measured),
+	    cmocka_unit_test(test_tree_counts_its_chunks),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_node_memory.c
+++ b/test/test_node_memory.c
@@ -361,6 +361,26 @@
 	assert_int_equal(g->last, IR_E_OVERLOAD);
 }
 
+static void
+test_process_near_its_limit_takes_no_new_work(void **state)
+{
+	struct gate *g = *state;
+
+	forward(g, 800, 0);
+	assert_true(ir_memory_note(&g->memory, LIMIT_BYTES * 9 / 10));
+	forward(g, 800, 0);
+	assert_int_equal(g->last, IR_E_OVERLOAD);
+	call(g, 1, "stock", 0);
+	assert_int_equal(g->last, IR_E_OVERLOAD);
+	assert_int_equal(g->refused, 2);
+	end_runs(g, 100);
+	assert_int_equal(g->served, 1);
+	assert_true(ir_memory_note(&g->memory, LIMIT_BYTES / 10));
+	forward(g, 800, 0);
+	end_runs(g, 100);
+	assert_int_equal(g->served, 2);
+}
+
 static void
 test_counts_are_zero_when_all_has_ended(void **state)
 {
@@ -452,6 +472,7 @@
 	    T(test_waiting_calls_do_not_outgrow_the_host),
 	    T(test_unknown_attempt_is_not_run_within_the_deadline),
 	    T(test_attempt_forgotten_after_its_deadline_is_not_told_as_not_run),
+	    T(test_process_near_its_limit_takes_no_new_work),
 	    T(test_counts_are_zero_when_all_has_ended),
 	};
 
