Records: repeats of an Idempotency-Key count and keep to the bound

Change: the names are counted with the record; without room a repeat is told that the outcome is unknown (repeat-unknown), as its first request may have run. Test: test_record, test_repeats_of_a_key_do_not_outgrow_the_bound fails with the check of room taken out.

--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -437,11 +437,13 @@
 	e = serve_key_check(n, now, f);
 	if (e == IR_OK && r->fingerprint != fingerprint(f))
 		e = IR_E_BAD_REQUEST;
-	if (e != IR_OK)
+	/* Its first request may have run: no refusal may say otherwise. */
+	if (e == IR_OK && !ir_records_alias(n->records, r, &f->attempt))
+		e = IR_E_REPEAT_UNKNOWN;
+	if (e != IR_OK) {
 		refuse_unrecorded(n, now, conn, xid, f, e);
-	if (e != IR_OK)
 		return;
-	ir_records_alias(n->records, r, &f->attempt);
+	}
 	attach(n, now, r, conn, xid, &f->attempt, false);
 }
 
--- a/src/upstream/record.c
+++ b/src/upstream/record.c
@@ -77,17 +77,64 @@
 }
 
 void
+ir_records_filled(struct ir_records *rs, struct ir_record *r)
+{
+	size_t bytes = ir_memory_of(r);
+
+	ir_memory_release(rs->memory, IR_MEMORY_RECORDS, r->held_bytes);
+	ir_memory_hold(rs->memory, IR_MEMORY_RECORDS, bytes);
+	r->held_bytes = bytes;
+}
+
+static void
+forget_answer(struct ir_records *rs, struct ir_record *r)
+{
+	DL_DELETE2(rs->answered, r, answered_prev, answered_next);
+	TALLOC_FREE(r->headers);
+	r->header_count = 0;
+	TALLOC_FREE(r->body);
+	r->body_bytes = 0;
+	r->error = IR_E_ANSWER_DROPPED;
+	ir_records_filled(rs, r);
+}
+
+void
+ir_records_trim(struct ir_records *rs, size_t room_bytes)
+{
+	while (rs->answered != NULL &&
+	       !ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, room_bytes))
+		forget_answer(rs, rs->answered);
+}
+
+/* Whether there is room for new work; answers give way for it. */
+static bool
+has_room(struct ir_records *rs, size_t bytes)
+{
+	ir_records_trim(rs, bytes);
+	return !ir_memory_is_short(rs->memory) &&
+	       ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, bytes);
+}
+
+bool
 ir_records_alias(
     struct ir_records *rs, struct ir_record *r, const struct ir_attempt_id *id)
 {
-	struct ir_alias *a = talloc_zero(r, struct ir_alias);
+	struct ir_alias *a;
+	size_t bytes;
 
+	if (!has_room(rs, sizeof(*a)))
+		return false;
+	a = talloc_zero(r, struct ir_alias);
 	if (a == NULL)
-		return;
+		return false;
 	a->attempt = *id;
 	a->record = r;
 	LL_PREPEND(r->aliases, a);
 	HASH_ADD(hh, rs->aliases, attempt, sizeof(a->attempt), a);
+	bytes = ir_memory_of(a);
+	ir_memory_hold(rs->memory, IR_MEMORY_RECORDS, bytes);
+	r->held_bytes += bytes;
+	return true;
 }
 
 struct ir_record *
@@ -156,12 +203,9 @@
 ir_records_add(
     struct ir_records *rs, const struct ir_attempt_id *id, size_t request_bytes)
 {
-	size_t bytes = RECORD_BYTES + request_bytes;
 	struct ir_record *r;
 
-	ir_records_trim(rs, bytes);
-	if (ir_memory_is_short(rs->memory) ||
-	    !ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, bytes))
+	if (!has_room(rs, RECORD_BYTES + request_bytes))
 		return NULL;
 	r = talloc_zero(rs, struct ir_record);
 	if (r == NULL)
@@ -203,36 +247,6 @@
 		    strlen(r->forward->caller_attempt), r);
 }
 
-void
-ir_records_filled(struct ir_records *rs, struct ir_record *r)
-{
-	size_t bytes = ir_memory_of(r);
-
-	ir_memory_release(rs->memory, IR_MEMORY_RECORDS, r->held_bytes);
-	ir_memory_hold(rs->memory, IR_MEMORY_RECORDS, bytes);
-	r->held_bytes = bytes;
-}
-
-static void
-forget_answer(struct ir_records *rs, struct ir_record *r)
-{
-	DL_DELETE2(rs->answered, r, answered_prev, answered_next);
-	TALLOC_FREE(r->headers);
-	r->header_count = 0;
-	TALLOC_FREE(r->body);
-	r->body_bytes = 0;
-	r->error = IR_E_ANSWER_DROPPED;
-	ir_records_filled(rs, r);
-}
-
-void
-ir_records_trim(struct ir_records *rs, size_t room_bytes)
-{
-	while (rs->answered != NULL &&
-	       !ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, room_bytes))
-		forget_answer(rs, rs->answered);
-}
-
 static bool
 was_refused(const struct ir_record *r)
 {
--- a/src/upstream/record.h
+++ b/src/upstream/record.h
@@ -106,8 +106,11 @@
     const struct ir_attempt_id *id, size_t request_bytes);
 /* Counts what r holds now: its request was filled in. */
 void ir_records_filled(struct ir_records *rs, struct ir_record *r);
-/* Lets ir_records_find() find r by a further attempt id, of a repeat. */
-void ir_records_alias(
+/*
+ * Lets ir_records_find() find r by a further attempt id, of a repeat. False
+ * without room.
+ */
+bool ir_records_alias(
     struct ir_records *rs, struct ir_record *r, const struct ir_attempt_id *id);
 void ir_records_set_key(
     struct ir_records *rs, struct ir_record *r, const char *idempotency);
--- a/test/test_record.c
+++ b/test/test_record.c
@@ -153,6 +153,24 @@
 	assert_true(ir_memory_has_room(&k->memory, IR_MEMORY_RECORDS, 0));
 }
 
+static void
+test_repeats_of_a_key_do_not_outgrow_the_bound(void **state)
+{
+	struct kept *k = *state;
+	struct ir_record *r = add(k, START_US, "key");
+	size_t before = ir_memory_of(k->records);
+	uint64_t repeat = 1000;
+	struct ir_attempt_id id = id_of(repeat);
+
+	answer(k, r, START_US, 10);
+	while (repeat < 1000000 && ir_records_alias(k->records, r, &id))
+		id = id_of(++repeat);
+	assert_true(ir_memory_of(k->records) - before <=
+		    k->memory.bound_bytes[IR_MEMORY_RECORDS]);
+	ir_records_expire(k->records, START_US + 2 * IR_ATTEMPT_KEEP_US);
+	assert_int_equal(ir_memory_held(&k->memory, IR_MEMORY_RECORDS), 0);
+}
+
 int
 main(void)
 {
@@ -162,6 +180,7 @@
 	    T(test_key_is_known_for_its_time),
 	    T(test_key_answered_after_a_pause_is_not_forgotten_early),
 	    T(test_answers_give_way_before_work_is_refused),
+	    T(test_repeats_of_a_key_do_not_outgrow_the_bound),
 	    T(test_work_is_refused_without_room),
 	};
 
