Peers: what connections hold is bounded in bytes

Cause: each connection kept a read buffer of 64 KB or more from its first read on, unsent bytes were bounded by connection only and not at all while it connects, and with a full ring each connection still read one more message. Change: bytes are read into one buffer of the thread; a connection holds bytes only while a record is not whole or not wanted. Received and unsent bytes count as IR_MEMORY_PEERS; over its bound the connection that holds most is closed and logged as link-lost, why=memory. 16 MB of unsent bytes a connection, or the bound if that is less, also while it connects. While the ring is full no connection is read until all have handed over what they hold.

--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -161,8 +161,8 @@
 	    p->descriptors.callers, callers_fd, egress_fd);
 	p->upstream = ir_upstream_new(p, ch[IR_DUTY_UPSTREAM], p->dialect,
 	    &p->settings->upstream, p->descriptors.upstream);
-	p->peers = ir_peers_new(p, ch[IR_DUTY_PEERS], p->descriptors.peers,
-	    take_fd(p, LISTENER_PEERS));
+	p->peers = ir_peers_new(p, ch[IR_DUTY_PEERS], &p->memory,
+	    p->descriptors.peers, take_fd(p, LISTENER_PEERS));
 	p->platform = ir_platform_new(
 	    p, ch[IR_DUTY_PLATFORM], p->settings, &p->dialect->store);
 	if (p->callers == NULL || p->upstream == NULL || p->peers == NULL ||
--- a/src/io/peers/peer_conn.c
+++ b/src/io/peers/peer_conn.c
@@ -15,8 +15,48 @@
 #include "link/codec.h"
 
 #define READ_BYTES 65536
-/* A buffer larger than this is given back when it is empty. */
-#define KEEP_BYTES (4 * READ_BYTES)
+
+static void
+hold(struct ir_peer_conn *c, size_t bytes)
+{
+	c->held_bytes += bytes;
+	ir_memory_hold(c->memory, IR_MEMORY_PEERS, bytes);
+}
+
+static void
+release(struct ir_peer_conn *c, size_t bytes)
+{
+	c->held_bytes -= bytes;
+	ir_memory_release(c->memory, IR_MEMORY_PEERS, bytes);
+}
+
+static void
+free_in(struct ir_peer_conn *c)
+{
+	if (c->in != NULL)
+		release(c, ir_memory_of(c->in));
+	TALLOC_FREE(c->in);
+	c->in_bytes = 0;
+}
+
+static void
+free_first_unsent(struct ir_peer_conn *c)
+{
+	struct ir_unsent *u = c->unsent;
+
+	DL_DELETE(c->unsent, u);
+	c->unsent_bytes -= u->size_bytes - u->sent_bytes;
+	release(c, ir_memory_of(u));
+	talloc_free(u);
+}
+
+static void
+free_held(struct ir_peer_conn *c)
+{
+	free_in(c);
+	while (c->unsent != NULL)
+		free_first_unsent(c);
+}
 
 void
 ir_peer_conn_fail(struct ir_peer_conn *c, const char *reason)
@@ -25,6 +65,7 @@
 		return;
 	c->failing = true;
 	TALLOC_FREE(c->event);
+	free_held(c);
 	c->ops->failed(c->ctx, c, reason);
 }
 
@@ -49,16 +90,14 @@
 		}
 		u->sent_bytes += (size_t)n;
 		c->unsent_bytes -= (size_t)n;
-		if (u->sent_bytes < u->size_bytes)
-			continue;
-		DL_DELETE(c->unsent, u);
-		talloc_free(u);
+		if (u->sent_bytes == u->size_bytes)
+			free_first_unsent(c);
 	}
 	return true;
 }
 
-void
-ir_peer_conn_send(struct ir_peer_conn *c, uint8_t *data, size_t size_bytes)
+static void
+append_unsent(struct ir_peer_conn *c, uint8_t *data, size_t size_bytes)
 {
 	struct ir_unsent *u = talloc_zero(c, struct ir_unsent);
 
@@ -68,30 +107,41 @@
 	u->size_bytes = size_bytes;
 	DL_APPEND(c->unsent, u);
 	c->unsent_bytes += size_bytes;
-	if (c->failing || c->connecting)
-		return;
-	/* Something waits already when there was a first one before. */
-	if (c->unsent == u && send_unsent(c))
-		return;
-	if (c->failing)
-		return;
-	if (c->unsent_bytes > IR_MAX_UNSENT_BYTES) {
-		ir_peer_conn_fail(c, "unsent-bytes");
+	hold(c, ir_memory_of(u));
+}
+
+void
+ir_peer_conn_send(struct ir_peer_conn *c, uint8_t *data, size_t size_bytes)
+{
+	bool idle = c->unsent == NULL && !c->connecting;
+
+	if (c->failing) {
+		talloc_free(data);
 		return;
 	}
-	TEVENT_FD_WRITEABLE(c->event);
+	append_unsent(c, data, size_bytes);
+	if (idle && send_unsent(c))
+		return;
+	if (!c->failing)
+		c->ops->grew(c->ctx, c);
+	if (!c->failing && !c->connecting)
+		TEVENT_FD_WRITEABLE(c->event);
 }
 
-/* Hands whole records over. False when the owner wants no more for now. */
+/*
+ * Hands whole records over; *used counts their bytes. False when the owner
+ * wants no more for now, or the connection failed.
+ */
 static bool
-cut_records(struct ir_peer_conn *c)
+cut_records(
+    struct ir_peer_conn *c, const uint8_t *data, size_t bytes, size_t *used)
 {
-	size_t at = 0;
 	bool more = true;
 
-	while (more && !c->failing) {
-		size_t left = c->in_bytes - at;
-		size_t size = ir_codec_record_size(c->in + at, left);
+	*used = 0;
+	while (more && *used < bytes) {
+		size_t left = bytes - *used;
+		size_t size = ir_codec_record_size(data + *used, left);
 
 		if (size == SIZE_MAX) {
 			ir_peer_conn_fail(c, "record-mark");
@@ -99,59 +149,128 @@
 		}
 		if (size == 0 || size > left)
 			break;
-		more = c->ops->record(c->ctx, c, c->in + at, size);
-		at += size;
+		more = c->ops->record(c->ctx, c, data + *used, size);
+		if (c->failing)
+			return false;
+		*used += size;
 	}
-	if (c->failing)
-		return false;
-	c->in_bytes -= at;
-	memmove(c->in, c->in + at, c->in_bytes);
-	if (c->in_bytes == 0 && talloc_get_size(c->in) > KEEP_BYTES)
-		TALLOC_FREE(c->in);
 	return more;
 }
 
-/* Room for the rest of the record that is being received, and some more. */
+/* False when the connection failed. */
 static bool
-make_room(struct ir_peer_conn *c)
+resize_in(struct ir_peer_conn *c, size_t wanted)
 {
-	size_t wanted = c->in_bytes + READ_BYTES;
-	size_t record = ir_codec_record_size(c->in, c->in_bytes);
-	uint8_t *p;
+	size_t before = c->in != NULL ? ir_memory_of(c->in) : 0;
+	uint8_t *p = talloc_realloc(c, c->in, uint8_t, wanted);
 
-	if (record != SIZE_MAX && record > wanted)
-		wanted = c->in_bytes * 2 < record ? c->in_bytes * 2 : record;
-	if (wanted < c->in_bytes + READ_BYTES)
-		wanted = c->in_bytes + READ_BYTES;
-	if (wanted <= talloc_get_size(c->in))
-		return true;
-	p = talloc_realloc(c, c->in, uint8_t, wanted);
-	if (p == NULL)
+	if (p == NULL) {
+		ir_peer_conn_fail(c, "memory");
 		return false;
+	}
 	c->in = p;
-	return true;
+	release(c, before);
+	hold(c, ir_memory_of(p));
+	c->ops->grew(c->ctx, c);
+	return !c->failing;
 }
 
+/*
+ * Room for wanted bytes of which the first record is data's: up to twice as
+ * much, so that a large record is not moved at each read.
+ */
+static bool
+make_room(
+    struct ir_peer_conn *c, const uint8_t *data, size_t bytes, size_t wanted)
+{
+	size_t record = ir_codec_record_size(data, bytes);
+
+	if (wanted <= talloc_get_size(c->in))
+		return true;
+	if (record != SIZE_MAX && record > wanted)
+		wanted = record < 2 * wanted ? record : 2 * wanted;
+	return resize_in(c, wanted);
+}
+
+/* Keeps the first bytes of what does not make a record yet. */
 static void
-on_readable(struct ir_peer_conn *c)
+keep(struct ir_peer_conn *c, const uint8_t *data, size_t bytes)
 {
-	ssize_t n;
+	if (bytes == 0 || !make_room(c, data, bytes, bytes))
+		return;
+	memcpy(c->in, data, bytes);
+	c->in_bytes = bytes;
+}
 
-	if (!make_room(c)) {
-		ir_peer_conn_fail(c, "memory");
+/* What is left of the bytes held, after some were used. */
+static void
+keep_rest(struct ir_peer_conn *c, size_t used)
+{
+	if (used == 0)
+		return;
+	if (used == c->in_bytes) {
+		free_in(c);
 		return;
 	}
-	n = recv(c->fd, c->in + c->in_bytes,
-	    talloc_get_size(c->in) - c->in_bytes, 0);
+	c->in_bytes -= used;
+	memmove(c->in, c->in + used, c->in_bytes);
+	(void)resize_in(c, c->in_bytes);
+}
+
+/* The functions from here on return false when no more is to be read. */
+static bool
+cut_held(struct ir_peer_conn *c)
+{
+	size_t used;
+	bool more = cut_records(c, c->in, c->in_bytes, &used);
+
+	if (!c->failing)
+		keep_rest(c, used);
+	return more && !c->failing;
+}
+
+static bool
+take_bytes(struct ir_peer_conn *c, const uint8_t *data, size_t bytes)
+{
+	size_t used;
+	bool more;
+
+	if (c->in != NULL) {
+		if (!make_room(c, c->in, c->in_bytes, c->in_bytes + bytes))
+			return false;
+		memcpy(c->in + c->in_bytes, data, bytes);
+		c->in_bytes += bytes;
+		return cut_held(c);
+	}
+	more = cut_records(c, data, bytes, &used);
+	if (!c->failing)
+		keep(c, data + used, bytes - used);
+	return more && !c->failing;
+}
+
+static bool
+read_some(struct ir_peer_conn *c)
+{
+	uint8_t data[READ_BYTES];
+	ssize_t n;
+
+	if (!c->ops->wants(c->ctx))
+		return false;
+	n = recv(c->fd, data, sizeof(data), 0);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
-		return;
+		return true;
 	if (n <= 0) {
 		ir_peer_conn_fail(c, n == 0 ? "closed" : "receive");
-		return;
+		return false;
 	}
 	c->heard_us = ir_clock_now();
-	c->in_bytes += (size_t)n;
-	if (!cut_records(c) && !c->failing)
+	return take_bytes(c, data, (size_t)n);
+}
+
+static void
+on_readable(struct ir_peer_conn *c)
+{
+	if (!read_some(c) && !c->failing)
 		TEVENT_FD_NOT_READABLE(c->event);
 }
 
@@ -160,7 +279,7 @@
 {
 	if (c->connecting || c->failing)
 		return;
-	if (cut_records(c))
+	if (cut_held(c))
 		TEVENT_FD_READABLE(c->event);
 }
 
@@ -204,14 +323,15 @@
 close_conn(struct ir_peer_conn *c)
 {
 	TALLOC_FREE(c->event);
+	free_held(c);
 	close(c->fd);
 	return 0;
 }
 
 struct ir_peer_conn *
-ir_peer_conn_new(TALLOC_CTX *mem, struct tevent_context *loop, int fd,
-    uint32_t number, bool connecting, const struct ir_peer_conn_ops *ops,
-    void *ctx)
+ir_peer_conn_new(TALLOC_CTX *mem, struct tevent_context *loop,
+    struct ir_memory *memory, int fd, uint32_t number, bool connecting,
+    const struct ir_peer_conn_ops *ops, void *ctx)
 {
 	struct ir_peer_conn *c = talloc_zero(mem, struct ir_peer_conn);
 	uint16_t flags = TEVENT_FD_READ;
@@ -221,6 +341,7 @@
 		close(fd);
 		return NULL;
 	}
+	c->memory = memory;
 	c->fd = fd;
 	c->number = number;
 	c->connecting = connecting;
--- a/src/io/peers/peer_conn.h
+++ b/src/io/peers/peer_conn.h
@@ -1,6 +1,10 @@
 /*
  * One TCP connection to a peer: bytes in, cut into records; bytes out, queued
  * when the socket does not take them.
+ *
+ * Bytes received are held only while a record is not whole, or not wanted.
+ * What a connection holds is counted as IR_MEMORY_PEERS, and given back when
+ * it fails.
  */
 #ifndef IR_IO_PEER_CONN_H
 #define IR_IO_PEER_CONN_H
@@ -8,15 +12,20 @@
 #include <tevent.h>
 
 #include "core/table.h"
+#include "ibisrail/memory.h"
 #include "io/message.h"
 
 struct ir_peer_conn;
 
 struct ir_peer_conn_ops {
 	void (*connected)(void *ctx, struct ir_peer_conn *c);
-	/* One whole record, its mark included. False: no further reading. */
+	/* False: no reading for now, until ir_peer_conn_resume(). */
+	bool (*wants)(void *ctx);
+	/* One whole record, its mark included. False: as wants(). */
 	bool (*record)(void *ctx, struct ir_peer_conn *c, const uint8_t *data,
 	    size_t size_bytes);
+	/* It counts more bytes: c, or another, may be made to fail. */
+	void (*grew)(void *ctx, struct ir_peer_conn *c);
 	/* The connection is of no more use; reason is a word for the log. */
 	void (*failed)(void *ctx, struct ir_peer_conn *c, const char *reason);
 };
@@ -39,7 +48,9 @@
 	const struct ir_peer_conn_ops *ops;
 	void *ctx;
 	struct tevent_fd *event;
-	uint8_t *in;
+	struct ir_memory *memory;
+	size_t held_bytes; /* as counted there */
+	uint8_t *in;	   /* NULL: nothing waits */
 	size_t in_bytes;
 	struct ir_unsent *unsent;
 	size_t unsent_bytes;
@@ -48,14 +59,15 @@
 
 /* Takes the socket over; connecting: wait until it is connected. */
 struct ir_peer_conn *ir_peer_conn_new(TALLOC_CTX *mem,
-    struct tevent_context *loop, int fd, uint32_t number, bool connecting,
-    const struct ir_peer_conn_ops *ops, void *ctx);
+    struct tevent_context *loop, struct ir_memory *memory, int fd,
+    uint32_t number, bool connecting, const struct ir_peer_conn_ops *ops,
+    void *ctx);
 
-/* Takes data, a talloc array, over. May call failed(). */
+/* Takes data, a talloc array, over. May call grew() and failed(). */
 void ir_peer_conn_send(
     struct ir_peer_conn *c, uint8_t *data, size_t size_bytes);
 
-/* Stops all reading and writing, and calls failed() once. */
+/* Stops reading and writing, frees what it holds, calls failed() once. */
 void ir_peer_conn_fail(struct ir_peer_conn *c, const char *reason);
 
 /* Reading goes on; also handles records that were received meanwhile. */
--- a/src/io/peers/peers.c
+++ b/src/io/peers/peers.c
@@ -23,6 +23,7 @@
 
 struct ir_peers {
 	struct ir_channel *channel;
+	struct ir_memory *memory;
 	struct ir_outbox out;
 	struct tevent_context *loop;
 	struct tevent_fd *listen_event;
@@ -99,22 +100,43 @@
 	    tevent_timeval_current_ofs(0, BACKLOG_RETRY_US), resume_all, p);
 }
 
+/* Goes behind the others: all get their turn, also where one does not end. */
+static void
+resume_next(struct ir_peers *p)
+{
+	struct ir_peer_conn *c = p->conns;
+
+	HASH_DEL(p->conns, c);
+	HASH_ADD(hh, p->conns, number, sizeof(c->number), c);
+	ir_peer_conn_resume(c);
+}
+
 /* Reading was stopped where the ring was full. */
 static void
 resume_all(struct tevent_context *loop, struct tevent_timer *timer,
     struct timeval now, void *ctx)
 {
 	struct ir_peers *p = ctx;
-	struct ir_peer_conn *c, *next;
+	unsigned left = HASH_COUNT(p->conns);
 
 	p->backlog_timer = NULL;
-	if (!ir_outbox_flush(&p->out)) {
+	(void)ir_outbox_flush(&p->out);
+	for (; left > 0 && p->out.waiting_count == 0; left--)
+		resume_next(p);
+	if (p->out.waiting_count > 0)
 		set_backlog_timer(p);
-		return;
-	}
-	HASH_ITER (hh, p->conns, c, next) {
-		ir_peer_conn_resume(c);
-	}
+}
+
+/* No connection is read before all have handed over what they hold. */
+static bool
+on_wants(void *ctx)
+{
+	struct ir_peers *p = ctx;
+
+	if (p->out.waiting_count == 0 && p->backlog_timer == NULL)
+		return true;
+	set_backlog_timer(p);
+	return false;
 }
 
 static bool
@@ -140,9 +162,53 @@
 	return false;
 }
 
+static void
+close_full(struct ir_peers *p, struct ir_peer_conn *c, const char *reason)
+{
+	ir_report(p->channel->log, IR_EVENT_LINK_LOST, NULL, "conn=%u why=%s",
+	    c->number, reason);
+	ir_peer_conn_fail(c, reason);
+}
+
+/* NULL when none holds anything. */
+static struct ir_peer_conn *
+fullest(const struct ir_peers *p)
+{
+	struct ir_peer_conn *c, *most = NULL;
+
+	for (c = p->conns; c != NULL; c = c->hh.next) {
+		if (c->held_bytes > (most != NULL ? most->held_bytes : 0))
+			most = c;
+	}
+	return most;
+}
+
+static uint64_t
+max_unsent_bytes(const struct ir_peers *p)
+{
+	uint64_t bound = p->memory->bound_bytes[IR_MEMORY_PEERS];
+
+	return bound < IR_MAX_UNSENT_BYTES ? bound : IR_MAX_UNSENT_BYTES;
+}
+
+static void
+on_grew(void *ctx, struct ir_peer_conn *c)
+{
+	struct ir_peers *p = ctx;
+	struct ir_peer_conn *f;
+
+	if (c->unsent_bytes > max_unsent_bytes(p))
+		close_full(p, c, "unsent-bytes");
+	while (!ir_memory_has_room(p->memory, IR_MEMORY_PEERS, 0) &&
+	       (f = fullest(p)) != NULL)
+		close_full(p, f, "memory");
+}
+
 static const struct ir_peer_conn_ops conn_ops = {
     .connected = on_conn_connected,
+    .wants = on_wants,
     .record = on_record,
+    .grew = on_grew,
     .failed = on_failed,
 };
 
@@ -151,7 +217,8 @@
 {
 	struct ir_peer_conn *c;
 
-	c = ir_peer_conn_new(p, p->loop, fd, number, connecting, &conn_ops, p);
+	c = ir_peer_conn_new(
+	    p, p->loop, p->memory, fd, number, connecting, &conn_ops, p);
 	if (c == NULL) {
 		tell(p, IR_TO_CORE_CLOSED, number);
 		return;
@@ -365,13 +432,14 @@
 
 struct ir_peers *
 ir_peers_new(TALLOC_CTX *mem, struct ir_channel *channel,
-    uint32_t max_connections, int listen_fd)
+    struct ir_memory *memory, uint32_t max_connections, int listen_fd)
 {
 	struct ir_peers *p = talloc_zero(mem, struct ir_peers);
 
 	if (p == NULL)
 		return NULL;
 	p->channel = channel;
+	p->memory = memory;
 	p->listen_fd = listen_fd;
 	p->max_connections = max_connections;
 	p->last_accepted = UINT32_MAX;
--- a/src/io/peers/peers.h
+++ b/src/io/peers/peers.h
@@ -6,6 +6,7 @@
 #ifndef IR_IO_PEERS_H
 #define IR_IO_PEERS_H
 
+#include "ibisrail/memory.h"
 #include "io/message.h"
 
 /* Connections held at a time, and bytes not yet sent on one. */
@@ -14,9 +15,12 @@
 
 struct ir_peers;
 
-/* Takes the listening socket over. NULL when the loop cannot be made. */
+/*
+ * Takes the listening socket over; memory is counted as IR_MEMORY_PEERS. NULL
+ * when the loop cannot be made.
+ */
 struct ir_peers *ir_peers_new(TALLOC_CTX *mem, struct ir_channel *channel,
-    uint32_t max_connections, int listen_fd);
+    struct ir_memory *memory, uint32_t max_connections, int listen_fd);
 
 /* The thread's start routine: ctx is the struct ir_peers. */
 void *ir_peers_run(void *ctx);
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -89,7 +89,9 @@
 	"Look for a replica of the configuration service that lags."},
     {IR_EVENT_LINK_UP, "host: the other end",
 	"A link to another host is in use.", "Nothing."},
-    {IR_EVENT_LINK_LOST, "host: the other end; why: the reason",
+    {IR_EVENT_LINK_LOST,
+	"host or conn: the other end; why: the reason, of conn unsent-bytes "
+	"or memory: it held most when a bound was exceeded",
 	"A link to another host was lost. Requests on it are looked up over "
 	"a new link.",
 	"Nothing for one. Several at once show a network partition or a dead "
