Upstream: what runs hold is bounded in bytes

Cause: requests being sent and answers being collected had a bound each (4 MB a body) but none together, and a request's body was held twice. Change: both count as IR_MEMORY_UPSTREAM. A request without room is not sent and ends as not connected; an answer without room ends as broken; both are logged as upstream-broken, reason=memory. A request's body is held once, and not after it was sent. What was collected of a broken answer is not passed to the core.

--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -159,8 +159,8 @@
 
 	p->callers = ir_callers_new(p, ch[IR_DUTY_CALLERS], p->dialect,
 	    p->descriptors.callers, callers_fd, egress_fd);
-	p->upstream = ir_upstream_new(p, ch[IR_DUTY_UPSTREAM], p->dialect,
-	    &p->settings->upstream, p->descriptors.upstream);
+	p->upstream = ir_upstream_new(p, ch[IR_DUTY_UPSTREAM], &p->memory,
+	    p->dialect, &p->settings->upstream, p->descriptors.upstream);
 	p->peers = ir_peers_new(p, ch[IR_DUTY_PEERS], &p->memory,
 	    p->descriptors.peers, take_fd(p, LISTENER_PEERS));
 	p->platform = ir_platform_new(
--- a/src/io/upstream/upstream.c
+++ b/src/io/upstream/upstream.c
@@ -15,6 +15,7 @@
 	HASH_DEL(t->owner->transfers, t);
 	if (t->conn != NULL)
 		ir_upstream_conn_close(t->conn);
+	ir_upstream_bytes_release(&t->bytes, t->bytes.held_bytes);
 	talloc_free(t->answer.message);
 	talloc_free(t->order);
 	talloc_free(t);
@@ -32,6 +33,14 @@
 	    r->attempt, t->sent, t->answer.message->u.result.status);
 }
 
+/* What came of its answer is of no use to the core. */
+static void
+end_broken(struct transfer *t, const char *reason)
+{
+	report_broken(t, reason);
+	ir_upstream_answer_reset(&t->answer);
+}
+
 void
 ir_upstream_finish(struct transfer *t, const char *reason)
 {
@@ -42,7 +51,7 @@
 	if (reason != NULL)
 		r->end = t->sent ? IR_RUN_BROKEN : IR_RUN_NOT_CONNECTED;
 	if (r->end == IR_RUN_BROKEN || r->end == IR_RUN_NOT_CONNECTED)
-		report_broken(t, reason);
+		end_broken(t, reason);
 	t->answer.message = NULL;
 	m->id = t->id;
 	free_transfer(t);
@@ -58,6 +67,8 @@
 	t->owner = u;
 	t->order = m;
 	t->answer.message = ir_to_core_new(IR_TO_CORE_RAN);
+	t->bytes.memory = u->memory;
+	t->answer.bytes = &t->bytes;
 	t->answer.dialect = u->dialect;
 	t->answer.attempt = m->u.run.caller_attempt;
 	if (t->answer.attempt == NULL)
@@ -155,8 +166,8 @@
 
 struct ir_upstream *
 ir_upstream_new(TALLOC_CTX *mem, struct ir_channel *channel,
-    const struct ir_dialect *dialect, const struct ir_endpoint *upstream,
-    uint32_t connections)
+    struct ir_memory *memory, const struct ir_dialect *dialect,
+    const struct ir_endpoint *upstream, uint32_t connections)
 {
 	struct ir_upstream *u = talloc_zero(mem, struct ir_upstream);
 
@@ -164,6 +175,7 @@
 		return NULL;
 	talloc_set_destructor(u, free_upstream);
 	u->channel = channel;
+	u->memory = memory;
 	u->dialect = dialect;
 	u->max_connections = connections;
 	u->address.address = talloc_strdup(u, upstream->address);
--- a/src/io/upstream/upstream.h
+++ b/src/io/upstream/upstream.h
@@ -9,14 +9,17 @@
 
 #include "conf/settings.h"
 #include "ibisrail/dialect.h"
+#include "ibisrail/memory.h"
 #include "io/message.h"
 
 struct ir_upstream;
 
-/* NULL when libcurl cannot be set up. */
+/*
+ * memory is counted as IR_MEMORY_UPSTREAM. NULL when the loop cannot be made.
+ */
 struct ir_upstream *ir_upstream_new(TALLOC_CTX *mem, struct ir_channel *channel,
-    const struct ir_dialect *dialect, const struct ir_endpoint *upstream,
-    uint32_t connections);
+    struct ir_memory *memory, const struct ir_dialect *dialect,
+    const struct ir_endpoint *upstream, uint32_t connections);
 
 /* The thread's start routine: ctx is the struct ir_upstream. */
 void *ir_upstream_run(void *ctx);
--- a/src/io/upstream/upstream_answer.c
+++ b/src/io/upstream/upstream_answer.c
@@ -13,6 +13,15 @@
 #define HTTP_UNAVAILABLE 503
 #define NOT_RUN "not-run"
 
+static bool
+hold(struct ir_upstream_answer *a, size_t bytes)
+{
+	if (!ir_upstream_bytes_hold(a->bytes, bytes))
+		return false;
+	a->held_bytes += bytes;
+	return true;
+}
+
 void
 ir_upstream_answer_reset(struct ir_upstream_answer *a)
 {
@@ -22,6 +31,8 @@
 	}
 	a->header_count = 0;
 	TALLOC_FREE(a->body);
+	ir_upstream_bytes_release(a->bytes, a->held_bytes);
+	a->held_bytes = 0;
 	a->body_bytes = 0;
 	a->in_body = false;
 	a->not_run = false;
@@ -69,12 +80,36 @@
 		a->over = true;
 		return;
 	}
-	h = &a->headers[a->header_count++];
+	h = &a->headers[a->header_count];
 	h->name = ir_text_copy(a->message, name);
 	h->value = ir_text_copy(a->message, value);
+	if (!hold(a, ir_memory_of(h->name) + ir_memory_of(h->value))) {
+		talloc_free(h->name);
+		talloc_free(h->value);
+		return;
+	}
+	a->header_count++;
 	note_header(a, name, value);
 }
 
+/* By doubling; near the bound no more than what is needed. */
+static bool
+grow_body(struct ir_upstream_answer *a, size_t wanted)
+{
+	size_t held = talloc_get_size(a->body);
+	size_t size = 2 * held < IR_MAX_BODY ? 2 * held : IR_MAX_BODY;
+
+	if (wanted <= held)
+		return true;
+	if (size < wanted || !ir_memory_has_room(a->bytes->memory,
+				 IR_MEMORY_UPSTREAM, size - held))
+		size = wanted;
+	if (!hold(a, size - held))
+		return false;
+	a->body = ir_must(talloc_realloc(a->message, a->body, uint8_t, size));
+	return true;
+}
+
 bool
 ir_upstream_answer_body(
     struct ir_upstream_answer *a, const uint8_t *data, size_t size)
@@ -86,7 +121,7 @@
 		a->over = true;
 		return false;
 	}
-	if (!ir_bytes_grow(a->message, &a->body, wanted))
+	if (!grow_body(a, wanted))
 		return false;
 	memcpy(a->body + a->body_bytes, data, size);
 	a->body_bytes = wanted;
--- a/src/io/upstream/upstream_answer.h
+++ b/src/io/upstream/upstream_answer.h
@@ -4,11 +4,14 @@
 
 #include "ibisrail/dialect.h"
 #include "io/message.h"
+#include "io/upstream/upstream_bytes.h"
 
 struct ir_upstream_answer {
 	const struct ir_dialect *dialect;
 	const char *attempt;	    /* the caller's id of the request, or "" */
 	struct ir_to_core *message; /* owns what is collected */
+	struct ir_upstream_bytes *bytes;
+	size_t held_bytes; /* of it, for headers and body */
 	struct ir_header headers[IR_MAX_HEADERS];
 	size_t header_count;
 	uint8_t *body;
@@ -22,11 +25,12 @@
 	bool over;    /* a bound was exceeded */
 };
 
-/* Forgets what was collected: a provisional or a spare answer. */
+/* Forgets what was collected: a provisional, a spare or a broken answer. */
 void ir_upstream_answer_reset(struct ir_upstream_answer *a);
+/* Left out when there is no room; the run is then to end (a->bytes). */
 void ir_upstream_answer_header(
     struct ir_upstream_answer *a, const char *name, const char *value);
-/* False when the body grows over IR_MAX_BODY. */
+/* False when the body grows over IR_MAX_BODY, or there is no room. */
 bool ir_upstream_answer_body(
     struct ir_upstream_answer *a, const uint8_t *data, size_t size);
 /* Whether a whole answer of that status belongs to another request. */
--- a/src/io/upstream/upstream_conn.c
+++ b/src/io/upstream/upstream_conn.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 #include <utlist.h>
 
+#include "core/unconst.h"
 #include "io/clock.h"
 #include "io/listen.h"
 #include "io/upstream/upstream_conn.h"
@@ -78,6 +79,28 @@
 	c->keep_idle_us = (int64_t)s * IR_US_PER_S * KEEP_SHARE_PERCENT / 100;
 }
 
+static void
+free_text(struct upstream_conn *c)
+{
+	ir_upstream_bytes_release(&c->transfer->bytes, c->text_bytes);
+	c->text_bytes = 0;
+	TALLOC_FREE(c->field);
+	TALLOC_FREE(c->value);
+}
+
+/* Names and values come in pieces, as they were read. */
+static bool
+add_text(struct upstream_conn *c, char **text, const char *at, size_t size)
+{
+	if (!ir_upstream_bytes_hold(&c->transfer->bytes, size))
+		return false;
+	c->text_bytes += size;
+	if (*text == NULL)
+		*text = ir_text_copy(c, "");
+	*text = ir_must(talloc_strndup_append_buffer(*text, at, size));
+	return true;
+}
+
 /* A header came in whole. */
 static void
 end_header(struct upstream_conn *c)
@@ -87,21 +110,19 @@
 	ir_upstream_answer_header(&c->transfer->answer, c->field, c->value);
 	if (strcasecmp(c->field, "keep-alive") == 0)
 		note_keep_alive(c, c->value);
-	TALLOC_FREE(c->field);
-	TALLOC_FREE(c->value);
+	free_text(c);
 }
 
-/* Names and values come in pieces, as they were read. */
+/* The run is to end when there was no room. */
 static int
 on_field(http_parser *p, const char *at, size_t size)
 {
 	struct upstream_conn *c = p->data;
 
 	end_header(c);
-	if (c->field == NULL)
-		c->field = ir_text_copy(c, "");
-	c->field = ir_must(talloc_strndup_append_buffer(c->field, at, size));
-	return 0;
+	if (c->transfer->bytes.refused)
+		return -1;
+	return add_text(c, &c->field, at, size) ? 0 : -1;
 }
 
 static int
@@ -109,10 +130,7 @@
 {
 	struct upstream_conn *c = p->data;
 
-	if (c->value == NULL)
-		c->value = ir_text_copy(c, "");
-	c->value = ir_must(talloc_strndup_append_buffer(c->value, at, size));
-	return 0;
+	return add_text(c, &c->value, at, size) ? 0 : -1;
 }
 
 static int
@@ -121,6 +139,8 @@
 	struct upstream_conn *c = p->data;
 
 	end_header(c);
+	if (c->transfer->bytes.refused)
+		return -1;
 	p->upgrade = 0;
 	return strcmp(c->transfer->order->u.run.method, "HEAD") == 0 ? 1 : 0;
 }
@@ -142,8 +162,7 @@
 	struct ir_upstream_answer *a = &c->transfer->answer;
 	uint16_t status = (uint16_t)p->status_code;
 
-	TALLOC_FREE(c->field);
-	TALLOC_FREE(c->value);
+	free_text(c);
 	if (status < HTTP_FIRST_FINAL ||
 	    ir_upstream_answer_is_spare(a, status)) {
 		ir_upstream_answer_reset(a);
@@ -192,7 +211,10 @@
 	}
 	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK)
 		return true;
-	fail(c, http_errno_name(HTTP_PARSER_ERRNO(&c->parser)));
+	if (c->transfer->bytes.refused)
+		fail(c, "memory");
+	else
+		fail(c, http_errno_name(HTTP_PARSER_ERRNO(&c->parser)));
 	return false;
 }
 
@@ -245,6 +267,15 @@
 		fail(c, reason);
 }
 
+static void
+free_out(struct upstream_conn *c)
+{
+	if (c->out == NULL)
+		return;
+	ir_upstream_bytes_release(&c->transfer->bytes, ir_memory_of(c->out));
+	TALLOC_FREE(c->out);
+}
+
 static bool
 send_some(struct upstream_conn *c)
 {
@@ -267,7 +298,7 @@
 		c->transfer->sent = true;
 		c->out_sent += (size_t)n;
 	}
-	TALLOC_FREE(c->out);
+	free_out(c);
 	TEVENT_FD_NOT_WRITEABLE(c->event);
 	return true;
 }
@@ -396,16 +427,43 @@
 	return c;
 }
 
-void
-ir_upstream_conn_run(struct ir_upstream *u, struct transfer *t)
+/* The request's bytes, which hold the body from here on; NULL without room. */
+static uint8_t *
+make_request(struct ir_upstream *u, struct transfer *t)
+{
+	struct ir_run *r = &t->order->u.run;
+	uint8_t *out = ir_upstream_request_bytes(t, u->dialect, &u->address, r);
+
+	talloc_free(ir_unconst((const char *)r->body));
+	r->body = NULL;
+	if (ir_upstream_bytes_hold(
+		&t->bytes, ir_memory_of(t) + ir_memory_of(t->order) +
+			       ir_memory_of(t->answer.message)))
+		return out;
+	return NULL;
+}
+
+static struct upstream_conn *
+find_conn(struct ir_upstream *u, bool idempotent)
 {
-	const struct ir_run *r = &t->order->u.run;
 	struct upstream_conn *c = NULL;
 
-	if (r->idempotent)
+	if (idempotent)
 		c = take_idle(u, ir_clock_now());
-	if (c == NULL)
-		c = new_conn(u);
+	return c != NULL ? c : new_conn(u);
+}
+
+void
+ir_upstream_conn_run(struct ir_upstream *u, struct transfer *t)
+{
+	uint8_t *out = make_request(u, t);
+	struct upstream_conn *c;
+
+	if (out == NULL) {
+		ir_upstream_finish(t, "memory");
+		return;
+	}
+	c = find_conn(u, t->order->u.run.idempotent);
 	if (c == NULL) {
 		ir_upstream_finish(t, "no-connection");
 		return;
@@ -415,7 +473,7 @@
 	c->whole = false;
 	c->keep_idle_us = KEEP_IDLE_US;
 	c->out_sent = 0;
-	c->out = ir_upstream_request_bytes(c, u->dialect, &u->address, r);
+	c->out = talloc_steal(c, out);
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
 	t->conn = c;
--- a/src/io/upstream/upstream_conn.h
+++ b/src/io/upstream/upstream_conn.h
@@ -23,6 +23,7 @@
 	struct ir_from_core *order;
 	struct upstream_conn *conn; /* NULL when it ended */
 	bool sent;		    /* a byte of it was handed to a socket */
+	struct ir_upstream_bytes bytes;
 	struct ir_upstream_answer answer;
 	UT_hash_handle hh;
 };
@@ -35,12 +36,13 @@
 	http_parser parser;
 	struct transfer *transfer; /* NULL: idle */
 	bool connecting;
-	bool heard;  /* bytes of an answer to the present request came */
-	bool whole;  /* the answer is whole */
-	bool keep;   /* it may be used again */
-	char *field; /* name of the header being read, or NULL */
-	char *value; /* the same of its value */
-	uint8_t *out;
+	bool heard;	   /* bytes of an answer to the present request came */
+	bool whole;	   /* the answer is whole */
+	bool keep;	   /* it may be used again */
+	char *field;	   /* name of the header being read, or NULL */
+	char *value;	   /* the same of its value */
+	size_t text_bytes; /* of both, as held by the transfer */
+	uint8_t *out;	   /* NULL when it was sent */
 	size_t out_sent;
 	int64_t idle_us;	    /* since when */
 	int64_t keep_idle_us;	    /* how long it may be idle */
@@ -50,6 +52,7 @@
 
 struct ir_upstream {
 	struct ir_channel *channel;
+	struct ir_memory *memory;
 	const struct ir_dialect *dialect;
 	struct ir_outbox out;
 	struct tevent_context *loop;
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -127,8 +127,10 @@
 	"request, attempt: their ids; sent: 1 when the request had been sent; "
 	"reason",
 	"The local upstream did not take a connection, closed it while it "
-	"ran a request, or cut its answer short.",
-	"Look at the upstream's own log at this time."},
+	"ran a request, or cut its answer short; or, reason memory, this "
+	"process had no room for the request or the answer.",
+	"Look at the upstream's own log at this time. memory: look at the "
+	"size of requests and answers."},
     {IR_EVENT_CALL_ADMITTED,
 	"id: of the request, the caller's own where it gives one; service, "
 	"account, deadline_ms: what it may do; account_importance, then "
--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -44,6 +44,7 @@
 struct fixture {
 	struct ir_wake *core;
 	struct ir_channel *channel;
+	struct ir_memory memory;
 	struct ir_upstream *upstream;
 	pthread_t thread;
 	pthread_t server;
@@ -123,8 +124,9 @@
 	fcntl(f->listen_fd, F_SETFL, 0);
 	f->core = ir_wake_new(NULL);
 	f->channel = ir_channel_new(f->core, f->core, NULL, RING_SLOTS);
-	f->upstream = ir_upstream_new(
-	    f->core, f->channel, &platform_dialect, &e, CONNECTIONS);
+	ir_memory_init(&f->memory, 0);
+	f->upstream = ir_upstream_new(f->core, f->channel, &f->memory,
+	    &platform_dialect, &e, CONNECTIONS);
 	*state = f;
 	if (pthread_create(&f->server, NULL, serve, f) != 0)
 		return -1;
@@ -135,17 +137,19 @@
 tear_down(void **state)
 {
 	struct fixture *f = *state;
+	uint64_t left_bytes;
 
 	ir_ring_push(
 	    f->channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
 	pthread_join(f->thread, NULL);
 	talloc_free(f->upstream);
+	left_bytes = ir_memory_held(&f->memory, IR_MEMORY_UPSTREAM);
 	shutdown(f->listen_fd, SHUT_RDWR);
 	pthread_join(f->server, NULL);
 	close(f->listen_fd);
 	talloc_free(f->core);
 	talloc_free(f);
-	return 0;
+	return left_bytes == 0 ? 0 : -1;
 }
 
 /* The server thread takes it up at the next connection. */
--- a/test/test_upstream_run.c
+++ b/test/test_upstream_run.c
@@ -29,10 +29,18 @@
 #define RING_SLOTS 64
 #define CONNECTIONS 8
 #define REQUEST_BYTES 8192
+#define BOUND_BYTES (128 * 1024)
+#define LARGE_BYTES (1024 * 1024)
+/* Together more than a quarter of the bound, and less than the parser takes. */
+#define HEADER_BYTES 7000
+#define HEADERS 10
 
 struct fixture {
 	struct ir_wake *core;
 	struct ir_channel *channel;
+	struct ir_memory memory;
+	struct ir_log *log;
+	FILE *log_file;
 	struct ir_upstream *upstream;
 	pthread_t server;
 	pthread_t thread;
@@ -68,6 +76,33 @@
 	say(fd, "0\r\n\r\n");
 }
 
+/* Less than IR_MAX_BODY. */
+static void
+say_a_megabyte(int fd)
+{
+	static const char zeros[LARGE_BYTES];
+	ssize_t n;
+
+	say(fd, "HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n");
+	n = send(fd, zeros, sizeof(zeros), MSG_NOSIGNAL);
+	(void)n;
+}
+
+static void
+say_headers(int fd)
+{
+	char text[HEADER_BYTES + 1] = "";
+
+	memset(text, 'v', HEADER_BYTES);
+	say(fd, "HTTP/1.1 200 OK\r\n");
+	for (int i = 0; i < HEADERS; i++) {
+		say(fd, "X-A: ");
+		say(fd, text);
+		say(fd, "\r\n");
+	}
+	say(fd, "Content-Length: 0\r\n\r\n");
+}
+
 static const char *const answers[][2] = {
     {"/ok", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: 1\r\n"
 	    "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
@@ -112,6 +147,10 @@
 		return false;
 	if (strcmp(path, "/large") == 0)
 		say_too_much(fd);
+	if (strcmp(path, "/megabyte") == 0)
+		say_a_megabyte(fd);
+	if (strcmp(path, "/headers") == 0)
+		say_headers(fd);
 	if (strcmp(path, "/bytes") == 0)
 		say_bytes(fd, answers[0][1]);
 	if (strcmp(path, "/hang") == 0 && read(fd, &byte, 1) <= 0)
@@ -203,19 +242,24 @@
 }
 
 static int
-start_client(struct fixture *f, uint16_t port)
+start_client(struct fixture *f, uint16_t port, uint64_t bound_bytes)
 {
 	const struct ir_endpoint e = {"127.0.0.1", port};
 
+	ir_memory_init(&f->memory, 0);
+	if (bound_bytes != 0)
+		f->memory.bound_bytes[IR_MEMORY_UPSTREAM] = bound_bytes;
+	f->log_file = tmpfile();
+	f->log = ir_log_new(f, fileno(f->log_file), "h1", IR_LEVEL_WARNING);
 	f->core = ir_wake_new(NULL);
-	f->channel = ir_channel_new(f->core, f->core, NULL, RING_SLOTS);
+	f->channel = ir_channel_new(f->core, f->core, f->log, RING_SLOTS);
 	f->upstream = ir_upstream_new(
-	    f->core, f->channel, &ir_own_dialect, &e, CONNECTIONS);
+	    f->core, f->channel, &f->memory, &ir_own_dialect, &e, CONNECTIONS);
 	return pthread_create(&f->thread, NULL, ir_upstream_run, f->upstream);
 }
 
 static int
-set_up(void **state)
+start(void **state, uint64_t bound_bytes)
 {
 	const struct ir_endpoint any = {"127.0.0.1", 0};
 	struct fixture *f = talloc_zero(NULL, struct fixture);
@@ -227,10 +271,29 @@
 	*state = f;
 	if (pthread_create(&f->server, NULL, serve, f) != 0)
 		return -1;
-	return start_client(f, port);
+	return start_client(f, port, bound_bytes);
 }
 
-static void
+static int
+set_up(void **state)
+{
+	return start(state, 0);
+}
+
+static int
+set_up_small(void **state)
+{
+	return start(state, BOUND_BYTES);
+}
+
+static int
+set_up_smaller(void **state)
+{
+	return start(state, BOUND_BYTES / 4);
+}
+
+/* Bytes that are still counted when everything ended. */
+static uint64_t
 stop_client(struct fixture *f)
 {
 	ir_ring_push(
@@ -238,23 +301,26 @@
 	pthread_join(f->thread, NULL);
 	talloc_free(f->upstream);
 	talloc_free(f->core);
+	fclose(f->log_file);
+	return ir_memory_held(&f->memory, IR_MEMORY_UPSTREAM);
 }
 
 static int
 tear_down(void **state)
 {
 	struct fixture *f = *state;
+	uint64_t left_bytes = stop_client(f);
 
-	stop_client(f);
 	shutdown(f->listen_fd, SHUT_RDWR);
 	pthread_join(f->server, NULL);
 	close(f->listen_fd);
 	talloc_free(f);
-	return 0;
+	return left_bytes == 0 ? 0 : -1;
 }
 
 static uint64_t
-begin(struct fixture *f, const char *method, const char *path, bool idempotent)
+begin_with(struct fixture *f, const char *method, const char *path,
+    bool idempotent, size_t body_bytes)
 {
 	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_RUN);
 	struct ir_run *r = &m->u.run;
@@ -268,10 +334,19 @@
 	r->path = path;
 	r->remaining_ms = 20000;
 	r->idempotent = idempotent;
+	if (body_bytes > 0)
+		r->body = talloc_zero_size(m, body_bytes);
+	r->body_bytes = body_bytes;
 	ir_ring_push(f->channel->from_core, m);
 	return f->last_id;
 }
 
+static uint64_t
+begin(struct fixture *f, const char *method, const char *path, bool idempotent)
+{
+	return begin_with(f, method, path, idempotent, 0);
+}
+
 /* The next message to the core; waits without a limit. */
 static struct ir_to_core *
 next(struct fixture *f)
@@ -402,15 +477,101 @@
 	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	assert_int_equal(bind(fd, (struct sockaddr *)&a, size), 0);
 	getsockname(fd, (struct sockaddr *)&a, &size);
-	assert_int_equal(start_client(f, ntohs(a.sin_port)), 0);
+	assert_int_equal(start_client(f, ntohs(a.sin_port), 0), 0);
 	m = run(f, "POST", "/ok", false);
 	assert_int_equal(m->u.result.end, IR_RUN_NOT_CONNECTED);
 	talloc_free(m);
-	stop_client(f);
+	assert_int_equal(stop_client(f), 0);
 	close(fd);
 	talloc_free(f);
 }
 
+static bool
+is_logged(const struct fixture *f, const char *text)
+{
+	char line[1024];
+
+	rewind(f->log_file);
+	while (fgets(line, sizeof(line), f->log_file) != NULL) {
+		if (strstr(line, text) != NULL)
+			return true;
+	}
+	return false;
+}
+
+static void
+test_answer_without_room_ends_as_broken(void **state)
+{
+	struct fixture *f = *state;
+
+	expect_end(f, "/megabyte", IR_RUN_BROKEN);
+	assert_true(is_logged(f, "\"reason\":\"memory\""));
+	/* What it held is given back. */
+	expect_end(f, "/chunks", IR_RUN_ANSWERED);
+}
+
+static void
+test_headers_without_room_end_as_broken(void **state)
+{
+	struct fixture *f = *state;
+
+	expect_end(f, "/headers", IR_RUN_BROKEN);
+	assert_true(is_logged(f, "\"reason\":\"memory\""));
+	expect_end(f, "/chunks", IR_RUN_ANSWERED);
+}
+
+static void
+test_request_without_room_is_not_run(void **state)
+{
+	struct fixture *f = *state;
+	struct ir_to_core *m;
+
+	begin_with(f, "POST", "/chunks", false, LARGE_BYTES);
+	m = next(f);
+	assert_int_equal(m->u.result.end, IR_RUN_NOT_CONNECTED);
+	assert_int_equal(request_count(), 0);
+	assert_true(is_logged(f, "\"reason\":\"memory\""));
+	talloc_free(m);
+	expect_end(f, "/chunks", IR_RUN_ANSWERED);
+}
+
+/* A body of three quarters of the bound is held once, and not once sent. */
+static void
+test_request_body_is_held_once(void **state)
+{
+	struct fixture *f = *state;
+	struct ir_to_core *m;
+
+	for (int i = 0; i < 3; i++) {
+		begin_with(f, "POST", "/ok", false, BOUND_BYTES * 3 / 4);
+		m = next(f);
+		assert_int_equal(m->u.result.end, IR_RUN_ANSWERED);
+		talloc_free(m);
+	}
+}
+
+static void
+test_run_counts_until_it_is_cancelled(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t id = begin(f, "GET", "/hang", true);
+	struct ir_from_core *m;
+
+	while (request_count() == 0)
+		sched_yield();
+	assert_in_range(
+	    ir_memory_held(&f->memory, IR_MEMORY_UPSTREAM), 1, BOUND_BYTES);
+	m = ir_from_core_new(IR_FROM_CORE_CANCEL_RUN);
+	m->id = id;
+	ir_ring_push(f->channel->from_core, m);
+	assert_int_equal(sem_wait(&hung_closed), 0);
+	expect_end(f, "/none", IR_RUN_ANSWERED);
+	assert_int_equal(ir_memory_held(&f->memory, IR_MEMORY_UPSTREAM), 0);
+}
+
+#define WITH_SMALL(t) \
+	cmocka_unit_test_setup_teardown(t, set_up_small, tear_down)
+
 int
 main(void)
 {
@@ -428,6 +589,13 @@
 	    cmocka_unit_test_setup_teardown(
 		test_cancel_closes_the_connection, set_up, tear_down),
 	    cmocka_unit_test(test_not_connected),
+	    WITH_SMALL(test_answer_without_room_ends_as_broken),
+	    cmocka_unit_test_setup_teardown(
+		test_headers_without_room_end_as_broken, set_up_smaller,
+		tear_down),
+	    WITH_SMALL(test_request_without_room_is_not_run),
+	    WITH_SMALL(test_request_body_is_held_once),
+	    WITH_SMALL(test_run_counts_until_it_is_cancelled),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
