Callers: requests beyond the open ones do not hang

Cause: a connection takes 64 requests at a time. What was read beyond them stayed in the input buffer, and nothing looked at it again until more bytes came: a caller that sends 100 requests at once got 64 answers, and the connection was ended as idle after 60 s.

Change: after answers were written, what is left is parsed. Parsing has a file of its own.

Result: test_requests_beyond_the_open_ones_do_not_hang passes; 12 of 12 in test_caller_conn, 11 of 11 in test_callers. On the code before, it did not end within 20 s; last line: [ RUN ] test_requests_beyond_the_open_ones_do_not_hang

--- a/src/io/callers/caller_conn.c
+++ b/src/io/callers/caller_conn.c
@@ -5,19 +5,13 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
-#include <strings.h>
 #include <unistd.h>
 #include <utlist.h>
 
 #include "io/callers/caller_conn.h"
 #include "io/clock.h"
-#include "io/http_head.h"
 
 #define READ_BYTES 16384
-/* Head of a request: the headers' bound and a line. */
-#define MAX_HEAD_BYTES (IR_MAX_RAW_HEADER_BYTES + 8192)
-/* Requests of one connection that may be out at a time. */
-#define MAX_OPEN 64
 /* Over the idle time that callers are told of, 15 s, with a margin. */
 #define IDLE_TIMEOUT_US (60 * IR_US_PER_S)
 /* A caller that takes nothing of an answer for so long is gone. */
@@ -124,233 +118,30 @@
 	return true;
 }
 
-void
-ir_caller_conn_write(struct caller_conn *c)
-{
-	while (!c->dead && (c->out != NULL || take_out(c))) {
-		if (!flush(c))
-			return;
-	}
-	if (c->dead)
-		return;
-	TEVENT_FD_NOT_WRITEABLE(c->event);
-	if (c->ending && c->requests == NULL && !c->lingering)
-		linger(c);
-	else if (c->request_count < MAX_OPEN)
-		TEVENT_FD_READABLE(c->event);
-}
-
-static int
-on_url(http_parser *p, const char *at, size_t size)
-{
-	struct request *r = ((struct caller_conn *)p->data)->reading;
-
-	r->target = ir_must(talloc_strndup_append_buffer(r->target, at, size));
-	return 0;
-}
-
-static int
-on_field(http_parser *p, const char *at, size_t size)
-{
-	struct caller_conn *c = p->data;
-
-	c->field = ir_must(talloc_strndup(c->reading, at, size));
-	return 0;
-}
-
-static int
-on_value(http_parser *p, const char *at, size_t size)
-{
-	struct caller_conn *c = p->data;
-	struct request *r = c->reading;
-	char *value = ir_must(talloc_strndup(r, at, size));
-
-	/* A trailer says nothing that is passed on. */
-	if (r->call->u.call.method != NULL)
-		return 0;
-	if (ir_raw_headers_add(&r->raw, c->field, value))
-		return 0;
-	r->refusal =
-	    ir_refuse(IR_E_TOO_LARGE, "headers", "The headers are too large.");
-	r->refusal.http_status = HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
-	return 0;
-}
-
-static bool
-expects_continue(const struct request *r)
-{
-	for (size_t i = 0; i < r->raw.count; i++) {
-		if (strcasecmp(r->raw.headers[i].name, "expect") == 0 &&
-		    strcasecmp(r->raw.headers[i].value, "100-continue") == 0)
-			return true;
-	}
-	return false;
-}
-
-static int
-on_head(http_parser *p)
-{
-	struct request *r = ((struct caller_conn *)p->data)->reading;
-
-	p->upgrade = 0;
-	r->method =
-	    ir_text_copy(r, http_method_str((enum http_method)p->method));
-	r->last = !http_should_keep_alive(p);
-	r->wants_continue = expects_continue(r);
-	ir_request_begin(r);
-	if (p->content_length != UINT64_MAX &&
-	    p->content_length > IR_MAX_BODY && (p->flags & F_CHUNKED) == 0) {
-		r->refusal =
-		    ir_refuse(IR_E_TOO_LARGE, "body", "The body is too large.");
-		return 1;
-	}
-	return 0;
-}
-
-static int
-on_body(http_parser *p, const char *at, size_t size)
-{
-	struct request *r = ((struct caller_conn *)p->data)->reading;
-
-	ir_request_receive(r, (const uint8_t *)at, size);
-	return 0;
-}
-
-static int
-on_end(http_parser *p)
-{
-	http_parser_pause(p, 1);
-	return 0;
-}
-
-static const http_parser_settings callbacks = {
-    .on_url = on_url,
-    .on_header_field = on_field,
-    .on_header_value = on_value,
-    .on_headers_complete = on_head,
-    .on_body = on_body,
-    .on_message_complete = on_end,
-};
-
-static struct request *
-new_request(struct caller_conn *c)
-{
-	struct request *r = ir_must(talloc_zero(c, struct request));
-
-	r->conn = c;
-	r->target = ir_text_copy(r, "");
-	r->call = ir_to_core_new(IR_TO_CORE_CALL);
-	DL_APPEND(c->requests, r);
-	c->request_count++;
-	c->listener->callers->open_requests++;
-	c->reading = r;
-	return r;
-}
-
-/* Nothing after this request is read. */
-static void
-refuse_last(struct caller_conn *c, struct ir_refusal refusal)
-{
-	struct request *r = c->reading != NULL ? c->reading : new_request(c);
-
-	r->refusal = refusal;
-	r->last = true;
-	c->ending = true;
-	c->reading = NULL;
-	c->in_bytes = 0;
-	ir_request_refuse(r);
-}
-
-static void
-refuse_bad(struct caller_conn *c, const char *fault)
-{
-	refuse_last(c, ir_refuse(IR_E_BAD_REQUEST, fault, NULL));
-}
-
-static void
-consume(struct caller_conn *c, size_t size)
-{
-	c->in_bytes -= size;
-	memmove(c->in, c->in + size, c->in_bytes);
-}
-
-/* True when a whole head is there and is sound. */
+/* False when the caller takes no more now, or is gone. */
 static bool
-begin_head(struct caller_conn *c)
+write_ready(struct caller_conn *c)
 {
-	size_t blank = 0, size;
-	const char *fault;
-
-	while (blank + 1 < c->in_bytes && c->in[blank] == '\r' &&
-	       c->in[blank + 1] == '\n')
-		blank += 2;
-	if (blank > 0)
-		consume(c, blank);
-	size = ir_http_head_size(c->in, c->in_bytes);
-	if (size == 0 && c->in_bytes <= MAX_HEAD_BYTES)
-		return false;
-	if (size == 0 || size > MAX_HEAD_BYTES) {
-		struct ir_refusal r = ir_refuse(
-		    IR_E_TOO_LARGE, "headers", "The headers are too large.");
-
-		r.http_status = HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
-		refuse_last(c, r);
-		return false;
-	}
-	fault = ir_http_head_fault(c->in, size);
-	if (fault != NULL) {
-		refuse_bad(c, fault);
-		return false;
+	while (c->out != NULL || take_out(c)) {
+		if (!flush(c))
+			return false;
 	}
-	http_parser_init(&c->parser, HTTP_REQUEST);
-	c->parser.data = c;
-	new_request(c);
 	return true;
 }
 
-static void
-end_request(struct caller_conn *c)
-{
-	struct request *r = c->reading;
-
-	c->reading = NULL;
-	http_parser_pause(&c->parser, 0);
-	ir_request_submit(r);
-	if (r->last)
-		c->ending = true;
-}
-
-static void
-parse_some(struct caller_conn *c)
-{
-	size_t n = http_parser_execute(
-	    &c->parser, &callbacks, (const char *)c->in, c->in_bytes);
-	enum http_errno e = HTTP_PARSER_ERRNO(&c->parser);
-
-	if (e != HPE_OK && e != HPE_PAUSED) {
-		refuse_bad(c, http_errno_name(e));
-		return;
-	}
-	consume(c, n);
-	if (c->reading->refusal.reason != NULL &&
-	    c->reading->refusal.error == IR_E_TOO_LARGE) {
-		/* The rest of the body is not waited for. */
-		refuse_last(c, c->reading->refusal);
-		return;
-	}
-	if (e == HPE_PAUSED)
-		end_request(c);
-}
-
-static void
-parse(struct caller_conn *c)
+void
+ir_caller_conn_write(struct caller_conn *c)
 {
-	while (!c->dead && !c->ending && c->in_bytes > 0 &&
-	       c->request_count < MAX_OPEN) {
-		if (c->reading == NULL && !begin_head(c))
+	/* What was read before may wait for an earlier answer. */
+	do {
+		if (c->dead || !write_ready(c))
 			return;
-		parse_some(c);
-	}
+	} while (ir_caller_conn_parse(c));
+	TEVENT_FD_NOT_WRITEABLE(c->event);
+	if (c->ending && c->requests == NULL && !c->lingering)
+		linger(c);
+	else if (ir_caller_conn_may_read(c))
+		TEVENT_FD_READABLE(c->event);
 }
 
 static bool
@@ -411,10 +202,8 @@
 		ir_caller_conn_write(c);
 	if (c->dead || (flags & TEVENT_FD_READ) == 0 || !read_some(c))
 		return;
-	parse(c);
-	if (c->dead)
-		return;
-	if (c->request_count >= MAX_OPEN)
+	(void)ir_caller_conn_parse(c);
+	if (!ir_caller_conn_may_read(c))
 		TEVENT_FD_NOT_READABLE(c->event);
 	ir_caller_conn_write(c);
 	if (!c->dead && c->in_bytes == 0)
--- a/src/io/callers/caller_conn.h
+++ b/src/io/callers/caller_conn.h
@@ -100,6 +100,11 @@
 /* Ends connections that make no progress or were idle for long. */
 void ir_caller_conn_sweep(struct ir_callers *c, int64_t now);
 
+/* caller_parse.c: takes requests out of what was read. False: it could not. */
+bool ir_caller_conn_parse(struct caller_conn *c);
+/* Whether more is read before an answer was written. */
+bool ir_caller_conn_may_read(const struct caller_conn *c);
+
 /* caller_request.c: the head of a request was read. */
 void ir_request_begin(struct request *r);
 /* A piece of its body. */
--- /dev/null
+++ b/src/io/callers/caller_parse.c
@@ -0,0 +1,233 @@
+/* What a caller sends, as requests. */
+#include <string.h>
+#include <strings.h>
+#include <utlist.h>
+
+#include "io/callers/caller_conn.h"
+#include "io/http_head.h"
+
+/* Head of a request: the headers' bound and a line. */
+#define MAX_HEAD_BYTES (IR_MAX_RAW_HEADER_BYTES + 8192)
+/* Requests of one connection that may be out at a time. */
+#define MAX_OPEN 64
+
+static int
+on_url(http_parser *p, const char *at, size_t size)
+{
+	struct request *r = ((struct caller_conn *)p->data)->reading;
+
+	r->target = ir_must(talloc_strndup_append_buffer(r->target, at, size));
+	return 0;
+}
+
+static int
+on_field(http_parser *p, const char *at, size_t size)
+{
+	struct caller_conn *c = p->data;
+
+	c->field = ir_must(talloc_strndup(c->reading, at, size));
+	return 0;
+}
+
+static int
+on_value(http_parser *p, const char *at, size_t size)
+{
+	struct caller_conn *c = p->data;
+	struct request *r = c->reading;
+	char *value = ir_must(talloc_strndup(r, at, size));
+
+	/* A trailer says nothing that is passed on. */
+	if (r->call->u.call.method != NULL)
+		return 0;
+	if (ir_raw_headers_add(&r->raw, c->field, value))
+		return 0;
+	r->refusal =
+	    ir_refuse(IR_E_TOO_LARGE, "headers", "The headers are too large.");
+	r->refusal.http_status = HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
+	return 0;
+}
+
+static bool
+expects_continue(const struct request *r)
+{
+	for (size_t i = 0; i < r->raw.count; i++) {
+		if (strcasecmp(r->raw.headers[i].name, "expect") == 0 &&
+		    strcasecmp(r->raw.headers[i].value, "100-continue") == 0)
+			return true;
+	}
+	return false;
+}
+
+static int
+on_head(http_parser *p)
+{
+	struct request *r = ((struct caller_conn *)p->data)->reading;
+
+	p->upgrade = 0;
+	r->method =
+	    ir_text_copy(r, http_method_str((enum http_method)p->method));
+	r->last = !http_should_keep_alive(p);
+	r->wants_continue = expects_continue(r);
+	ir_request_begin(r);
+	if (p->content_length != UINT64_MAX &&
+	    p->content_length > IR_MAX_BODY && (p->flags & F_CHUNKED) == 0) {
+		r->refusal =
+		    ir_refuse(IR_E_TOO_LARGE, "body", "The body is too large.");
+		return 1;
+	}
+	return 0;
+}
+
+static int
+on_body(http_parser *p, const char *at, size_t size)
+{
+	struct request *r = ((struct caller_conn *)p->data)->reading;
+
+	ir_request_receive(r, (const uint8_t *)at, size);
+	return 0;
+}
+
+static int
+on_end(http_parser *p)
+{
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_end,
+};
+
+static struct request *
+new_request(struct caller_conn *c)
+{
+	struct request *r = ir_must(talloc_zero(c, struct request));
+
+	r->conn = c;
+	r->target = ir_text_copy(r, "");
+	r->call = ir_to_core_new(IR_TO_CORE_CALL);
+	DL_APPEND(c->requests, r);
+	c->request_count++;
+	c->listener->callers->open_requests++;
+	c->reading = r;
+	return r;
+}
+
+/* Nothing after this request is read. */
+static void
+refuse_last(struct caller_conn *c, struct ir_refusal refusal)
+{
+	struct request *r = c->reading != NULL ? c->reading : new_request(c);
+
+	r->refusal = refusal;
+	r->last = true;
+	c->ending = true;
+	c->reading = NULL;
+	c->in_bytes = 0;
+	ir_request_refuse(r);
+}
+
+static void
+refuse_bad(struct caller_conn *c, const char *fault)
+{
+	refuse_last(c, ir_refuse(IR_E_BAD_REQUEST, fault, NULL));
+}
+
+static void
+consume(struct caller_conn *c, size_t size)
+{
+	c->in_bytes -= size;
+	memmove(c->in, c->in + size, c->in_bytes);
+}
+
+/* True when a whole head is there and is sound. */
+static bool
+begin_head(struct caller_conn *c)
+{
+	size_t blank = 0, size;
+	const char *fault;
+
+	while (blank + 1 < c->in_bytes && c->in[blank] == '\r' &&
+	       c->in[blank + 1] == '\n')
+		blank += 2;
+	if (blank > 0)
+		consume(c, blank);
+	size = ir_http_head_size(c->in, c->in_bytes);
+	if (size == 0 && c->in_bytes <= MAX_HEAD_BYTES)
+		return false;
+	if (size == 0 || size > MAX_HEAD_BYTES) {
+		struct ir_refusal r = ir_refuse(
+		    IR_E_TOO_LARGE, "headers", "The headers are too large.");
+
+		r.http_status = HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
+		refuse_last(c, r);
+		return false;
+	}
+	fault = ir_http_head_fault(c->in, size);
+	if (fault != NULL) {
+		refuse_bad(c, fault);
+		return false;
+	}
+	http_parser_init(&c->parser, HTTP_REQUEST);
+	c->parser.data = c;
+	new_request(c);
+	return true;
+}
+
+static void
+end_request(struct caller_conn *c)
+{
+	struct request *r = c->reading;
+
+	c->reading = NULL;
+	http_parser_pause(&c->parser, 0);
+	ir_request_submit(r);
+	if (r->last)
+		c->ending = true;
+}
+
+static void
+parse_some(struct caller_conn *c)
+{
+	size_t n = http_parser_execute(
+	    &c->parser, &callbacks, (const char *)c->in, c->in_bytes);
+	enum http_errno e = HTTP_PARSER_ERRNO(&c->parser);
+
+	if (e != HPE_OK && e != HPE_PAUSED) {
+		refuse_bad(c, http_errno_name(e));
+		return;
+	}
+	consume(c, n);
+	if (c->reading->refusal.reason != NULL &&
+	    c->reading->refusal.error == IR_E_TOO_LARGE) {
+		/* The rest of the body is not waited for. */
+		refuse_last(c, c->reading->refusal);
+		return;
+	}
+	if (e == HPE_PAUSED)
+		end_request(c);
+}
+
+bool
+ir_caller_conn_may_read(const struct caller_conn *c)
+{
+	return c->reading != NULL || c->request_count < MAX_OPEN;
+}
+
+bool
+ir_caller_conn_parse(struct caller_conn *c)
+{
+	size_t before = c->in_bytes;
+
+	while (!c->ending && c->in_bytes > 0 && ir_caller_conn_may_read(c)) {
+		if (c->reading == NULL && !begin_head(c))
+			break;
+		parse_some(c);
+	}
+	return c->in_bytes != before;
+}
--- a/test/test_caller_conn.c
+++ b/test/test_caller_conn.c
@@ -27,6 +27,7 @@
 #include "support/raw_http.h"
 
 #define RING_SLOTS 128
+#define PIPELINED 100
 #define GET(id)                                              \
 	"GET /a/b?q=1 HTTP/1.1\r\nHost: Shop.Example:80\r\n" \
 	"X-Ibisrail-Attempt-Id: " id "\r\n"                  \
@@ -210,6 +211,31 @@
 	close(fd);
 }
 
+/* More in one packet than may be open at a time. */
+static void
+test_requests_beyond_the_open_ones_do_not_hang(void **state)
+{
+	struct fixture *f = *state;
+	char *many = talloc_strdup(NULL, "");
+	char text[RAW_ANSWER_BYTES];
+	int fd;
+
+	for (int i = 0; i < PIPELINED; i++)
+		many = talloc_strdup_append(
+		    many, "GET /a/ HTTP/1.1\r\nHost: x\r\n\r\n");
+	fd = raw_ask(f->port, many);
+	for (int i = 0; i < PIPELINED; i++) {
+		struct ir_to_core *m = next(f);
+
+		reply(f, m->u.call.id, IR_OK, "one");
+		raw_read_answer(fd, text);
+		assert_non_null(strstr(text, "\r\n\r\none"));
+		talloc_free(m);
+	}
+	talloc_free(many);
+	close(fd);
+}
+
 static void
 test_nothing_behind_a_close_is_run(void **state)
 {
@@ -371,6 +397,7 @@
 	    WITH_CALLERS(test_other_ambiguous_heads_are_refused),
 	    WITH_CALLERS(test_request_in_the_dialect),
 	    WITH_CALLERS(test_pipelined_requests_run_side_by_side),
+	    WITH_CALLERS(test_requests_beyond_the_open_ones_do_not_hang),
 	    WITH_CALLERS(test_nothing_behind_a_close_is_run),
 	    WITH_CALLERS(test_expect_is_answered_in_its_turn),
 	    WITH_CALLERS(test_head_has_no_body),
