Callers: a waiting request keeps only what its answer needs

Cause: a request kept its raw headers, method and target until its answer had been sent, and each connection with a part of a request in its buffer kept 16 KB or more for it.

Change: head and message are given back once the request was handed over or refused. The thread reads into one buffer; a connection keeps only the bytes that could not be parsed yet.

--- a/src/io/callers/caller_conn.c
+++ b/src/io/callers/caller_conn.c
@@ -11,7 +11,6 @@
 #include "io/callers/caller_conn.h"
 #include "io/clock.h"
 
-#define READ_BYTES 16384
 /* Over the idle time that callers are told of, 15 s, with a margin. */
 #define IDLE_TIMEOUT_US (60 * IR_US_PER_S)
 /* A caller that takes nothing of an answer for so long is gone. */
@@ -129,8 +128,25 @@
 	return true;
 }
 
-void
-ir_caller_conn_write(struct caller_conn *c)
+static void
+add_input(struct caller_conn *c, const uint8_t *data, size_t size)
+{
+	c->in = ir_must(talloc_realloc(c, c->in, uint8_t, c->in_bytes + size));
+	memcpy(c->in + c->in_bytes, data, size);
+	c->in_bytes += size;
+}
+
+static void
+trim_input(struct caller_conn *c)
+{
+	if (c->in_bytes == 0)
+		TALLOC_FREE(c->in);
+	else if (c->in_bytes < talloc_get_size(c->in))
+		c->in = ir_must(talloc_realloc(c, c->in, uint8_t, c->in_bytes));
+}
+
+static void
+write_and_parse(struct caller_conn *c)
 {
 	/* What was read before may wait for an earlier answer. */
 	do {
@@ -144,6 +160,13 @@
 		TEVENT_FD_READABLE(c->event);
 }
 
+void
+ir_caller_conn_write(struct caller_conn *c)
+{
+	write_and_parse(c);
+	trim_input(c);
+}
+
 static bool
 is_waiting(const struct caller_conn *c)
 {
@@ -172,13 +195,10 @@
 static bool
 read_some(struct caller_conn *c)
 {
+	struct ir_callers *callers = c->listener->callers;
 	ssize_t n;
 
-	if (!ir_bytes_grow(c, &c->in, c->in_bytes + READ_BYTES)) {
-		ir_caller_conn_end(c);
-		return false;
-	}
-	n = recv(c->fd, c->in + c->in_bytes, READ_BYTES, 0);
+	n = recv(c->fd, callers->read, READ_BYTES, 0);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return false;
 	if (n <= 0) {
@@ -187,7 +207,7 @@
 	}
 	if (c->lingering || c->ending)
 		return true;
-	c->in_bytes += (size_t)n;
+	add_input(c, callers->read, (size_t)n);
 	c->used_us = ir_clock_now();
 	return true;
 }
@@ -206,8 +226,6 @@
 	if (!ir_caller_conn_may_read(c))
 		TEVENT_FD_NOT_READABLE(c->event);
 	ir_caller_conn_write(c);
-	if (!c->dead && c->in_bytes == 0)
-		TALLOC_FREE(c->in);
 }
 
 void
--- a/src/io/callers/caller_conn.h
+++ b/src/io/callers/caller_conn.h
@@ -23,19 +23,28 @@
 	REQUEST_ANSWERED
 };
 
+#define READ_BYTES 16384
+
 struct caller_conn;
 
+/* What only a request that is being received needs. */
+struct request_head {
+	char *method;
+	char *target;
+	char *field; /* name of the header being read */
+	struct ir_raw_headers raw;
+};
+
 struct request {
 	uint64_t id; /* 0 until the core has it */
 	enum request_state state;
 	struct caller_conn *conn;
-	char *method;
-	char *target;
-	struct ir_raw_headers raw;
-	struct ir_to_core *call; /* until it is handed over */
+	struct request_head *head; /* until handed over or refused, */
+	struct ir_to_core *call;   /* as the message that is built */
 	uint8_t *body;
 	size_t body_bytes;
 	struct ir_refusal refusal;
+	bool no_body;	      /* of the answer: to HEAD */
 	bool wants_continue;  /* until the provisional answer was written */
 	bool last;	      /* the connection ends with its answer */
 	uint8_t *answer;      /* bytes, when answered */
@@ -56,12 +65,11 @@
 	int fd;
 	struct tevent_fd *event;
 	http_parser parser;
-	uint8_t *in;
+	uint8_t *in; /* what could not be parsed yet, or NULL */
 	size_t in_bytes;
 	struct request *requests; /* oldest first */
 	uint32_t request_count;
 	struct request *reading; /* its head came, its end has not */
-	char *field;		 /* name of the header being read */
 	uint8_t *out;		 /* unsent bytes of answers, or NULL */
 	size_t out_sent;
 	bool ending;	 /* no further request is read */
@@ -86,6 +94,7 @@
 	uint64_t last_id;
 	struct request *waiting; /* by id */
 	size_t open_requests;
+	uint8_t read[READ_BYTES];
 	bool closing;	      /* answers end their connections */
 	int64_t flush_end_us; /* 0: not stopping */
 	bool sweep_set;
--- a/src/io/callers/caller_parse.c
+++ b/src/io/callers/caller_parse.c
@@ -14,32 +14,32 @@
 static int
 on_url(http_parser *p, const char *at, size_t size)
 {
-	struct request *r = ((struct caller_conn *)p->data)->reading;
+	struct request_head *h = ((struct caller_conn *)p->data)->reading->head;
 
-	r->target = ir_must(talloc_strndup_append_buffer(r->target, at, size));
+	h->target = ir_must(talloc_strndup_append_buffer(h->target, at, size));
 	return 0;
 }
 
 static int
 on_field(http_parser *p, const char *at, size_t size)
 {
-	struct caller_conn *c = p->data;
+	struct request_head *h = ((struct caller_conn *)p->data)->reading->head;
 
-	c->field = ir_must(talloc_strndup(c->reading, at, size));
+	h->field = ir_must(talloc_strndup(h, at, size));
 	return 0;
 }
 
 static int
 on_value(http_parser *p, const char *at, size_t size)
 {
-	struct caller_conn *c = p->data;
-	struct request *r = c->reading;
-	char *value = ir_must(talloc_strndup(r, at, size));
+	struct request *r = ((struct caller_conn *)p->data)->reading;
+	struct request_head *h = r->head;
+	char *value = ir_must(talloc_strndup(h, at, size));
 
 	/* A trailer says nothing that is passed on. */
 	if (r->call->u.call.method != NULL)
 		return 0;
-	if (ir_raw_headers_add(&r->raw, c->field, value))
+	if (ir_raw_headers_add(&h->raw, h->field, value))
 		return 0;
 	r->refusal =
 	    ir_refuse(IR_E_TOO_LARGE, "headers", "The headers are too large.");
@@ -48,11 +48,11 @@
 }
 
 static bool
-expects_continue(const struct request *r)
+expects_continue(const struct ir_raw_headers *raw)
 {
-	for (size_t i = 0; i < r->raw.count; i++) {
-		if (strcasecmp(r->raw.headers[i].name, "expect") == 0 &&
-		    strcasecmp(r->raw.headers[i].value, "100-continue") == 0)
+	for (size_t i = 0; i < raw->count; i++) {
+		if (strcasecmp(raw->headers[i].name, "expect") == 0 &&
+		    strcasecmp(raw->headers[i].value, "100-continue") == 0)
 			return true;
 	}
 	return false;
@@ -64,10 +64,11 @@
 	struct request *r = ((struct caller_conn *)p->data)->reading;
 
 	p->upgrade = 0;
-	r->method =
-	    ir_text_copy(r, http_method_str((enum http_method)p->method));
+	r->head->method =
+	    ir_text_copy(r->head, http_method_str((enum http_method)p->method));
+	r->no_body = p->method == HTTP_HEAD;
 	r->last = !http_should_keep_alive(p);
-	r->wants_continue = expects_continue(r);
+	r->wants_continue = expects_continue(&r->head->raw);
 	ir_request_begin(r);
 	if (p->content_length != UINT64_MAX &&
 	    p->content_length > IR_MAX_BODY && (p->flags & F_CHUNKED) == 0) {
@@ -109,7 +110,8 @@
 	struct request *r = ir_must(talloc_zero(c, struct request));
 
 	r->conn = c;
-	r->target = ir_text_copy(r, "");
+	r->head = ir_must(talloc_zero(r, struct request_head));
+	r->head->target = ir_text_copy(r->head, "");
 	r->call = ir_to_core_new(IR_TO_CORE_CALL);
 	DL_APPEND(c->requests, r);
 	c->request_count++;
--- a/src/io/callers/caller_request.c
+++ b/src/io/callers/caller_request.c
@@ -50,7 +50,7 @@
 	const struct ir_callers *c = r->conn->listener->callers;
 	struct ir_answer_form form = {
 	    .dialect = c->dialect,
-	    .head = r->method != NULL && strcmp(r->method, "HEAD") == 0,
+	    .head = r->no_body,
 	};
 
 	if (c->closing)
@@ -59,6 +59,15 @@
 	return form;
 }
 
+static void
+free_received(struct request *r)
+{
+	TALLOC_FREE(r->head);
+	TALLOC_FREE(r->call);
+	r->body = NULL;
+	r->body_bytes = 0;
+}
+
 void
 ir_request_refuse(struct request *r)
 {
@@ -69,6 +78,7 @@
 		r->last = true;
 	form = form_of(r);
 	note_refusal(r);
+	free_received(r);
 	r->answer = ir_caller_refusal_bytes(r, &form, &r->refusal);
 	r->state = REQUEST_ANSWERED;
 }
@@ -92,25 +102,25 @@
 	struct ir_call *call = &r->call->u.call;
 
 	call->egress = r->conn->listener->egress;
-	call->method = r->method;
+	call->method = r->head->method;
 	if (callers->flush_end_us != 0)
 		r->refusal = ir_refuse(IR_E_STOPPING, "stopping", NULL);
-	if (strlen(r->method) > MAX_METHOD_BYTES ||
-	    strcmp(r->method, "CONNECT") == 0)
+	if (strlen(call->method) > MAX_METHOD_BYTES ||
+	    strcmp(call->method, "CONNECT") == 0)
 		r->refusal = ir_refuse(
 		    IR_E_BAD_REQUEST, "method", "The method is not served.");
 	if (r->refusal.error == IR_OK)
-		r->refusal = ir_caller_target_read(
-		    r->call, callers->dialect, r->target, &r->raw, call);
+		r->refusal = ir_caller_target_read(r->call, callers->dialect,
+		    r->head->target, &r->head->raw, call);
 	if (r->refusal.error == IR_OK)
 		r->refusal = ir_caller_headers_read(
-		    r->call, callers->dialect, &r->raw, call);
+		    r->call, callers->dialect, &r->head->raw, call);
 }
 
 void
 ir_request_receive(struct request *r, const uint8_t *data, size_t size)
 {
-	if (r->refusal.error != IR_OK && r->body_bytes == 0)
+	if (r->refusal.error != IR_OK)
 		return;
 	if (r->body_bytes + size > IR_MAX_BODY) {
 		r->refusal =
@@ -160,8 +170,8 @@
 	call->body = r->body;
 	call->body_bytes = r->body_bytes;
 	if (r->refusal.error == IR_OK)
-		r->refusal =
-		    ir_caller_key_check(c->dialect, call, r->target, &r->raw);
+		r->refusal = ir_caller_key_check(
+		    c->dialect, call, r->head->target, &r->head->raw);
 	if (r->refusal.error != IR_OK) {
 		ir_request_refuse(r);
 		return;
@@ -174,8 +184,9 @@
 		refuse_ring_full(r);
 		return;
 	}
+	/* The message is the core's now. */
 	r->call = NULL;
-	r->body = NULL;
+	free_received(r);
 	r->state = REQUEST_WAITING;
 	HASH_ADD(hh, c->waiting, id, sizeof(r->id), r);
 }
--- /dev/null
+++ b/test/test_caller_memory.c
@@ -0,0 +1,167 @@
+/*
+ * What callers' connections hold. The test runs the loop of the callers'
+ * thread itself, on socket pairs, and plays the core.
+ */
+#include <sys/socket.h>
+
+#include <poll.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <unistd.h>
+#include <utlist.h>
+
+#include <cmocka.h>
+
+#include "io/callers/caller_conn.h"
+
+#define RING_SLOTS 512
+#define SMALL_BYTES 2048
+#define GET "GET /s/ HTTP/1.1\r\nHost: x\r\n\r\n"
+
+struct fixture {
+	struct ir_wake *core;
+	struct ir_channel *channel;
+	struct ir_callers *callers;
+};
+
+static int
+set_up(void **state)
+{
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+
+	f->core = ir_wake_new(f);
+	f->channel = ir_channel_new(f, f->core, NULL, RING_SLOTS);
+	f->callers = ir_callers_new(
+	    f, f->channel, &ir_own_dialect, IR_MAX_CALLER_CONNECTIONS, -1, -1);
+	*state = f;
+	return f->callers != NULL ? 0 : -1;
+}
+
+static int
+tear_down(void **state)
+{
+	struct fixture *f = *state;
+
+	TALLOC_FREE(f->callers);
+	talloc_free(f);
+	return 0;
+}
+
+/* The caller's end; *conn is the other. */
+static int
+dial(struct fixture *f, struct caller_conn **conn)
+{
+	int fds[2];
+
+	assert_int_equal(
+	    socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds), 0);
+	ir_caller_conn_new(&f->callers->callers, fds[0]);
+	*conn = f->callers->conns->prev;
+	return fds[1];
+}
+
+static bool
+is_ready(const struct caller_conn *c)
+{
+	uint16_t flags = tevent_fd_get_flags(c->event);
+	struct pollfd p = {.fd = c->fd};
+
+	if ((flags & TEVENT_FD_READ) != 0)
+		p.events |= POLLIN;
+	if ((flags & TEVENT_FD_WRITE) != 0)
+		p.events |= POLLOUT;
+	return p.events != 0 && poll(&p, 1, 0) > 0;
+}
+
+/* Runs the loop until no connection can go on. */
+static void
+settle(struct fixture *f)
+{
+	struct caller_conn *c;
+
+	do {
+		DL_FOREACH (f->callers->conns, c) {
+			if (is_ready(c))
+				break;
+		}
+		if (c != NULL)
+			tevent_loop_once(f->callers->loop);
+	} while (c != NULL);
+}
+
+static void
+say(struct fixture *f, int fd, const char *text, size_t size)
+{
+	while (size > 0) {
+		ssize_t n = send(fd, text, size, MSG_NOSIGNAL);
+
+		settle(f);
+		if (n <= 0)
+			continue;
+		text += n;
+		size -= (size_t)n;
+	}
+}
+
+static struct ir_to_core *
+next(struct fixture *f)
+{
+	struct ir_to_core *m = ir_ring_pop(f->channel->to_core);
+
+	assert_non_null(m);
+	return m;
+}
+
+static void
+test_waiting_request_keeps_only_what_its_answer_needs(void **state)
+{
+	struct fixture *f = *state;
+	char *text = talloc_strdup(f, "GET /s/ HTTP/1.1\r\nHost: x\r\n");
+	struct caller_conn *c;
+	int fd = dial(f, &c);
+	size_t before = talloc_total_size(f->callers);
+
+	for (int i = 0; i < 60; i++)
+		text = talloc_asprintf_append(text, "X-%d: %01000d\r\n", i, 0);
+	text = talloc_strdup_append(text, "\r\n");
+	say(f, fd, text, strlen(text));
+	talloc_free(next(f));
+	assert_in_range(
+	    talloc_total_size(f->callers), before, before + SMALL_BYTES);
+	close(fd);
+	settle(f);
+	talloc_free(next(f));
+}
+
+static void
+test_input_buffer_is_not_larger_than_what_it_holds(void **state)
+{
+	struct fixture *f = *state;
+	struct caller_conn *c;
+	int fd = dial(f, &c);
+	size_t before = talloc_total_size(f->callers);
+
+	say(f, fd, GET, strlen(GET) - 2);
+	assert_in_range(
+	    talloc_total_size(f->callers), before, before + SMALL_BYTES);
+	close(fd);
+	settle(f);
+}
+
+#define WITH_CALLERS(t) cmocka_unit_test_setup_teardown(t, set_up, tear_down)
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    WITH_CALLERS(test_waiting_request_keeps_only_what_its_answer_needs),
+	    WITH_CALLERS(test_input_buffer_is_not_larger_than_what_it_holds),
+	};
+
+	signal(SIGPIPE, SIG_IGN);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
