Callers: what connections hold is counted

Cause: nothing told how many bytes requests being received, requests waiting and answers not yet sent take, so nothing could bound them.

Change: each connection counts itself, its buffers and its requests as IR_MEMORY_CALLERS, as the difference to what it counted last; the daemon's struct ir_memory is passed to ir_callers_new().

Result: test_each_byte_held_is_counted compares the count with the talloc trees after each step, and each test of the program ends with a count of 0.

--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -158,7 +158,7 @@
 	int egress_fd = take_fd(p, LISTENER_EGRESS);
 
 	p->callers = ir_callers_new(p, ch[IR_DUTY_CALLERS], p->dialect,
-	    p->descriptors.callers, callers_fd, egress_fd);
+	    &p->memory, p->descriptors.callers, callers_fd, egress_fd);
 	p->upstream = ir_upstream_new(p, ch[IR_DUTY_UPSTREAM], &p->memory,
 	    p->dialect, &p->settings->upstream, p->descriptors.upstream);
 	p->peers = ir_peers_new(p, ch[IR_DUTY_PEERS], &p->memory,
--- a/src/io/callers/caller_conn.c
+++ b/src/io/callers/caller_conn.c
@@ -28,6 +28,7 @@
 	if (c->dead)
 		return;
 	c->dead = true;
+	ir_caller_conn_uncount(c);
 	TALLOC_FREE(c->event);
 	close(c->fd);
 	while ((r = c->requests) != NULL) {
@@ -76,6 +77,7 @@
 static void
 drop_request(struct caller_conn *c, struct request *r)
 {
+	ir_request_uncount(r);
 	DL_DELETE(c->requests, r);
 	c->request_count--;
 	c->listener->callers->open_requests--;
@@ -165,6 +167,7 @@
 {
 	write_and_parse(c);
 	trim_input(c);
+	ir_caller_conn_count(c);
 }
 
 static bool
@@ -242,6 +245,8 @@
 	c->used_us = ir_clock_now();
 	c->event = ir_must(
 	    tevent_add_fd(callers->loop, c, fd, TEVENT_FD_READ, on_event, c));
+	c->base_bytes = ir_memory_of(c);
+	ir_caller_conn_count(c);
 	DL_APPEND(callers->conns, c);
 	callers->conn_count++;
 }
--- a/src/io/callers/caller_conn.h
+++ b/src/io/callers/caller_conn.h
@@ -48,6 +48,7 @@
 	bool wants_continue;  /* until the provisional answer was written */
 	bool last;	      /* the connection ends with its answer */
 	uint8_t *answer;      /* bytes, when answered */
+	size_t held_bytes;    /* as counted last */
 	struct request *prev; /* of the connection, in order */
 	struct request *next;
 	UT_hash_handle hh;
@@ -72,10 +73,13 @@
 	struct request *reading; /* its head came, its end has not */
 	uint8_t *out;		 /* unsent bytes of answers, or NULL */
 	size_t out_sent;
-	bool ending;	 /* no further request is read */
-	bool lingering;	 /* all was sent; reads until the caller closes */
-	bool dead;	 /* to be freed */
-	int64_t used_us; /* last progress */
+	bool ending;	   /* no further request is read */
+	bool lingering;	   /* all was sent; reads until the caller closes */
+	bool dead;	   /* to be freed */
+	int64_t used_us;   /* last progress */
+	size_t base_bytes; /* of a connection that has nothing to do */
+	size_t own_bytes;  /* as counted last, without its requests */
+	size_t held_bytes; /* with them */
 	struct caller_conn *prev;
 	struct caller_conn *next;
 };
@@ -83,6 +87,7 @@
 struct ir_callers {
 	struct ir_channel *channel;
 	const struct ir_dialect *dialect;
+	struct ir_memory *memory;
 	struct ir_outbox out; /* only what must not be lost */
 	struct tevent_context *loop;
 	struct listener callers;
@@ -100,6 +105,9 @@
 	bool sweep_set;
 };
 
+/* callers.c: takes what the core sent. */
+void ir_callers_take_messages(struct ir_callers *c);
+
 /* Takes the socket over. */
 void ir_caller_conn_new(struct listener *l, int fd);
 /* Ends the connection; requests out are reported gone. */
@@ -126,4 +134,13 @@
 /* Tells the core that the caller went away. */
 void ir_request_report_gone(struct ir_callers *c, uint64_t id);
 
+/*
+ * caller_memory.c: what is held is counted again after a change. A request
+ * that is dropped counts nothing any more, nor does a connection that ends.
+ */
+void ir_caller_conn_count(struct caller_conn *c);
+void ir_caller_conn_uncount(struct caller_conn *c);
+void ir_request_count(struct request *r);
+void ir_request_uncount(struct request *r);
+
 #endif
--- a/src/io/callers/caller_request.c
+++ b/src/io/callers/caller_request.c
@@ -81,6 +81,7 @@
 	free_received(r);
 	r->answer = ir_caller_refusal_bytes(r, &form, &r->refusal);
 	r->state = REQUEST_ANSWERED;
+	ir_request_count(r);
 }
 
 void
@@ -93,6 +94,7 @@
 	form = form_of(r);
 	r->answer = ir_caller_answer_bytes(r, &form, a);
 	r->state = REQUEST_ANSWERED;
+	ir_request_count(r);
 }
 
 void
@@ -189,4 +191,5 @@
 	free_received(r);
 	r->state = REQUEST_WAITING;
 	HASH_ADD(hh, c->waiting, id, sizeof(r->id), r);
+	ir_request_count(r);
 }
--- a/src/io/callers/callers.c
+++ b/src/io/callers/callers.c
@@ -52,8 +52,8 @@
 	}
 }
 
-static void
-take_messages(struct ir_callers *c)
+void
+ir_callers_take_messages(struct ir_callers *c)
 {
 	struct ir_from_core *m;
 
@@ -168,7 +168,7 @@
 	struct ir_callers *c = ctx;
 
 	for (;;) {
-		take_messages(c);
+		ir_callers_take_messages(c);
 		free_dead(c);
 		if (is_ended(c))
 			break;
@@ -208,8 +208,8 @@
 
 struct ir_callers *
 ir_callers_new(TALLOC_CTX *mem, struct ir_channel *channel,
-    const struct ir_dialect *dialect, uint32_t max_connections, int callers_fd,
-    int egress_fd)
+    const struct ir_dialect *dialect, struct ir_memory *memory,
+    uint32_t max_connections, int callers_fd, int egress_fd)
 {
 	struct ir_callers *c = talloc_zero(mem, struct ir_callers);
 
@@ -217,6 +217,7 @@
 		return NULL;
 	c->channel = channel;
 	c->dialect = dialect;
+	c->memory = memory;
 	c->max_connections = max_connections;
 	c->callers.fd = callers_fd;
 	c->egress.fd = egress_fd;
--- a/src/io/callers/callers.h
+++ b/src/io/callers/callers.h
@@ -20,12 +20,12 @@
 struct ir_callers;
 
 /*
- * Takes both listening sockets over; egress_fd -1: none. NULL when the loop
- * cannot be made.
+ * Takes both listening sockets over; egress_fd -1: none. What connections hold
+ * is counted in memory as IR_MEMORY_CALLERS. NULL when the loop cannot be made.
  */
 struct ir_callers *ir_callers_new(TALLOC_CTX *mem, struct ir_channel *channel,
-    const struct ir_dialect *dialect, uint32_t max_connections, int callers_fd,
-    int egress_fd);
+    const struct ir_dialect *dialect, struct ir_memory *memory,
+    uint32_t max_connections, int callers_fd, int egress_fd);
 
 /* The thread's start routine: ctx is the struct ir_callers. */
 void *ir_callers_run(void *ctx);
--- a/test/test_caller_conn.c
+++ b/test/test_caller_conn.c
@@ -36,6 +36,7 @@
 struct fixture {
 	struct ir_wake *core;
 	struct ir_channel *channel;
+	struct ir_memory memory;
 	struct ir_callers *callers;
 	pthread_t thread;
 	uint16_t port;
@@ -48,10 +49,11 @@
 	struct fixture *f = talloc_zero(NULL, struct fixture);
 	int fd = ir_listen(&any, false, &f->port);
 
+	ir_memory_init(&f->memory, 0);
 	f->core = ir_wake_new(NULL);
 	f->channel = ir_channel_new(f->core, f->core, NULL, RING_SLOTS);
 	f->callers = ir_callers_new(f->core, f->channel, &platform_dialect,
-	    IR_MAX_CALLER_CONNECTIONS, fd, -1);
+	    &f->memory, IR_MAX_CALLER_CONNECTIONS, fd, -1);
 	*state = f;
 	return pthread_create(&f->thread, NULL, ir_callers_run, f->callers);
 }
--- a/test/test_caller_memory.c
+++ b/test/test_caller_memory.c
@@ -20,11 +20,16 @@
 
 #define RING_SLOTS 512
 #define SMALL_BYTES 2048
+#define BODY_BYTES 1000000
+#define POST                               \
+	"POST /s/ HTTP/1.1\r\nHost: x\r\n" \
+	"Content-Length: 1000000\r\n\r\n"
 #define GET "GET /s/ HTTP/1.1\r\nHost: x\r\n\r\n"
 
 struct fixture {
 	struct ir_wake *core;
 	struct ir_channel *channel;
+	struct ir_memory memory;
 	struct ir_callers *callers;
 };
 
@@ -35,8 +40,9 @@
 
 	f->core = ir_wake_new(f);
 	f->channel = ir_channel_new(f, f->core, NULL, RING_SLOTS);
-	f->callers = ir_callers_new(
-	    f, f->channel, &ir_own_dialect, IR_MAX_CALLER_CONNECTIONS, -1, -1);
+	ir_memory_init(&f->memory, 0);
+	f->callers = ir_callers_new(f, f->channel, &ir_own_dialect, &f->memory,
+	    IR_MAX_CALLER_CONNECTIONS, -1, -1);
 	*state = f;
 	return f->callers != NULL ? 0 : -1;
 }
@@ -47,6 +53,7 @@
 	struct fixture *f = *state;
 
 	TALLOC_FREE(f->callers);
+	assert_int_equal(ir_memory_held(&f->memory, IR_MEMORY_CALLERS), 0);
 	talloc_free(f);
 	return 0;
 }
@@ -116,6 +123,90 @@
 	return m;
 }
 
+static void
+reply(struct fixture *f, uint64_t id, size_t bytes)
+{
+	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_ANSWER);
+
+	m->id = id;
+	m->u.answer.status = 200;
+	m->u.answer.body_bytes = bytes;
+	m->u.answer.body = talloc_zero_size(m, bytes);
+	assert_true(ir_ring_push(f->channel->from_core, m));
+	ir_callers_take_messages(f->callers);
+	settle(f);
+}
+
+static uint64_t
+held(const struct fixture *f)
+{
+	return ir_memory_held(&f->memory, IR_MEMORY_CALLERS);
+}
+
+static void
+expect_counted(const struct fixture *f)
+{
+	const struct caller_conn *c;
+	size_t bytes = 0;
+
+	DL_FOREACH (f->callers->conns, c) {
+		bytes += ir_memory_of(c);
+		if (c->reading != NULL)
+			bytes += ir_memory_of(c->reading->call);
+	}
+	assert_int_equal(held(f), bytes);
+}
+
+/* Takes what there is; the bytes read. */
+static size_t
+read_all(struct fixture *f, int fd, char *text, size_t size)
+{
+	size_t got = 0;
+	ssize_t n;
+
+	memset(text, 0, size);
+	while ((n = read(fd, text + got, size - 1 - got)) > 0) {
+		got += (size_t)n;
+		settle(f);
+	}
+	return got;
+}
+
+static void
+test_each_byte_held_is_counted(void **state)
+{
+	struct fixture *f = *state;
+	char *text = talloc_zero_size(f, 2 * BODY_BYTES);
+	struct ir_to_core *m;
+	struct caller_conn *c;
+	int fd = dial(f, &c);
+
+	expect_counted(f);
+	say(f, fd, GET, 10);
+	expect_counted(f);
+	say(f, fd, GET + 10, strlen(GET) - 10);
+	expect_counted(f);
+	say(f, fd, POST, strlen(POST));
+	expect_counted(f);
+	say(f, fd, text, BODY_BYTES / 2);
+	expect_counted(f);
+	assert_true(held(f) > BODY_BYTES / 2);
+	m = next(f);
+	reply(f, m->u.call.id, BODY_BYTES);
+	talloc_free(m);
+	expect_counted(f);
+	assert_true(held(f) > BODY_BYTES);
+	assert_true(read_all(f, fd, text, 2 * BODY_BYTES) > BODY_BYTES);
+	expect_counted(f);
+	say(f, fd, text, BODY_BYTES / 2);
+	talloc_free(next(f));
+	expect_counted(f);
+	close(fd);
+	settle(f);
+	talloc_free(next(f));
+	assert_int_equal(held(f), 0);
+}
+
 static void
 test_waiting_request_keeps_only_what_its_answer_needs(void **state)
 {
@@ -158,6 +249,7 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    WITH_CALLERS(test_each_byte_held_is_counted),
 	    WITH_CALLERS(test_waiting_request_keeps_only_what_its_answer_needs),
 	    WITH_CALLERS(test_input_buffer_is_not_larger_than_what_it_holds),
 	};
--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -29,6 +29,7 @@
 struct fixture {
 	struct ir_wake *core;
 	struct ir_channel *channel;
+	struct ir_memory memory;
 	struct ir_callers *callers;
 	pthread_t thread;
 	uint16_t port;
@@ -43,10 +44,11 @@
 	int callers_fd = ir_listen(&any, false, &f->port);
 	int egress_fd = ir_listen(&any, true, &f->egress_port);
 
+	ir_memory_init(&f->memory, 0);
 	f->core = ir_wake_new(NULL);
 	f->channel = ir_channel_new(f->core, f->core, NULL, RING_SLOTS);
 	f->callers = ir_callers_new(f->core, f->channel, &ir_own_dialect,
-	    IR_MAX_CALLER_CONNECTIONS, callers_fd, egress_fd);
+	    &f->memory, IR_MAX_CALLER_CONNECTIONS, callers_fd, egress_fd);
 	*state = f;
 	return pthread_create(&f->thread, NULL, ir_callers_run, f->callers);
 }
