Callers: what is received has a bound in bytes

Cause: 64 requests on each of thousands of connections, bodies of up to 4 MB and parts of heads were held however much the process held already.

Change: without room within IR_MEMORY_CALLERS a new request, or a body that would grow, is refused at once as overload, not run, with a time to come back; what follows of the body is read and dropped. From half of the bound on a connection that holds more than its part begins no further request before an answer was written. Without room connections wait in the listener's queue. Each refusal is logged as call-refused with reason memory.

--- a/src/io/callers/caller_conn.c
+++ b/src/io/callers/caller_conn.c
@@ -11,6 +11,7 @@
 #include "io/callers/caller_conn.h"
 #include "io/clock.h"
 
+#define CROWDED_READ_BYTES 1024
 /* Over the idle time that callers are told of, 15 s, with a margin. */
 #define IDLE_TIMEOUT_US (60 * IR_US_PER_S)
 /* A caller that takes nothing of an answer for so long is gone. */
@@ -194,6 +195,16 @@
 	TEVENT_FD_NOT_READABLE(c->event);
 }
 
+/* Of heads no more is read at once than can be kept. */
+static size_t
+read_bytes(const struct caller_conn *c)
+{
+	if (c->reading != NULL || c->skipping ||
+	    !ir_callers_are_crowded(c->listener->callers))
+		return READ_BYTES;
+	return CROWDED_READ_BYTES;
+}
+
 /* False when the connection is ended or has nothing more now. */
 static bool
 read_some(struct caller_conn *c)
@@ -201,7 +212,7 @@
 	struct ir_callers *callers = c->listener->callers;
 	ssize_t n;
 
-	n = recv(c->fd, callers->read, READ_BYTES, 0);
+	n = recv(c->fd, callers->read, read_bytes(c), 0);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return false;
 	if (n <= 0) {
@@ -273,5 +284,7 @@
 	DL_FOREACH_SAFE (callers->conns, c, next) {
 		if (is_stale(c, now))
 			ir_caller_conn_end(c);
+		else if (!c->ending && c->out == NULL)
+			ir_caller_conn_write(c);
 	}
 }
--- a/src/io/callers/caller_conn.h
+++ b/src/io/callers/caller_conn.h
@@ -71,6 +71,7 @@
 	struct request *requests; /* oldest first */
 	uint32_t request_count;
 	struct request *reading; /* its head came, its end has not */
+	bool skipping;		 /* the rest of a body that was refused */
 	uint8_t *out;		 /* unsent bytes of answers, or NULL */
 	size_t out_sent;
 	bool ending;	   /* no further request is read */
@@ -128,6 +129,8 @@
 void ir_request_receive(struct request *r, const uint8_t *data, size_t size);
 /* All of it came: hands it to the core, or refuses it. */
 void ir_request_submit(struct request *r);
+/* Not run: there is no room for it. */
+void ir_request_refuse_memory(struct request *r);
 /* The answer of the core, or a refusal, as bytes. */
 void ir_request_answer(struct request *r, const struct ir_answer *a);
 void ir_request_refuse(struct request *r);
@@ -142,5 +145,13 @@
 void ir_caller_conn_uncount(struct caller_conn *c);
 void ir_request_count(struct request *r);
 void ir_request_uncount(struct request *r);
+/* Whether a connection, a request or so many bytes of it more may be held. */
+bool ir_callers_have_room_to_accept(const struct ir_callers *c);
+bool ir_callers_have_room_to_begin(const struct ir_callers *c);
+bool ir_callers_have_room(const struct ir_callers *c, size_t bytes);
+/* More than half of the bound is held: connections get equal parts only. */
+bool ir_callers_are_crowded(const struct ir_callers *c);
+/* Whether it holds more than its part, so that it has to wait for answers. */
+bool ir_caller_conn_has_its_part(const struct caller_conn *c);
 
 #endif
--- a/src/io/callers/caller_parse.c
+++ b/src/io/callers/caller_parse.c
@@ -10,6 +10,8 @@
 #define MAX_HEAD_BYTES (IR_MAX_RAW_HEADER_BYTES + 8192)
 /* Requests of one connection that may be out at a time. */
 #define MAX_OPEN 64
+/* Part of a head that is kept also without room. */
+#define MIN_HEAD_BYTES 2048
 
 static int
 on_url(http_parser *p, const char *at, size_t size)
@@ -95,6 +97,10 @@
 	return 0;
 }
 
+static const http_parser_settings skip_callbacks = {
+    .on_message_complete = on_end,
+};
+
 static const http_parser_settings callbacks = {
     .on_url = on_url,
     .on_header_field = on_field,
@@ -140,6 +146,31 @@
 	refuse_last(c, ir_refuse(IR_E_BAD_REQUEST, fault, NULL));
 }
 
+static void
+refuse_last_memory(struct caller_conn *c)
+{
+	struct request *r = new_request(c);
+
+	ir_request_refuse_memory(r);
+	refuse_last(c, r->refusal);
+}
+
+/* Answers at once; the rest of the body is read and not kept. */
+static void
+refuse_unread(struct caller_conn *c)
+{
+	struct request *r = c->reading;
+
+	/* Whether a caller that waits for leave still sends is not known. */
+	if (r->wants_continue || r->last) {
+		refuse_last(c, r->refusal);
+		return;
+	}
+	c->reading = NULL;
+	c->skipping = true;
+	ir_request_refuse(r);
+}
+
 static void
 consume(struct caller_conn *c, size_t size)
 {
@@ -160,6 +191,11 @@
 	if (blank > 0)
 		consume(c, blank);
 	size = ir_http_head_size(c->in, c->in_bytes);
+	if (size == 0 && c->in_bytes > MIN_HEAD_BYTES &&
+	    !ir_callers_have_room(c->listener->callers, 0)) {
+		refuse_last_memory(c);
+		return false;
+	}
 	if (size == 0 && c->in_bytes <= MAX_HEAD_BYTES)
 		return false;
 	if (size == 0 || size > MAX_HEAD_BYTES) {
@@ -213,12 +249,35 @@
 	}
 	if (e == HPE_PAUSED)
 		end_request(c);
+	else if (c->reading->refusal.error == IR_E_OVERLOAD)
+		refuse_unread(c);
+}
+
+static void
+skip_some(struct caller_conn *c)
+{
+	size_t n = http_parser_execute(
+	    &c->parser, &skip_callbacks, (const char *)c->in, c->in_bytes);
+	enum http_errno e = HTTP_PARSER_ERRNO(&c->parser);
+
+	if (e != HPE_OK && e != HPE_PAUSED) {
+		c->ending = true;
+		c->in_bytes = 0;
+		return;
+	}
+	consume(c, n);
+	if (e != HPE_PAUSED)
+		return;
+	http_parser_pause(&c->parser, 0);
+	c->skipping = false;
 }
 
 bool
 ir_caller_conn_may_read(const struct caller_conn *c)
 {
-	return c->reading != NULL || c->request_count < MAX_OPEN;
+	if (c->reading != NULL || c->skipping || c->requests == NULL)
+		return true;
+	return c->request_count < MAX_OPEN && !ir_caller_conn_has_its_part(c);
 }
 
 bool
@@ -227,6 +286,10 @@
 	size_t before = c->in_bytes;
 
 	while (!c->ending && c->in_bytes > 0 && ir_caller_conn_may_read(c)) {
+		if (c->skipping) {
+			skip_some(c);
+			continue;
+		}
 		if (c->reading == NULL && !begin_head(c))
 			break;
 		parse_some(c);
--- a/src/io/callers/caller_request.c
+++ b/src/io/callers/caller_request.c
@@ -6,6 +6,7 @@
 #include "io/callers/caller_conn.h"
 
 #define RING_FULL_RETRY_MS 1000
+#define MEMORY_RETRY_MS 1000
 #define MAX_METHOD_BYTES 16
 
 void
@@ -97,6 +98,19 @@
 	ir_request_count(r);
 }
 
+void
+ir_request_refuse_memory(struct request *r)
+{
+	struct ir_log *log = r->conn->listener->callers->channel->log;
+	const char *attempt = r->call->u.call.attempt;
+
+	r->refusal = ir_refuse(IR_E_OVERLOAD, "memory", NULL);
+	r->refusal.retry_after_ms = MEMORY_RETRY_MS;
+	ir_report(log, IR_EVENT_CALL_REFUSED, r->refusal.reason,
+	    "id=%s error=%s retry_ms=%u", attempt != NULL ? attempt : "none",
+	    ir_error_info(IR_E_OVERLOAD)->name, MEMORY_RETRY_MS);
+}
+
 void
 ir_request_begin(struct request *r)
 {
@@ -117,6 +131,27 @@
 	if (r->refusal.error == IR_OK)
 		r->refusal = ir_caller_headers_read(
 		    r->call, callers->dialect, &r->head->raw, call);
+	if (r->refusal.error == IR_OK &&
+	    !ir_callers_have_room_to_begin(callers))
+		ir_request_refuse_memory(r);
+}
+
+/* False without room. */
+static bool
+grow_body(struct request *r, size_t bytes)
+{
+	size_t before = talloc_get_size(r->body);
+	size_t grown;
+
+	if (!ir_bytes_grow(r->call, &r->body, bytes))
+		return false;
+	grown = talloc_get_size(r->body) - before;
+	if (grown == 0)
+		return true;
+	if (!ir_callers_have_room(r->conn->listener->callers, grown))
+		return false;
+	ir_request_count(r);
+	return true;
 }
 
 void
@@ -129,8 +164,8 @@
 		    ir_refuse(IR_E_TOO_LARGE, "body", "The body is too large.");
 		return;
 	}
-	if (!ir_bytes_grow(r->call, &r->body, r->body_bytes + size)) {
-		r->refusal = ir_refuse(IR_E_OVERLOAD, "memory", NULL);
+	if (!grow_body(r, r->body_bytes + size)) {
+		ir_request_refuse_memory(r);
 		return;
 	}
 	memcpy(r->body + r->body_bytes, data, size);
--- a/src/io/callers/callers.c
+++ b/src/io/callers/callers.c
@@ -88,7 +88,7 @@
 	TEVENT_FD_READABLE(l->event);
 }
 
-/* Out of descriptors: the listener would stay readable without end. */
+/* Without this the listener would stay readable without end. */
 static void
 pause_accepting(struct listener *l)
 {
@@ -106,7 +106,8 @@
 	for (int i = 0; i < ACCEPT_BATCH; i++) {
 		int fd;
 
-		if (l->callers->conn_count >= l->callers->max_connections) {
+		if (l->callers->conn_count >= l->callers->max_connections ||
+		    !ir_callers_have_room_to_accept(l->callers)) {
 			pause_accepting(l);
 			return;
 		}
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -140,10 +140,12 @@
 	"Nothing. ibisrailctl trace ID follows the request."},
     {IR_EVENT_CALL_REFUSED,
 	"id; error; retry_ms: when the caller may come back; service, "
-	"account, config: what decided it",
+	"account, config: what decided it; reason: memory when there was no "
+	"room to receive it",
 	"A request was refused at this entry before it was sent to a gate.",
 	"rate: look at the account's rate and demand. no-route, key-unknown: "
-	"compare config with the revision published."},
+	"compare config with the revision published. memory: callers send "
+	"more, or read slower, than the process may hold."},
     {IR_EVENT_ATTEMPT_SENT,
 	"id; attempt: its number at this entry; host: whose gate; try: which "
 	"try this is; held, limit: the gate's work by its last report; "
--- a/test/test_caller_memory.c
+++ b/test/test_caller_memory.c
@@ -17,9 +17,14 @@
 #include <cmocka.h>
 
 #include "io/callers/caller_conn.h"
+#include "io/listen.h"
+#include "support/raw_http.h"
 
 #define RING_SLOTS 512
 #define SMALL_BYTES 2048
+#define CALLERS 32
+#define FLOOD 400
+#define TEXT_BYTES 8192
 #define BODY_BYTES 1000000
 #define POST                               \
 	"POST /s/ HTTP/1.1\r\nHost: x\r\n" \
@@ -30,19 +35,22 @@
 	struct ir_wake *core;
 	struct ir_channel *channel;
 	struct ir_memory memory;
+	uint16_t port;
 	struct ir_callers *callers;
 };
 
 static int
 set_up(void **state)
 {
+	const struct ir_endpoint any = {"127.0.0.1", 0};
 	struct fixture *f = talloc_zero(NULL, struct fixture);
+	int fd = ir_listen(&any, false, &f->port);
 
 	f->core = ir_wake_new(f);
 	f->channel = ir_channel_new(f, f->core, NULL, RING_SLOTS);
 	ir_memory_init(&f->memory, 0);
 	f->callers = ir_callers_new(f, f->channel, &ir_own_dialect, &f->memory,
-	    IR_MAX_CALLER_CONNECTIONS, -1, -1);
+	    IR_MAX_CALLER_CONNECTIONS, fd, -1);
 	*state = f;
 	return f->callers != NULL ? 0 : -1;
 }
@@ -127,11 +135,13 @@
 reply(struct fixture *f, uint64_t id, size_t bytes)
 {
 	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_ANSWER);
+	uint8_t *body = talloc_size(m, bytes);
 
+	memset(body, 'b', bytes);
 	m->id = id;
 	m->u.answer.status = 200;
 	m->u.answer.body_bytes = bytes;
-	m->u.answer.body = talloc_zero_size(m, bytes);
+	m->u.answer.body = body;
 	assert_true(ir_ring_push(f->channel->from_core, m));
 	ir_callers_take_messages(f->callers);
 	settle(f);
@@ -207,6 +217,166 @@
 	assert_int_equal(held(f), 0);
 }
 
+/* Leaves room for so many bytes more. */
+static void
+leave_room(struct fixture *f, size_t bytes)
+{
+	f->memory.bound_bytes[IR_MEMORY_CALLERS] = held(f) + bytes;
+}
+
+static void
+expect_refused(const char *text)
+{
+	assert_memory_equal(text, "HTTP/1.1 503", 12);
+	assert_non_null(strstr(text, "Ibisrail-Outcome: not-run\r\n"));
+	assert_non_null(strstr(text, "Ibisrail-Error: overload\r\n"));
+	assert_non_null(strstr(text, "Ibisrail-Retry-After-Ms: 1000\r\n"));
+}
+
+static void
+test_request_without_room_is_refused_not_run(void **state)
+{
+	struct fixture *f = *state;
+	char text[TEXT_BYTES];
+	struct caller_conn *c;
+	int fd = dial(f, &c);
+
+	leave_room(f, 500);
+	say(f, fd, GET, strlen(GET));
+	assert_true(ir_ring_empty(f->channel->to_core));
+	read_all(f, fd, text, sizeof(text));
+	expect_refused(text);
+	assert_null(strstr(text, "Connection: close"));
+	leave_room(f, BODY_BYTES);
+	say(f, fd, GET, strlen(GET));
+	talloc_free(next(f));
+	close(fd);
+	settle(f);
+	talloc_free(next(f));
+}
+
+static void
+test_head_in_parts_without_room_is_refused(void **state)
+{
+	struct fixture *f = *state;
+	char text[TEXT_BYTES];
+	char *head =
+	    talloc_asprintf(f, "GET /s/ HTTP/1.1\r\nHost: x\r\nX: %05000d", 0);
+	struct caller_conn *c;
+	int fd = dial(f, &c);
+
+	leave_room(f, 500);
+	say(f, fd, head, strlen(head));
+	read_all(f, fd, text, sizeof(text));
+	expect_refused(text);
+	assert_non_null(strstr(text, "Connection: close"));
+	close(fd);
+	settle(f);
+}
+
+static uint64_t
+pass_on(struct fixture *f)
+{
+	struct ir_to_core *m = next(f);
+	uint64_t id = m->u.call.id;
+
+	talloc_free(m);
+	return id;
+}
+
+static void
+test_body_without_room_is_refused_and_other_answers_come(void **state)
+{
+	struct fixture *f = *state;
+	char *body = talloc_zero_size(f, BODY_BYTES);
+	char text[TEXT_BYTES];
+	struct caller_conn *c;
+	int fd = dial(f, &c);
+	uint64_t first;
+
+	say(f, fd, GET, strlen(GET));
+	first = pass_on(f);
+	leave_room(f, BODY_BYTES / 10);
+	say(f, fd, POST, strlen(POST));
+	say(f, fd, body, BODY_BYTES / 2);
+	assert_in_range(held(f), 0, f->memory.bound_bytes[IR_MEMORY_CALLERS]);
+	reply(f, first, 1);
+	read_all(f, fd, text, sizeof(text));
+	assert_memory_equal(text, "HTTP/1.1 200", 12);
+	expect_refused(strstr(text + 12, "HTTP/1.1"));
+	say(f, fd, body, BODY_BYTES / 2);
+	assert_true(ir_ring_empty(f->channel->to_core));
+	say(f, fd, GET, strlen(GET));
+	reply(f, pass_on(f), 1);
+	read_all(f, fd, text, sizeof(text));
+	assert_memory_equal(text, "HTTP/1.1 200", 12);
+	close(fd);
+	settle(f);
+}
+
+/* The answers that the callers got, by then. */
+static int
+count_answers(struct fixture *f, const int *fds)
+{
+	char text[TEXT_BYTES];
+	int count = 0;
+
+	for (int i = 0; i < CALLERS; i++) {
+		while (read_all(f, fds[i], text, sizeof(text)) > 0) {
+			for (const char *p = text;
+			     (p = strstr(p, "HTTP/1.1 ")) != NULL; p++)
+				count++;
+		}
+	}
+	return count;
+}
+
+static void
+test_flood_of_pipelined_requests_stays_in_the_bound(void **state)
+{
+	struct fixture *f = *state;
+	const uint64_t bound = 256 * 1024;
+	struct caller_conn *c;
+	struct ir_to_core *m;
+	int fds[CALLERS], answers = 0;
+	char *flood = talloc_strdup(f, "");
+
+	for (int i = 0; i < FLOOD; i++)
+		flood = talloc_strdup_append(flood, GET);
+	for (int i = 0; i < CALLERS; i++)
+		fds[i] = dial(f, &c);
+	f->memory.bound_bytes[IR_MEMORY_CALLERS] = bound;
+	for (int i = 0; i < CALLERS; i++) {
+		say(f, fds[i], flood, strlen(flood));
+		assert_in_range(held(f), 0, bound);
+	}
+	while ((m = ir_ring_pop(f->channel->to_core)) != NULL) {
+		reply(f, m->u.call.id, 1);
+		answers += count_answers(f, fds);
+		assert_in_range(held(f), 0, bound);
+		talloc_free(m);
+	}
+	assert_int_equal(answers, CALLERS * FLOOD);
+	for (int i = 0; i < CALLERS; i++)
+		close(fds[i]);
+	settle(f);
+}
+
+static void
+test_new_connections_wait_without_room(void **state)
+{
+	struct fixture *f = *state;
+	int fd = raw_dial(f->port);
+
+	leave_room(f, 100);
+	tevent_loop_once(f->callers->loop);
+	assert_int_equal(f->callers->conn_count, 0);
+	leave_room(f, BODY_BYTES);
+	while (f->callers->conn_count == 0)
+		tevent_loop_once(f->callers->loop);
+	close(fd);
+}
+
 static void
 test_waiting_request_keeps_only_what_its_answer_needs(void **state)
 {
@@ -250,6 +420,12 @@
 {
 	const struct CMUnitTest tests[] = {
 	    WITH_CALLERS(test_each_byte_held_is_counted),
+	    WITH_CALLERS(test_request_without_room_is_refused_not_run),
+	    WITH_CALLERS(test_head_in_parts_without_room_is_refused),
+	    WITH_CALLERS(
+		test_body_without_room_is_refused_and_other_answers_come),
+	    WITH_CALLERS(test_flood_of_pipelined_requests_stays_in_the_bound),
+	    WITH_CALLERS(test_new_connections_wait_without_room),
 	    WITH_CALLERS(test_waiting_request_keeps_only_what_its_answer_needs),
 	    WITH_CALLERS(test_input_buffer_is_not_larger_than_what_it_holds),
 	};
