Callers: answers that are not taken are bounded

Cause: an answer that its caller did not read was held for 10 s however much else was held, and for ever while that caller went on sending: each byte read from it counted as progress.

Change: connections whose caller takes no more stand in a list, the one that took nothing longest first. Over the bound its first is ended after 1 s, else after 10 s as before. Bytes that left the system's queue count as taken, so that a caller that reads little keeps its answer. Each ending is logged as request-bad, error answer-dropped, reason unread or unread-memory.

--- a/src/io/callers/caller_conn.c
+++ b/src/io/callers/caller_conn.c
@@ -14,8 +14,6 @@
 #define CROWDED_READ_BYTES 1024
 /* Over the idle time that callers are told of, 15 s, with a margin. */
 #define IDLE_TIMEOUT_US (60 * IR_US_PER_S)
-/* A caller that takes nothing of an answer for so long is gone. */
-#define UNREAD_TIMEOUT_US (10 * IR_US_PER_S)
 /* For a caller to read the last answer before the connection is reset. */
 #define LINGER_US (2 * IR_US_PER_S)
 #define CONTINUE_TEXT "HTTP/1.1 100 Continue\r\n\r\n"
@@ -30,6 +28,7 @@
 		return;
 	c->dead = true;
 	ir_caller_conn_uncount(c);
+	ir_caller_unread_remove(c);
 	TALLOC_FREE(c->event);
 	close(c->fd);
 	while ((r = c->requests) != NULL) {
@@ -52,6 +51,7 @@
 flush(struct caller_conn *c)
 {
 	size_t size = talloc_get_size(c->out);
+	bool taken = false;
 
 	while (c->out_sent < size) {
 		ssize_t n = send(c->fd, c->out + c->out_sent,
@@ -61,17 +61,20 @@
 			continue;
 		if (n < 0 && errno == EAGAIN) {
 			TEVENT_FD_WRITEABLE(c->event);
+			ir_caller_unread_add(c, taken, ir_clock_now());
 			return false;
 		}
 		if (n < 0) {
 			ir_caller_conn_end(c);
 			return false;
 		}
+		taken = true;
 		c->out_sent += (size_t)n;
 		c->used_us = ir_clock_now();
 	}
 	TALLOC_FREE(c->out);
 	c->out_sent = 0;
+	ir_caller_unread_remove(c);
 	return true;
 }
 
@@ -269,8 +272,8 @@
 
 	if (c->lingering)
 		return idle_us > LINGER_US;
-	if (c->out != NULL)
-		return idle_us > UNREAD_TIMEOUT_US;
+	if (c->unread)
+		return false;
 	if (c->requests != NULL && c->reading == NULL)
 		return false;
 	return idle_us > IDLE_TIMEOUT_US;
@@ -281,6 +284,7 @@
 {
 	struct caller_conn *c, *next;
 
+	ir_callers_end_unread(callers, now);
 	DL_FOREACH_SAFE (callers->conns, c, next) {
 		if (is_stale(c, now))
 			ir_caller_conn_end(c);
--- a/src/io/callers/caller_conn.h
+++ b/src/io/callers/caller_conn.h
@@ -74,10 +74,15 @@
 	bool skipping;		 /* the rest of a body that was refused */
 	uint8_t *out;		 /* unsent bytes of answers, or NULL */
 	size_t out_sent;
-	bool ending;	   /* no further request is read */
-	bool lingering;	   /* all was sent; reads until the caller closes */
-	bool dead;	   /* to be freed */
-	int64_t used_us;   /* last progress */
+	bool ending;	  /* no further request is read */
+	bool lingering;	  /* all was sent; reads until the caller closes */
+	bool dead;	  /* to be freed */
+	int64_t used_us;  /* last progress */
+	bool unread;	  /* the caller takes no more of out now */
+	int64_t taken_us; /* when it took something last */
+	int queued_bytes; /* sent, and not taken by then */
+	struct caller_conn *unread_prev;
+	struct caller_conn *unread_next;
 	size_t base_bytes; /* of a connection that has nothing to do */
 	size_t own_bytes;  /* as counted last, without its requests */
 	size_t held_bytes; /* with them */
@@ -96,6 +101,8 @@
 	uint32_t max_connections;
 	struct caller_conn *conns;
 	uint32_t conn_count;
+	struct caller_conn
+	    *unread;		  /* the one that took nothing longest first */
 	struct caller_conn *dead; /* freed at the end of the turn */
 	uint64_t last_id;
 	struct request *waiting; /* by id */
@@ -154,4 +161,13 @@
 /* Whether it holds more than its part, so that it has to wait for answers. */
 bool ir_caller_conn_has_its_part(const struct caller_conn *c);
 
+/*
+ * caller_unread.c: the caller takes no more now; taken: it took something
+ * since it was added last.
+ */
+void ir_caller_unread_add(struct caller_conn *c, bool taken, int64_t now);
+void ir_caller_unread_remove(struct caller_conn *c);
+/* Ends connections that took nothing for long, or without room for 1 s. */
+void ir_callers_end_unread(struct ir_callers *c, int64_t now);
+
 #endif
--- a/src/io/callers/callers.c
+++ b/src/io/callers/callers.c
@@ -170,6 +170,8 @@
 
 	for (;;) {
 		ir_callers_take_messages(c);
+		if (!ir_callers_have_room(c, 0))
+			ir_callers_end_unread(c, ir_clock_now());
 		free_dead(c);
 		if (is_ended(c))
 			break;
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -109,7 +109,9 @@
 	"A message from another process could not be taken.",
 	"Compare the versions of both hosts."},
     {IR_EVENT_REQUEST_BAD, "error: the kind; reason",
-	"A request was malformed or exceeded a bound.",
+	"A request was malformed or exceeded a bound; or its caller took "
+	"nothing of the answer for 10 s (unread), or for 1 s without room "
+	"for more (unread-memory), and the connection was ended.",
 	"Tell its caller, if it repeats."},
     {IR_EVENT_KEY_REFUSED, "error: the kind; service: the one called",
 	"A request came without a key where one is needed, or with a key "
--- a/test/test_caller_memory.c
+++ b/test/test_caller_memory.c
@@ -17,6 +17,7 @@
 #include <cmocka.h>
 
 #include "io/callers/caller_conn.h"
+#include "io/clock.h"
 #include "io/listen.h"
 #include "support/raw_http.h"
 
@@ -377,6 +378,81 @@
 	close(fd);
 }
 
+/* The large answer is under way; the caller has read nothing. */
+static int
+ask_without_reading(struct fixture *f, struct caller_conn **c)
+{
+	int fd = dial(f, c);
+
+	say(f, fd, GET, strlen(GET));
+	reply(f, pass_on(f), BODY_BYTES);
+	assert_non_null((*c)->out);
+	return fd;
+}
+
+static void
+test_callers_that_stop_reading_do_not_hold_more_than_the_bound(void **state)
+{
+	struct fixture *f = *state;
+	const uint64_t bound = BODY_BYTES * 7 / 2;
+	char *text = talloc_size(f, 2 * BODY_BYTES);
+	struct caller_conn *c[CALLERS];
+	int fds[CALLERS];
+
+	f->memory.bound_bytes[IR_MEMORY_CALLERS] = bound;
+	for (int i = 0; i < CALLERS; i++) {
+		fds[i] = ask_without_reading(f, &c[i]);
+		ir_caller_conn_sweep(
+		    f->callers, ir_clock_now() + IR_US_PER_S + IR_US_PER_MS);
+		assert_in_range(held(f), 0, bound);
+	}
+	for (int i = 0; i < CALLERS; i++)
+		assert_int_equal(c[i]->dead, i < CALLERS - 3);
+	assert_true(
+	    read_all(f, fds[CALLERS - 1], text, 2 * BODY_BYTES) > BODY_BYTES);
+	for (int i = 0; i < CALLERS; i++)
+		close(fds[i]);
+	settle(f);
+}
+
+static void
+test_caller_that_reads_little_is_not_ended(void **state)
+{
+	struct fixture *f = *state;
+	char *text = talloc_size(f, 2 * BODY_BYTES);
+	struct caller_conn *c;
+	int64_t later;
+	int fd = ask_without_reading(f, &c);
+
+	later = ir_clock_now() + 2 * IR_US_PER_S;
+	f->memory.bound_bytes[IR_MEMORY_CALLERS] = BODY_BYTES / 2;
+	assert_true(read(fd, text, BODY_BYTES / 20) > 0);
+	ir_caller_conn_sweep(f->callers, later);
+	assert_false(c->dead);
+	ir_caller_conn_sweep(f->callers, later + IR_US_PER_S);
+	assert_false(c->dead);
+	ir_caller_conn_sweep(f->callers, later + 2 * IR_US_PER_S);
+	assert_true(c->dead);
+	close(fd);
+}
+
+static void
+test_caller_that_sends_and_never_reads_is_ended(void **state)
+{
+	struct fixture *f = *state;
+	struct caller_conn *c;
+	int fd = ask_without_reading(f, &c);
+	int64_t now = ir_clock_now();
+
+	/* As if more of its requests had come. */
+	c->used_us = now + 9 * IR_US_PER_S;
+	ir_caller_conn_sweep(f->callers, now + 9 * IR_US_PER_S);
+	assert_false(c->dead);
+	ir_caller_conn_sweep(f->callers, now + 11 * IR_US_PER_S);
+	assert_true(c->dead);
+	close(fd);
+}
+
 static void
 test_waiting_request_keeps_only_what_its_answer_needs(void **state)
 {
@@ -426,6 +502,10 @@
 		test_body_without_room_is_refused_and_other_answers_come),
 	    WITH_CALLERS(test_flood_of_pipelined_requests_stays_in_the_bound),
 	    WITH_CALLERS(test_new_connections_wait_without_room),
+	    WITH_CALLERS(
+		test_callers_that_stop_reading_do_not_hold_more_than_the_bound),
+	    WITH_CALLERS(test_caller_that_reads_little_is_not_ended),
+	    WITH_CALLERS(test_caller_that_sends_and_never_reads_is_ended),
 	    WITH_CALLERS(test_waiting_request_keeps_only_what_its_answer_needs),
 	    WITH_CALLERS(test_input_buffer_is_not_larger_than_what_it_holds),
 	};
