Memory: a process that is short gives free pages back until it is not

Cause: free pages were given back only at the moment of becoming short, when they were all in use. Blocks that stay keep the allocator from doing it. Change: it is tried again each second while the process is short. Test: test_memory, test_short_process_recovers_once_memory_is_free fails with the giving back taken out.

--- a/include/ibisrail/memory.h
+++ b/include/ibisrail/memory.h
@@ -30,6 +30,7 @@
 	bool enforced;		/* the process ends above limit_bytes */
 	uint64_t process_bytes; /* as measured last, 0 before */
 	bool short_of;		/* see ir_memory_is_short() */
+	int64_t trim_us;	/* when free pages may be given back again */
 	uint64_t bound_bytes[IR_MEMORY_USE_COUNT];
 	uint64_t held_bytes[IR_MEMORY_USE_COUNT];
 };
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -1,7 +1,6 @@
 /* The core's thread. */
 #include <inttypes.h>
 #include <json.h>
-#include <malloc.h>
 #include <poll.h>
 #include <utlist.h>
 
@@ -306,12 +305,8 @@
 	if (now < c->next_measure_us)
 		return;
 	c->next_measure_us = now + MEASURE_US;
-	if (!ir_memory_measure(c->loop->memory))
-		return;
-	log_memory(c);
-	/* Gives back what the allocator holds and nothing uses. */
-	if (ir_memory_is_short(c->loop->memory))
-		(void)malloc_trim(0);
+	if (ir_memory_measure(c->loop->memory, now))
+		log_memory(c);
 }
 
 static void
--- a/test/test_memory.c
+++ b/test/test_memory.c
@@ -2,14 +2,19 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
 #include <talloc.h>
 
+#include "ibisrail/limits.h"
 #include "io/memory.h"
 
 #define MB (UINT64_C(1024) * 1024)
+#define BLOCKS 300000
+#define BLOCK_BYTES 300
+#define KEPT_ONE_OF 64
 
 static void
 test_bounds_leave_two_fifths(void **state)
@@ -78,16 +83,47 @@
 	uint8_t *p;
 
 	ir_memory_init(&m, 0);
-	ir_memory_measure(&m);
+	ir_memory_measure(&m, 0);
 	before = m.process_bytes;
 	assert_true(before > 0);
 	p = talloc_size(NULL, 64 * MB);
 	memset(p, 1, 64 * MB);
-	ir_memory_measure(&m);
+	ir_memory_measure(&m, 0);
 	assert_true(m.process_bytes >= before + 60 * MB);
 	talloc_free(p);
 }
 
+/* Blocks that stay keep the allocator from giving pages back by itself. */
+static void
+test_short_process_recovers_once_memory_is_free(void **state)
+{
+	struct ir_memory probe, m;
+	void **blocks = talloc_array(NULL, void *, BLOCKS);
+
+	for (size_t i = 0; i < BLOCKS; i++) {
+		blocks[i] = malloc(BLOCK_BYTES);
+		assert_non_null(blocks[i]);
+		memset(blocks[i], 1, BLOCK_BYTES);
+	}
+	ir_memory_init(&probe, 1);
+	ir_memory_measure(&probe, 0);
+	ir_memory_init(&m, probe.process_bytes * 10 / 9);
+	assert_true(ir_memory_measure(&m, 0));
+	ir_memory_measure(&m, 1);
+	for (size_t i = 0; i < BLOCKS; i++) {
+		if (i % KEPT_ONE_OF != 0)
+			free(blocks[i]);
+	}
+	ir_memory_measure(&m, 2 * IR_US_PER_S);
+#if !defined(__SANITIZE_ADDRESS__)
+	/* That build's allocator keeps what is freed. */
+	assert_false(ir_memory_is_short(&m));
+#endif
+	for (size_t i = 0; i < BLOCKS; i += KEPT_ONE_OF)
+		free(blocks[i]);
+	talloc_free(blocks);
+}
+
 static void
 test_tree_counts_its_chunks(void **state)
 {
@@ -108,6 +144,7 @@
 	    cmocka_unit_test(test_room_is_what_the_bound_leaves),
 	    cmocka_unit_test(test_short_until_well_below),
 	    cmocka_unit_test(test_own_pages_are_measured),
+	    cmocka_unit_test(test_short_process_recovers_once_memory_is_free),
 	    cmocka_unit_test(test_tree_counts_its_chunks),
 	};
 
