Callers: less work and less input for a request

Cause: a body counted its whole request again when its buffer grew, also when it came in one piece. A connection that had reached its part by requests parsed after an answer was still read once more.

Change: the request is counted once for what was read; reading is switched off wherever it may not go on.

--- a/src/io/callers/caller_conn.c
+++ b/src/io/callers/caller_conn.c
@@ -164,6 +164,8 @@
 		linger(c);
 	else if (ir_caller_conn_may_read(c))
 		TEVENT_FD_READABLE(c->event);
+	else
+		TEVENT_FD_NOT_READABLE(c->event);
 }
 
 void
--- a/src/io/callers/caller_request.c
+++ b/src/io/callers/caller_request.c
@@ -136,7 +136,7 @@
 		ir_request_refuse_memory(r);
 }
 
-/* False without room. */
+/* False without room. Counted when the thread has taken what was read. */
 static bool
 grow_body(struct request *r, size_t bytes)
 {
@@ -146,12 +146,8 @@
 	if (!ir_bytes_grow(r->call, &r->body, bytes))
 		return false;
 	grown = talloc_get_size(r->body) - before;
-	if (grown == 0)
-		return true;
-	if (!ir_callers_have_room(r->conn->listener->callers, grown))
-		return false;
-	ir_request_count(r);
-	return true;
+	return grown == 0 ||
+	       ir_callers_have_room(r->conn->listener->callers, grown);
 }
 
 void
