Memory: a process that is short ends what it has, and tells its peers

Cause: the guard refused calls of runs in progress as well, a run's place was wasted for a call smaller than it; the load told to peers was that of an idle gate; an attempt that never came got no answer to STATUS; a repeat of a key was told unknown though its record holds the answer. Change: calls of runs in progress, told by their id or listener, STATUS and repeats are not refused for it; while short, all is told as shed. Test: test_node_memory, two new cases. Before: goes_on_with_what_it_has: 0x1 != 0 (refused) tells_its_peers: 0 != 0xffffffff

--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -98,19 +98,18 @@
 	c->deadline_us = c->start_us + ms * IR_US_PER_MS;
 }
 
-/* The running request whose attempt id this one's extends. */
-static struct ir_record *
-find_parent(struct ir_node *n, const struct call *c)
+struct ir_record *
+admit_parent(struct ir_node *n, const char *attempt)
 {
 	const char *end;
 
-	if (n->settings.child_separator == '\0')
+	if (n->settings.child_separator == '\0' || attempt == NULL)
 		return NULL;
-	end = strrchr(c->caller_attempt, n->settings.child_separator);
+	end = strrchr(attempt, n->settings.child_separator);
 	if (end == NULL)
 		return NULL;
 	return ir_records_by_caller(
-	    n->records, c->caller_attempt, (size_t)(end - c->caller_attempt));
+	    n->records, attempt, (size_t)(end - attempt));
 }
 
 /*
@@ -121,7 +120,7 @@
 static void
 admit_inner(struct ir_node *n, struct call *c)
 {
-	struct ir_record *r = find_parent(n, c);
+	struct ir_record *r = admit_parent(n, c->caller_attempt);
 
 	c->depth = 1;
 	if (r == NULL)
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -166,11 +166,19 @@
 /* What a call takes beside its body, typically. */
 #define CALL_BYTES 4096
 
+/* A run that waits for the call holds more than the call will. */
 static bool
-has_room(const struct ir_node *n, const struct ir_call *in)
+is_of_run(struct ir_node *n, const struct ir_call *in)
 {
+	return in->egress || admit_parent(n, in->attempt) != NULL;
+}
+
+static bool
+has_room(struct ir_node *n, const struct ir_call *in)
+{
+	if (ir_memory_is_short(n->settings.memory) && !is_of_run(n, in))
+		return false;
 	return HASH_COUNT(n->calls) < IR_MAX_CALLS &&
-	       !ir_memory_is_short(n->settings.memory) &&
 	       ir_memory_has_room(n->settings.memory, IR_MEMORY_CALLS,
 		   CALL_BYTES + in->body_bytes);
 }
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -227,6 +227,8 @@
 /*
  * Bounds that the peer protocol sets too, checked where the caller is told.
  */
+/* The running request whose attempt id this one extends, or NULL. */
+struct ir_record *admit_parent(struct ir_node *n, const char *attempt);
 enum ir_error admit_check(const struct ir_call *in);
 /* A copy of what the caller sent. NULL without memory. */
 struct call *admit_new(
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -232,6 +232,10 @@
 	struct ir_load l = ir_gate_load(n->gate, now, account);
 
 	l.leaving = n->stopping || (self != NULL && self->leaving);
+	if (ir_memory_is_short(n->settings.memory)) {
+		l.shed_level = UINT32_MAX;
+		l.account_shed_level = UINT32_MAX;
+	}
 	return l;
 }
 
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -463,7 +463,7 @@
 	}
 	if (ref->gate_incarnation != n->settings.incarnation)
 		return;
-	r = ir_records_add(n->records, &ref->attempt, 0);
+	r = ir_records_add_absent(n->records, &ref->attempt);
 	if (r == NULL)
 		return;
 	add_waiter(r, conn, xid, &ref->attempt, true);
--- a/src/upstream/record.c
+++ b/src/upstream/record.c
@@ -122,7 +122,8 @@
 	struct ir_alias *a;
 	size_t bytes;
 
-	if (!has_room(rs, sizeof(*a)))
+	ir_records_trim(rs, sizeof(*a));
+	if (!ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, sizeof(*a)))
 		return false;
 	a = talloc_zero(r, struct ir_alias);
 	if (a == NULL)
@@ -203,10 +204,16 @@
 ir_records_add(
     struct ir_records *rs, const struct ir_attempt_id *id, size_t request_bytes)
 {
-	struct ir_record *r;
-
 	if (!has_room(rs, RECORD_BYTES + request_bytes))
 		return NULL;
+	return ir_records_add_absent(rs, id);
+}
+
+struct ir_record *
+ir_records_add_absent(struct ir_records *rs, const struct ir_attempt_id *id)
+{
+	struct ir_record *r;
+
 	r = talloc_zero(rs, struct ir_record);
 	if (r == NULL)
 		return NULL;
@@ -258,10 +265,10 @@
 {
 	int64_t deadline_us = r->work.deadline_us;
 
-	if (r->idempotency != NULL)
-		return now + IR_ATTEMPT_KEEP_US;
 	if (r->error == IR_E_NEVER_RECEIVED)
 		return now + IR_NEVER_RECEIVED_KEEP_US;
+	if (r->idempotency != NULL)
+		return now + IR_ATTEMPT_KEEP_US;
 	return (deadline_us > now ? deadline_us : now) + IR_RECORD_MARGIN_US;
 }
 
--- a/src/upstream/record.h
+++ b/src/upstream/record.h
@@ -104,6 +104,12 @@
 /* NULL when there is no room for it and a request of so many bytes. */
 struct ir_record *ir_records_add(struct ir_records *rs,
     const struct ir_attempt_id *id, size_t request_bytes);
+/*
+ * One that never came, so that it cannot run later. Always room: these are
+ * few, one for an attempt whose link was lost.
+ */
+struct ir_record *ir_records_add_absent(
+    struct ir_records *rs, const struct ir_attempt_id *id);
 /* Counts what r holds now: its request was filled in. */
 void ir_records_filled(struct ir_records *rs, struct ir_record *r);
 /*
--- a/test/test_node_memory.c
+++ b/test/test_node_memory.c
@@ -29,6 +29,8 @@
 	uint64_t sequence;
 	uint64_t running[MAX_RUNNING];
 	uint32_t running_count;
+	char run_attempt[40]; /* of the last one */
+	struct ir_load told;  /* with the last answer */
 	uint32_t served;
 	uint32_t refused;
 	uint32_t unknown;
@@ -76,6 +78,8 @@
 		g->sent_sequence = m->ir_msg_u.forward.attempt.sequence;
 	if (m->kind == IR_MSG_STATUS)
 		g->status_sequence = m->ir_msg_u.status.attempt.sequence;
+	if (m->kind == IR_MSG_ANSWER)
+		g->told = m->ir_msg_u.answer.load;
 	if (m->kind == IR_MSG_ANSWER)
 		note_end(g, (enum ir_error)m->ir_msg_u.answer.error);
 	if (m->kind == IR_MSG_STATUS_REPLY)
@@ -88,6 +92,8 @@
 	struct gate *g = ctx;
 
 	assert_true(g->running_count < MAX_RUNNING);
+	(void)snprintf(
+	    g->run_attempt, sizeof(g->run_attempt), "%s", r->attempt);
 	g->running[g->running_count++] = r->id;
 }
 
@@ -200,7 +206,8 @@
 }
 
 static void
-forward(struct gate *g, uint32_t remaining_ms, uint32_t body_bytes)
+forward_to(struct gate *g, const char *service, uint32_t remaining_ms,
+    uint32_t body_bytes)
 {
 	static struct ir_header headers[] = {{(char *)"accept", (char *)"*/*"},
 	    {(char *)"user-agent", (char *)"counter/1.0"},
@@ -211,7 +218,7 @@
 	f->attempt.incarnation = PEER_INCARNATION;
 	f->attempt.sequence = ++g->sequence;
 	f->request.low = g->sequence;
-	f->service = ir_unconst("stock");
+	f->service = ir_unconst(service);
 	f->account = f->key_digest = f->idempotency_key = ir_unconst("");
 	f->authority = f->caller_attempt = ir_unconst("");
 	f->origin = ir_unconst("shop");
@@ -227,6 +234,12 @@
 	ir_node_message(g->node, g->now, PEER_CONN, 2, &m);
 }
 
+static void
+forward(struct gate *g, uint32_t remaining_ms, uint32_t body_bytes)
+{
+	forward_to(g, "stock", remaining_ms, body_bytes);
+}
+
 static void
 end_runs(struct gate *g, size_t answer_bytes)
 {
@@ -381,6 +394,51 @@
 	assert_int_equal(g->served, 2);
 }
 
+static void
+ask_status(struct gate *g, uint64_t sequence)
+{
+	struct ir_msg m = {.kind = IR_MSG_STATUS};
+
+	m.ir_msg_u.status.attempt.incarnation = PEER_INCARNATION;
+	m.ir_msg_u.status.attempt.sequence = sequence;
+	m.ir_msg_u.status.gate_incarnation = OWN_INCARNATION;
+	ir_node_message(g->node, g->now, PEER_CONN, 3, &m);
+}
+
+static void
+test_process_near_its_limit_goes_on_with_what_it_has(void **state)
+{
+	struct gate *g = *state;
+	struct ir_call c = {.id = 5,
+	    .egress = true,
+	    .service = "shop",
+	    .method = "GET",
+	    .path = "/items"};
+
+	forward(g, 800, 0);
+	c.parent = g->run_attempt;
+	assert_true(ir_memory_note(&g->memory, LIMIT_BYTES * 9 / 10));
+	ir_node_call(g->node, g->now, &c);
+	assert_int_equal(g->refused, 0);
+	ask_status(g, 77);
+	assert_int_equal(g->last, IR_E_NEVER_RECEIVED);
+}
+
+/* Else its peers take it for idle and keep sending to it. */
+static void
+test_process_near_its_limit_tells_its_peers(void **state)
+{
+	struct gate *g = *state;
+
+	forward(g, 800, 0);
+	end_runs(g, 100);
+	assert_int_equal(g->told.shed_level, 0);
+	assert_true(ir_memory_note(&g->memory, LIMIT_BYTES * 9 / 10));
+	forward(g, 800, 0);
+	assert_int_equal(g->told.shed_level, UINT32_MAX);
+	assert_int_equal(g->told.account_shed_level, UINT32_MAX);
+}
+
 static void
 test_counts_are_zero_when_all_has_ended(void **state)
 {
@@ -473,6 +531,8 @@
 	    T(test_unknown_attempt_is_not_run_within_the_deadline),
 	    T(test_attempt_forgotten_after_its_deadline_is_not_told_as_not_run),
 	    T(test_process_near_its_limit_takes_no_new_work),
+	    T(test_process_near_its_limit_goes_on_with_what_it_has),
+	    T(test_process_near_its_limit_tells_its_peers),
 	    T(test_counts_are_zero_when_all_has_ended),
 	};
 
