--- a/src/upstream/record.c
+++ b/src/upstream/record.c
@@ -267,6 +267,9 @@
 
 	if (r->error == IR_E_NEVER_RECEIVED)
 		return now + IR_NEVER_RECEIVED_KEEP_US;
+	/* Unknown and refused say the same to its origin: not run. */
+	if (was_refused(r))
+		return now + IR_RECORD_MARGIN_US;
 	if (r->idempotency != NULL)
 		return now + IR_ATTEMPT_KEEP_US;
 	return (deadline_us > now ? deadline_us : now) + IR_RECORD_MARGIN_US;
--- a/test/test_node_memory.c
+++ b/test/test_node_memory.c
@@ -439,6 +439,21 @@
 	assert_int_equal(g->told.account_shed_level, UINT32_MAX);
 }
 
+static void
+test_refused_attempts_do_not_crowd_out_good_ones(void **state)
+{
+	struct gate *g = *state;
+
+	for (int t = 0; t < 12 * 100; t++) {
+		for (int i = 0; i < 50; i++)
+			forward_to(g, "other", 6000, 0);
+		forward(g, 6000, 0);
+		tick(g);
+		end_runs(g, 100);
+	}
+	assert_int_equal(g->served, 12 * 100);
+}
+
 static void
 test_counts_are_zero_when_all_has_ended(void **state)
 {
@@ -533,6 +548,7 @@
 	    T(test_process_near_its_limit_takes_no_new_work),
 	    T(test_process_near_its_limit_goes_on_with_what_it_has),
 	    T(test_process_near_its_limit_tells_its_peers),
+	    T(test_refused_attempts_do_not_crowd_out_good_ones),
 	    T(test_counts_are_zero_when_all_has_ended),
 	};
 
