Rings: messages between threads are bounded in bytes

Cause: rings and the lists behind them are bounded in number, 4,095 and 16,384 messages of up to 4 MB; a request that left its thread's count was in none until the core had taken it. Change: a message counts as IR_MEMORY_RINGS from before it is handed over until it is freed. Without room what a full ring did happens: a request is refused, a run ends as not connected, a link is closed; peers are not read. Calls and peers give 2% and 6% of the limit for it. Test: test_core_out, test_messages_that_nobody_takes_stay_within_the_bound fails with the check of room taken out; test_messages_count_until_they_are_freed.

--- a/include/ibisrail/memory.h
+++ b/include/ibisrail/memory.h
@@ -1,6 +1,6 @@
 /*
  * Bytes that a process holds for work in progress, each use of them with a
- * bound of its own. One thread writes the count of a use; any thread may read.
+ * bound of its own. Any thread may count and read.
  *
  * Counts are of what was asked of the allocator and of what it adds to each
  * chunk, not of pages: the bounds together leave 40% of the limit for views,
@@ -22,6 +22,7 @@
 	IR_MEMORY_RECORDS,  /* attempts at the gate, and their answers */
 	IR_MEMORY_UPSTREAM, /* requests being sent, answers being read */
 	IR_MEMORY_PEERS,    /* messages being read, and those not yet sent */
+	IR_MEMORY_RINGS,    /* messages between threads, on their way */
 	IR_MEMORY_USE_COUNT
 };
 
@@ -38,7 +39,6 @@
 /* limit_bytes 0: none is told; the default divides, and nothing enforces it. */
 void ir_memory_init(struct ir_memory *m, uint64_t limit_bytes);
 
-/* For the thread of that use only. */
 void ir_memory_hold(struct ir_memory *m, enum ir_memory_use use, size_t bytes);
 void ir_memory_release(
     struct ir_memory *m, enum ir_memory_use use, size_t bytes);
--- a/src/io/admin/admin.c
+++ b/src/io/admin/admin.c
@@ -142,6 +142,9 @@
 	    {"ibisrail_memory_peers_bytes",
 		"Messages being read and those not yet sent.",
 		memory_held(mem, IR_MEMORY_PEERS)},
+	    {"ibisrail_memory_rings_bytes",
+		"Messages between threads, on their way.",
+		memory_held(mem, IR_MEMORY_RINGS)},
 	};
 	const struct ir_exposed e = {&m->u.report.counters, gauges,
 	    sizeof(gauges) / sizeof(gauges[0]), &m->u.report.histograms};
--- a/src/io/callers/caller_request.c
+++ b/src/io/callers/caller_request.c
@@ -212,6 +212,11 @@
 	r->id = ++c->last_id;
 	call->id = r->id;
 	own_strings(r);
+	if (!ir_way_has_room(c->memory, call->body_bytes)) {
+		refuse_ring_full(r);
+		return;
+	}
+	ir_way_begin(&r->call->way, c->memory, call->body_bytes);
 	if (!ir_outbox_flush(&c->out) ||
 	    !ir_ring_push(c->channel->to_core, r->call)) {
 		refuse_ring_full(r);
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -290,13 +290,14 @@
 	ir_report(c->loop->log, IR_EVENT_MEMORY_SHORT, NULL,
 	    "state=%s process=%" PRIu64 " limit=%" PRIu64 " callers=%" PRIu64
 	    " calls=%" PRIu64 " records=%" PRIu64 " upstream=%" PRIu64
-	    " peers=%" PRIu64,
+	    " peers=%" PRIu64 " rings=%" PRIu64,
 	    ir_memory_is_short(m) ? "short" : "relieved", m->process_bytes,
 	    m->limit_bytes, ir_memory_held(m, IR_MEMORY_CALLERS),
 	    ir_memory_held(m, IR_MEMORY_CALLS),
 	    ir_memory_held(m, IR_MEMORY_RECORDS),
 	    ir_memory_held(m, IR_MEMORY_UPSTREAM),
-	    ir_memory_held(m, IR_MEMORY_PEERS));
+	    ir_memory_held(m, IR_MEMORY_PEERS),
+	    ir_memory_held(m, IR_MEMORY_RINGS));
 }
 
 static void
--- a/src/io/core/core_out.c
+++ b/src/io/core/core_out.c
@@ -109,15 +109,18 @@
 
 	if (is_doomed(c, conn))
 		return;
-	if (peers_full(c)) {
+	m = ir_from_core_new(IR_FROM_CORE_SEND);
+	m->conn = conn;
+	m->u.send.size_bytes = ir_codec_encode(m, xid, msg, &m->u.send.data);
+	if (peers_full(c) ||
+	    !ir_way_has_room(c->loop->memory, m->u.send.size_bytes)) {
+		talloc_free(m);
 		note_full(c, "peers", "send");
 		doom(c, conn);
 		order_close(c, conn);
 		return;
 	}
-	m = ir_from_core_new(IR_FROM_CORE_SEND);
-	m->conn = conn;
-	m->u.send.size_bytes = ir_codec_encode(m, xid, msg, &m->u.send.data);
+	ir_way_begin(&m->way, c->loop->memory, m->u.send.size_bytes);
 	if (m->u.send.size_bytes == 0) {
 		talloc_free(m);
 		ir_report(c->loop->log, IR_EVENT_MESSAGE_BAD, "encode",
@@ -155,7 +158,8 @@
 	struct ir_from_core *m;
 	struct ir_to_core *ran;
 
-	if (c->out[IR_DUTY_UPSTREAM].waiting_count >= MAX_RUN_BACKLOG) {
+	if (c->out[IR_DUTY_UPSTREAM].waiting_count >= MAX_RUN_BACKLOG ||
+	    !ir_way_has_room(c->loop->memory, r->body_bytes)) {
 		note_full(c, "upstream", "run");
 		ran = ir_to_core_new(IR_TO_CORE_RAN);
 		ran->id = r->id;
@@ -165,6 +169,7 @@
 	}
 	m = ir_from_core_new(IR_FROM_CORE_RUN);
 	m->id = r->id;
+	ir_way_begin(&m->way, c->loop->memory, r->body_bytes);
 	copy_run(m, r);
 	ir_outbox_push(&c->out[IR_DUTY_UPSTREAM], m);
 }
@@ -187,6 +192,7 @@
 	struct ir_answer *to = &m->u.answer;
 
 	m->id = call;
+	ir_way_begin(&m->way, c->loop->memory, a->body_bytes);
 	*to = *a;
 	to->headers = ir_headers_copy(m, a->headers, a->header_count);
 	to->body = ir_bytes_copy(m, a->body, a->body_bytes);
--- a/src/io/message.c
+++ b/src/io/message.c
@@ -39,9 +39,35 @@
 	return p;
 }
 
+/* Of a message beside its content, typically. */
+#define MESSAGE_BYTES 2048
+
+void
+ir_way_begin(struct ir_way *w, struct ir_memory *memory, size_t content)
+{
+	w->memory = memory;
+	w->bytes = MESSAGE_BYTES + content;
+	ir_memory_hold(memory, IR_MEMORY_RINGS, w->bytes);
+}
+
+bool
+ir_way_has_room(const struct ir_memory *memory, size_t content)
+{
+	return ir_memory_has_room(
+	    memory, IR_MEMORY_RINGS, MESSAGE_BYTES + content);
+}
+
+static void
+end_way(const struct ir_way *w)
+{
+	if (w->memory != NULL)
+		ir_memory_release(w->memory, IR_MEMORY_RINGS, w->bytes);
+}
+
 static int
 free_to_core(struct ir_to_core *m)
 {
+	end_way(&m->way);
 	if (m->kind == IR_TO_CORE_MESSAGE)
 		ir_codec_free(&m->u.msg);
 	return 0;
@@ -60,6 +86,7 @@
 static int
 free_from_core(struct ir_from_core *m)
 {
+	end_way(&m->way);
 	if (m->kind == IR_FROM_CORE_REPORT && m->u.report.json != NULL)
 		json_object_put(m->u.report.json);
 	return 0;
--- a/src/io/message.h
+++ b/src/io/message.h
@@ -7,6 +7,7 @@
 #define IR_IO_MESSAGE_H
 
 #include "ibisrail/counter.h"
+#include "ibisrail/memory.h"
 #include "ibisrail/node.h"
 #include "io/ring.h"
 #include "link/peer.h"
@@ -35,8 +36,15 @@
 
 struct ir_settings;
 
+/* Where the bytes of a message on its way are counted; NULL: not at all. */
+struct ir_way {
+	struct ir_memory *memory;
+	size_t bytes;
+};
+
 struct ir_to_core {
 	enum ir_to_core_kind kind;
+	struct ir_way way;
 	uint64_t id; /* CALL_GONE: the call; RAN: the run; ASK: the question */
 	uint32_t conn;
 	uint32_t xid;
@@ -67,6 +75,7 @@
 
 struct ir_from_core {
 	enum ir_from_core_kind kind;
+	struct ir_way way;
 	uint64_t id;   /* ANSWER: the call; CANCEL_RUN: the run; REPORT */
 	uint32_t conn; /* CONNECT, CLOSE, SEND */
 	union {
@@ -114,6 +123,14 @@
 struct ir_to_core *ir_to_core_new(enum ir_to_core_kind kind);
 struct ir_from_core *ir_from_core_new(enum ir_from_core_kind kind);
 
+/*
+ * Counts a message with so many bytes of content as IR_MEMORY_RINGS until it
+ * is freed. To be called before it is handed over.
+ */
+void ir_way_begin(struct ir_way *w, struct ir_memory *memory, size_t content);
+/* Whether a message with so much content stays within the bound. */
+bool ir_way_has_room(const struct ir_memory *memory, size_t content);
+
 /* p itself; out of memory ends the process. */
 void *ir_must(void *p);
 /* Deep copies under mem; out of memory ends the process. */
--- a/src/io/peers/peers.c
+++ b/src/io/peers/peers.c
@@ -100,6 +100,12 @@
 	    tevent_timeval_current_ofs(0, BACKLOG_RETRY_US), resume_all, p);
 }
 
+static bool
+core_takes_more(const struct ir_peers *p)
+{
+	return p->out.waiting_count == 0 && ir_way_has_room(p->memory, 0);
+}
+
 /* Goes behind the others: all get their turn, also where one does not end. */
 static void
 resume_next(struct ir_peers *p)
@@ -121,9 +127,9 @@
 
 	p->backlog_timer = NULL;
 	(void)ir_outbox_flush(&p->out);
-	for (; left > 0 && p->out.waiting_count == 0; left--)
+	for (; left > 0 && core_takes_more(p); left--)
 		resume_next(p);
-	if (p->out.waiting_count > 0)
+	if (!core_takes_more(p))
 		set_backlog_timer(p);
 }
 
@@ -133,7 +139,7 @@
 {
 	struct ir_peers *p = ctx;
 
-	if (p->out.waiting_count == 0 && p->backlog_timer == NULL)
+	if (core_takes_more(p) && p->backlog_timer == NULL)
 		return true;
 	set_backlog_timer(p);
 	return false;
@@ -155,8 +161,9 @@
 		ir_peer_conn_fail(c, error);
 		return false;
 	}
+	ir_way_begin(&m->way, p->memory, size_bytes);
 	ir_outbox_push(&p->out, m);
-	if (p->out.waiting_count == 0)
+	if (core_takes_more(p))
 		return true;
 	set_backlog_timer(p);
 	return false;
--- a/src/io/upstream/upstream.c
+++ b/src/io/upstream/upstream.c
@@ -54,6 +54,7 @@
 		end_broken(t, reason);
 	t->answer.message = NULL;
 	m->id = t->id;
+	ir_way_begin(&m->way, t->bytes.memory, r->body_bytes);
 	free_transfer(t);
 	ir_outbox_push(&u->out, m);
 }
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -50,7 +50,8 @@
 	"Look at what reads the process's standard output."},
     {IR_EVENT_MEMORY_SHORT,
 	"state: short or relieved; process: its own pages, bytes; limit: of "
-	"the settings, bytes; callers, calls, records, upstream, peers: bytes "
+	"the settings, bytes; callers, calls, records, upstream, peers, "
+	"rings: bytes "
 	"held for each",
 	"The process came close to the limit of its memory and takes no new "
 	"work until it is well below; or it is.",
--- a/src/metric/memory.c
+++ b/src/metric/memory.c
@@ -12,10 +12,11 @@
 
 static const uint8_t share_percent[IR_MEMORY_USE_COUNT] = {
     [IR_MEMORY_CALLERS] = 15,
-    [IR_MEMORY_CALLS] = 10,
+    [IR_MEMORY_CALLS] = 8,
     [IR_MEMORY_RECORDS] = 15,
     [IR_MEMORY_UPSTREAM] = 5,
-    [IR_MEMORY_PEERS] = 15,
+    [IR_MEMORY_PEERS] = 9,
+    [IR_MEMORY_RINGS] = 8,
 };
 
 void
@@ -32,19 +33,13 @@
 void
 ir_memory_hold(struct ir_memory *m, enum ir_memory_use use, size_t bytes)
 {
-	uint64_t *p = &m->held_bytes[use];
-
-	__atomic_store_n(
-	    p, __atomic_load_n(p, __ATOMIC_RELAXED) + bytes, __ATOMIC_RELAXED);
+	__atomic_add_fetch(&m->held_bytes[use], bytes, __ATOMIC_RELAXED);
 }
 
 void
 ir_memory_release(struct ir_memory *m, enum ir_memory_use use, size_t bytes)
 {
-	uint64_t *p = &m->held_bytes[use];
-
-	__atomic_store_n(
-	    p, __atomic_load_n(p, __ATOMIC_RELAXED) - bytes, __ATOMIC_RELAXED);
+	__atomic_sub_fetch(&m->held_bytes[use], bytes, __ATOMIC_RELAXED);
 }
 
 uint64_t
--- a/test/test_core_out.c
+++ b/test/test_core_out.c
@@ -12,9 +12,13 @@
 
 #define RING_SLOTS 8
 #define TEXT_BYTES 32
+#define LIMIT_BYTES (32 * 1024 * 1024)
+#define BODY_BYTES (256 * 1024)
 
 struct fixture {
 	struct core core;
+	struct ir_core_loop loop;
+	struct ir_memory memory;
 	struct ir_wake *wake;
 	struct ir_ring *ring;
 };
@@ -24,6 +28,9 @@
 {
 	struct fixture *f = talloc_zero(NULL, struct fixture);
 
+	ir_memory_init(&f->memory, LIMIT_BYTES);
+	f->loop.memory = &f->memory;
+	f->core.loop = &f->loop;
 	f->wake = ir_wake_new(f);
 	f->ring = ir_ring_new(f, f->wake, RING_SLOTS);
 	for (int d = 0; d < IR_DUTY_COUNT; d++)
@@ -68,12 +75,52 @@
 	talloc_free(m);
 }
 
+/* Runs are ended as not connected, links closed, when nobody takes them. */
+static void
+test_messages_that_nobody_takes_stay_within_the_bound(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t bound = f->memory.bound_bytes[IR_MEMORY_RINGS];
+	uint8_t *body = talloc_zero_size(f, BODY_BYTES);
+	struct ir_run r = {.body = body, .body_bytes = BODY_BYTES};
+	struct ir_msg m = {.kind = IR_MSG_ANSWER};
+
+	m.ir_msg_u.answer.body.body_val = (char *)body;
+	m.ir_msg_u.answer.body.body_len = BODY_BYTES;
+	for (uint32_t i = 1; i <= 100; i++) {
+		ir_core_ops.run(&f->core, &r);
+		ir_core_ops.send(&f->core, i, 1, &m);
+	}
+	assert_true(f->memory.held_bytes[IR_MEMORY_RINGS] <= bound);
+	assert_true(f->memory.held_bytes[IR_MEMORY_RINGS] > bound / 2);
+	assert_non_null(f->core.owed);
+	assert_non_null(f->core.doomed);
+}
+
+static void
+test_messages_count_until_they_are_freed(void **state)
+{
+	struct fixture *f = *state;
+	uint8_t *body = talloc_zero_size(f, BODY_BYTES);
+	struct ir_answer a = {.body = body, .body_bytes = BODY_BYTES};
+
+	ir_core_ops.answer(&f->core, 1, &a);
+	assert_true(ir_memory_held(&f->memory, IR_MEMORY_RINGS) >= BODY_BYTES);
+	talloc_free(ir_ring_pop(f->ring));
+	assert_int_equal(ir_memory_held(&f->memory, IR_MEMORY_RINGS), 0);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
 		test_run_outlives_its_record, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_messages_that_nobody_takes_stay_within_the_bound, set_up,
+		tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_messages_count_until_they_are_freed, set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
