Store: a stopped thread ends without another wait

Cause: the thread looked at the order to stop, then began reads and waited up to a second before it looked at the loop's condition; the process joins it. Change: it ends at once. Test: test_store_watch, test_stopped_thread_begins_no_read failed 3 times of 3 before (a connection was made), passes 3 of 3.

--- a/src/io/store/platform.c
+++ b/src/io/store/platform.c
@@ -490,8 +490,10 @@
 	struct ir_platform *p = ctx;
 	int running;
 
-	while (!p->stopping) {
+	for (;;) {
 		take_messages(p);
+		if (p->stopping)
+			break;
 		drive(&p->config, ir_clock_now());
 		drive(&p->hosts, ir_clock_now());
 		curl_multi_perform(p->multi, &running);
--- a/test/test_store_watch.c
+++ b/test/test_store_watch.c
@@ -9,11 +9,13 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 #include <curl/curl.h>
 
 #include "fakes/lib/server.h"
+#include "io/listen.h"
 #include "io/store/platform.h"
 #include "io/store/store_text.h"
 #include "support/core_side.h"
@@ -166,6 +168,29 @@
 	fake_server_unlock(f->server);
 }
 
+/* The thread is joined by a process whose time to end is short. */
+static void
+test_stopped_thread_begins_no_read(void **state)
+{
+	struct fixture f = {.settings.platform.address = "127.0.0.1"};
+	struct ir_endpoint e = {"127.0.0.1", 0};
+	int fd = ir_listen(&e, true, &f.settings.platform.port);
+	struct pollfd p = {.fd = fd, .events = POLLIN};
+
+	assert_true(fd >= 0);
+	f.core = ir_wake_new(NULL);
+	f.channel = ir_channel_new(f.core, f.core, NULL, RING_SLOTS);
+	f.platform = ir_platform_new(
+	    f.core, f.channel, &f.settings, &ir_own_dialect.store);
+	want_store(&f);
+	ir_ring_push(f.channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
+	(void)ir_platform_run(f.platform);
+	assert_int_equal(poll(&p, 1, 0), 0);
+	talloc_free(f.platform);
+	talloc_free(f.core);
+	close(fd);
+}
+
 static void
 expect_bad(const char *text)
 {
@@ -201,6 +226,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
 		test_reads_and_failures, set_up, tear_down),
+	    cmocka_unit_test(test_stopped_thread_begins_no_read),
 	    cmocka_unit_test(test_bad_documents),
 	};
 
