Upstream: answers without room wait instead of being lost

Cause: an answer for which the share of the upstream left no room ended its run. Change: its connection is not read on until another run has ended. One answer at a time needs no room, so that always one gets through; the share is exceeded by that one at most. Test: test_upstream_run. The two cases that asked for a broken end are replaced, as that end was wrong: 8 answers of 1 MB, and 8 of many headers, at a bound of 128 KB and 32 KB must all come, within the bound and one answer.

--- a/src/io/upstream/upstream.c
+++ b/src/io/upstream/upstream.c
@@ -16,6 +16,9 @@
 	if (t->conn != NULL)
 		ir_upstream_conn_close(t->conn);
 	ir_upstream_bytes_release(&t->bytes, t->bytes.held_bytes);
+	if (t->owner->over == t)
+		t->owner->over = NULL;
+	ir_upstream_conn_resume(t->owner);
 	talloc_free(t->answer.message);
 	talloc_free(t->order);
 	talloc_free(t);
--- a/src/io/upstream/upstream_bytes.c
+++ b/src/io/upstream/upstream_bytes.c
@@ -4,7 +4,8 @@
 bool
 ir_upstream_bytes_hold(struct ir_upstream_bytes *b, size_t bytes)
 {
-	if (!ir_memory_has_room(b->memory, IR_MEMORY_UPSTREAM, bytes)) {
+	if (!b->over &&
+	    !ir_memory_has_room(b->memory, IR_MEMORY_UPSTREAM, bytes)) {
 		b->refused = true;
 		return false;
 	}
--- a/src/io/upstream/upstream_bytes.h
+++ b/src/io/upstream/upstream_bytes.h
@@ -11,6 +11,7 @@
 	struct ir_memory *memory;
 	size_t held_bytes;
 	bool refused; /* there was no room for some */
+	bool over;    /* it may hold more than there is room for */
 };
 
 /* False, and noted, when there is no room for them. */
--- a/src/io/upstream/upstream_conn.c
+++ b/src/io/upstream/upstream_conn.c
@@ -16,6 +16,8 @@
 #include "io/upstream/upstream_conn.h"
 
 #define READ_BYTES 16384
+/* What a read of it may add: its bytes, and chunks for its headers. */
+#define ROOM_BYTES (2 * READ_BYTES)
 #define CONNECT_TIMEOUT_US IR_US_PER_S
 /* Idle time of a connection whose upstream tells none: half of the 10 s
  * after which upstreams usually close. */
@@ -37,6 +39,7 @@
 		DL_DELETE(u->idle, c);
 	}
 	u->conn_count--;
+	u->paused_count -= c->paused;
 	TALLOC_FREE(c->event);
 	TALLOC_FREE(c->timer);
 	close(c->fd);
@@ -234,12 +237,61 @@
 	fail(c, "closed");
 }
 
+/*
+ * Whether more of an answer may be read: there is room, or it is the one that
+ * needs none, so that always one gets through.
+ */
+static bool
+may_read(struct upstream_conn *c)
+{
+	struct ir_upstream *u = c->owner;
+	struct transfer *t = c->transfer;
+
+	if (t == NULL || t == u->over ||
+	    ir_memory_has_room(u->memory, IR_MEMORY_UPSTREAM, ROOM_BYTES))
+		return true;
+	if (u->over != NULL)
+		return false;
+	u->over = t;
+	t->bytes.over = true;
+	return true;
+}
+
+static void
+pause_reading(struct upstream_conn *c)
+{
+	c->paused = true;
+	c->owner->paused_count++;
+	TEVENT_FD_NOT_READABLE(c->event);
+}
+
+void
+ir_upstream_conn_resume(struct ir_upstream *u)
+{
+	struct upstream_conn *c;
+
+	if (u->paused_count == 0)
+		return;
+	DL_FOREACH (u->busy, c) {
+		if (!c->paused)
+			continue;
+		c->paused = false;
+		u->paused_count--;
+		TEVENT_FD_READABLE(c->event);
+	}
+}
+
 static bool
 read_some(struct upstream_conn *c)
 {
 	uint8_t data[READ_BYTES];
-	ssize_t n = recv(c->fd, data, sizeof(data), 0);
+	ssize_t n;
 
+	if (!may_read(c)) {
+		pause_reading(c);
+		return true;
+	}
+	n = recv(c->fd, data, sizeof(data), 0);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return true;
 	if (n < 0) {
--- a/src/io/upstream/upstream_conn.h
+++ b/src/io/upstream/upstream_conn.h
@@ -36,11 +36,12 @@
 	http_parser parser;
 	struct transfer *transfer; /* NULL: idle */
 	bool connecting;
-	bool heard;	   /* bytes of an answer to the present request came */
-	bool whole;	   /* the answer is whole */
-	bool keep;	   /* it may be used again */
-	char *field;	   /* name of the header being read, or NULL */
-	char *value;	   /* the same of its value */
+	bool paused; /* not read until there is room for more of its answer */
+	bool heard;  /* bytes of an answer to the present request came */
+	bool whole;  /* the answer is whole */
+	bool keep;   /* it may be used again */
+	char *field; /* name of the header being read, or NULL */
+	char *value; /* the same of its value */
 	size_t text_bytes; /* of both, as held by the transfer */
 	uint8_t *out;	   /* NULL when it was sent */
 	size_t out_sent;
@@ -62,6 +63,8 @@
 	struct upstream_conn *idle; /* used last, first */
 	struct upstream_conn *busy;
 	struct transfer *transfers;
+	struct transfer *over; /* the one whose answer needs no room, or NULL */
+	uint32_t paused_count;
 	bool sweep_set;
 	bool stopping;
 };
@@ -70,6 +73,8 @@
 void ir_upstream_conn_run(struct ir_upstream *u, struct transfer *t);
 /* Closes it; a transfer on it is left without one. */
 void ir_upstream_conn_close(struct upstream_conn *c);
+/* Reads on where reading waits for room. */
+void ir_upstream_conn_resume(struct ir_upstream *u);
 /* Closes those idle for too long. */
 void ir_upstream_conn_sweep(struct ir_upstream *u, int64_t now);
 
