Soak: a promise on memory, and callers that make nodes hold bytes

The soak gave nodes no limit, looked at no memory, and no caller of it left an answer unread.

A request on a connection that a living node closed without an answer must not have been seen by an upstream. Logs of earlier processes of a host are kept.

--- a/test/fakes/lib/upstream_control.c
+++ b/test/fakes/lib/upstream_control.c
@@ -77,6 +77,8 @@
 		u->options.slots = (uint32_t)n;
 	if (get_number(obj, "queue", &n) && n >= 0)
 		u->options.queue = (uint32_t)n;
+	if (get_number(obj, "answer_bytes", &n) && n >= 0)
+		u->options.answer_bytes = (size_t)n;
 	if (get_number(obj, "egress", &n) && n > 0)
 		u->options.egress_port = (uint16_t)n;
 	if (json_object_object_get_ex(obj, "drain", &v))
--- /dev/null
+++ b/test/soak/load.c
@@ -0,0 +1,178 @@
+/* Requests that are kept coming, and what became of them. */
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <string.h>
+
+#include "soak/soak.h"
+
+/* Open requests at a host: a paused one must not hold up the others. */
+#define AT_ONCE_EACH 6
+#define AT_ONCE_BURST 96
+/* A refused caller waits so long before it sends there again. */
+#define REFUSED_PAUSE_US (20 * IR_US_PER_MS)
+/* One of so many is sent with a key that was withdrawn. */
+#define SENT_WITHDRAWN 8
+/* One of so many is sent though nobody listens there. */
+#define SENT_IN_VAIN 64
+/* A withdrawn key: the bound for a change to be in force everywhere. */
+#define KEY_BOUND_US (6 * IR_US_PER_S)
+/* Requests that are not idempotent and whose upstreams are looked up. */
+#define MAX_LOOKED_UP 400
+
+static void
+check_key(struct soak *s, const struct sent *q, uint64_t id)
+{
+	int64_t since = s->withdrawn_us[q->key];
+
+	if (since == 0 || q->outcome != 'r' ||
+	    q->sent_us < since + KEY_BOUND_US)
+		return;
+	/* In an outage of the store nobody can learn of it. */
+	if (s->store_bad_us + KEY_BOUND_US > since)
+		return;
+	soak_note_broken(s,
+	    "request %" PRIu64 " ran %" PRId64 " ms after its key "
+	    "was withdrawn",
+	    id, (q->sent_us - since) / IR_US_PER_MS);
+}
+
+/* The connection was made, and ended before an answer or within it. */
+static bool
+was_closed(const struct fake_fetch_result *r)
+{
+	return !r->whole &&
+	       strcmp(r->failure, curl_easy_strerror(CURLE_COULDNT_CONNECT)) !=
+		   0 &&
+	       strcmp(r->failure,
+		   curl_easy_strerror(CURLE_OPERATION_TIMEDOUT)) != 0;
+}
+
+static void
+on_done(void *ctx, uint64_t id, const struct fake_fetch_result *r)
+{
+	struct soak *s = ctx;
+	struct sent *q = &s->sent[id - s->first];
+	const char *own = pr_test_id(p, id);
+
+	s->done++;
+	s->hosts[q->host].open--;
+	q->status = (uint16_t)r->status;
+	q->outcome = r->whole && r->outcome[0] != '\0' ? r->outcome[0] : '-';
+	s->ok += q->outcome == 'r' && r->status == 200;
+	s->not_run += q->outcome == 'n';
+	s->unknown += q->outcome == 'u';
+	s->none += q->outcome == '-';
+	if (q->outcome != 'r')
+		s->hosts[q->host].send_us = ir_clock_now() + REFUSED_PAUSE_US;
+	if (q->outcome == 'r' && r->status == 200 &&
+	    memmem(r->body, r->body_bytes, own, strlen(own)) == NULL)
+		soak_note_broken(
+		    s, "request %" PRIu64 " got another's answer", id);
+	if (was_closed(r))
+		soak_note_cut(s, q->host, q->starts, id);
+	check_key(s, q, id);
+}
+
+static void
+send_one(struct soak *s, size_t i, bool burst)
+{
+	struct sent *q = &s->sent[s->count];
+	struct pr_request r = {
+	    .port = p->hosts[i].callers_port, .path = "/s/run"};
+
+	q->host = (uint16_t)i;
+	q->starts = s->hosts[i].starts;
+	q->key = (uint8_t)soak_below(s, PR_KEYS);
+	if (s->withdrawn_us[q->key] != 0 && soak_below(s, SENT_WITHDRAWN) != 0)
+		q->key = KEY_MAIN;
+	q->charge = soak_below(s, 3) == 0;
+	if (burst)
+		r.path = "/t/run";
+	if (q->charge) {
+		r.method = "POST";
+		r.path = "/s/charge";
+	}
+	r.key = p->keys[q->key];
+	q->sent_us = ir_clock_now();
+	pr_send(p, &r, s->first + s->count, on_done, s);
+	s->hosts[i].open++;
+	s->count++;
+}
+
+static void
+send_to(struct soak *s, size_t i, bool burst)
+{
+	uint32_t at_once = burst ? AT_ONCE_BURST : AT_ONCE_EACH;
+
+	if (p->hosts[i].node.pid == 0 && soak_below(s, SENT_IN_VAIN) != 0)
+		return;
+	if (!burst && ir_clock_now() < s->hosts[i].send_us)
+		return;
+	while (s->hosts[i].open < at_once && s->count < SOAK_MAX_REQUESTS)
+		send_one(s, i, burst);
+}
+
+void
+soak_load_begin(struct soak *s)
+{
+	s->first = p->next_id + 1;
+	p->next_id += SOAK_MAX_REQUESTS;
+}
+
+void
+soak_load_step(struct soak *s)
+{
+	bool burst = ir_clock_now() < s->burst_until_us;
+
+	for (size_t i = 0; i < p->host_count; i++)
+		send_to(s, i, burst && i == s->burst_host);
+	fake_fetcher_step(p->fetcher, SOAK_STEP_MS);
+}
+
+void
+soak_load_end(struct soak *s)
+{
+	while (s->done < s->count)
+		fake_fetcher_step(p->fetcher, SOAK_STEP_MS);
+}
+
+void
+soak_look_up_runs(struct soak *s)
+{
+	uint32_t looked_up = 0;
+
+	for (uint32_t i = 0; i < s->count && looked_up < MAX_LOOKED_UP; i++) {
+		const struct sent *q = &s->sent[i];
+		uint32_t seen;
+
+		/* Those served as they should be matter least: some of them. */
+		if (!q->charge || (q->outcome == 'r' && i % 16 != 0))
+			continue;
+		looked_up++;
+		seen = pr_seen(p, pr_test_id(p, s->first + i));
+		if (q->outcome == 'n' && seen > 0)
+			soak_note_broken(s,
+			    "request %" PRIu64 " ran, and was told not run",
+			    s->first + i);
+		/* An s upstream and the t upstream that it calls. */
+		if (seen > 2)
+			soak_note_broken(s,
+			    "request %" PRIu64 " was seen by %u", s->first + i,
+			    seen);
+	}
+}
+
+/* A node that lives owes an answer to what it has passed on. */
+void
+soak_look_up_cut(struct soak *s)
+{
+	for (uint32_t i = 0; i < s->cut_count; i++) {
+		const struct cut *c = &s->cut[i];
+
+		if (pr_seen(p, pr_test_id(p, c->id)) > 0)
+			soak_note_broken(s,
+			    "request %" PRIu64 " was passed on by %s, which "
+			    "lives and closed without an answer",
+			    c->id, p->hosts[c->host].name);
+	}
+}
--- a/test/support/process_load.c
+++ b/test/support/process_load.c
@@ -181,7 +181,7 @@
 int
 processes_set_up(void **state)
 {
-	p = pr_start(program);
+	p = pr_start(program, PR_HOSTS);
 	pr_wait_serving(p);
 	return 0;
 }
--- a/test/support/processes.c
+++ b/test/support/processes.c
@@ -28,21 +28,35 @@
 #define MAX_ARGUMENTS 16
 #define PACE_MS 10
 #define ASK_TIMEOUT_MS 20000
-#define CONNECTIONS 64
+#define CONNECTIONS 256
 #define LIFETIME_S "280"
 
 extern char **environ;
 
-static const struct pr_host layout[PR_HOSTS] = {
-    {.name = "s-n1", .service = "s", .region = "north", .zone = "n1"},
-    {.name = "t-n1", .service = "t", .region = "north", .zone = "n1"},
-    {.name = "s-n2", .service = "s", .region = "north", .zone = "n2"},
-    {.name = "t-n2", .service = "t", .region = "north", .zone = "n2"},
-    {.name = "s-s1", .service = "s", .region = "south", .zone = "s1"},
-    {.name = "t-s1", .service = "t", .region = "south", .zone = "s1"},
-    {.name = "s-s2", .service = "s", .region = "south", .zone = "s2"},
-    {.name = "t-s2", .service = "t", .region = "south", .zone = "s2"},
-};
+#define SERVICES 2
+#define ZONES 4
+
+/* Services alternate, then zones: s-n1, t-n1, s-n2 and so on. */
+static void
+lay_out(struct processes *p, uint32_t host_count)
+{
+	static const char *const services[SERVICES] = {"s", "t"};
+	static const char *const zones[ZONES] = {"n1", "n2", "s1", "s2"};
+
+	p->host_count = host_count;
+	p->hosts = talloc_zero_array(p, struct pr_host, host_count);
+	for (uint32_t i = 0; i < host_count; i++) {
+		struct pr_host *h = &p->hosts[i];
+		uint32_t round = i / (SERVICES * ZONES);
+
+		h->service = services[i % SERVICES];
+		h->zone = zones[i / SERVICES % ZONES];
+		h->region = h->zone[0] == 'n' ? "north" : "south";
+		h->name = talloc_asprintf(p, "%s-%s", h->service, h->zone);
+		if (round > 0)
+			h->name = talloc_asprintf(p, "%s-%u", h->name, round);
+	}
+}
 
 /* The pace of looking again; the condition decides, not the time. */
 static void
@@ -105,8 +119,9 @@
 	posix_spawn_file_actions_init(&fa);
 	posix_spawn_file_actions_addopen(&fa, STDOUT_FILENO,
 	    file_name(p, c->name, "out"), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+	/* Logs of earlier processes stay. */
 	posix_spawn_file_actions_addopen(&fa, STDERR_FILENO,
-	    file_name(p, c->name, "err"), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+	    file_name(p, c->name, "err"), O_WRONLY | O_CREAT | O_APPEND, 0600);
 	rc = posix_spawn(&c->pid, argv[0], &fa, &attr, arguments, environ);
 	posix_spawn_file_actions_destroy(&fa);
 	posix_spawnattr_destroy(&attr);
@@ -116,6 +131,16 @@
 	}
 }
 
+/* An earlier output is kept under another name: its port must not be read. */
+static void
+keep_output(struct processes *p, struct pr_child *c)
+{
+	const char *suffix = talloc_asprintf(p, "out.%u", c->starts++);
+
+	(void)rename(
+	    file_name(p, c->name, "out"), file_name(p, c->name, suffix));
+}
+
 struct reading {
 	const char *file;
 	const char *after; /* the number stands after this text */
@@ -156,8 +181,7 @@
 
 	for (size_t i = 3; options != NULL && *options != NULL; i++)
 		argv[i] = *options++;
-	/* An earlier port must not be read. */
-	unlink(file_name(p, c->name, "out"));
+	keep_output(p, c);
 	spawn(p, c, argv);
 	return read_port(p, c->name, "out", "port ");
 }
@@ -176,15 +200,14 @@
 	    "\"admin\":{\"address\":\"127.0.0.1\",\"port\":0},"
 	    "\"upstream\":{\"address\":\"127.0.0.1\",\"port\":%u},"
 	    "\"platform\":{\"address\":\"127.0.0.1\",\"port\":%u},"
-	    "\"slots\":36,\"upstream_connections\":100}\n",
+	    "\"slots\":36,\"upstream_connections\":100,\"memory_mb\":%u}\n",
 	    h->name, h->service, h->region, h->zone, peers, h->upstream_port,
-	    h->platform_port);
+	    h->platform_port, (uint32_t)PR_MEMORY_MB);
 	fclose(f);
 }
 
-/* A control of a stand-in. */
-static void
-control(struct processes *p, uint16_t port, const char *method,
+void
+pr_control(struct processes *p, uint16_t port, const char *method,
     const char *path, const char *body)
 {
 	struct pr_request r = {port, method, path, NULL, NULL, body};
@@ -201,14 +224,14 @@
 	    "-c", file_name(p, h->name, "json"), NULL};
 
 	write_settings(p, h, peers_port);
-	unlink(file_name(p, h->name, "out"));
 	h->node.name = talloc_strdup(p, h->name);
+	keep_output(p, &h->node);
 	spawn(p, &h->node, argv);
 	h->callers_port = read_port(p, h->name, "out", "\"callers_port\":");
 	h->egress_port = read_port(p, h->name, "out", "\"egress_port\":");
 	h->peers_port = read_port(p, h->name, "out", "\"peers_port\":");
 	h->admin_port = read_port(p, h->name, "out", "\"admin_port\":");
-	control(p, h->upstream_port, "POST", "/control",
+	pr_control(p, h->upstream_port, "POST", "/control",
 	    talloc_asprintf(p, "{\"egress\":%u}", h->egress_port));
 }
 
@@ -246,7 +269,7 @@
 	uint16_t peers =
 	    h->shown_peers_port != 0 ? h->shown_peers_port : h->peers_port;
 
-	control(p, p->platform_port, "PUT",
+	pr_control(p, p->platform_port, "PUT",
 	    talloc_asprintf(p, "/control/hosts/%s", h->name),
 	    talloc_asprintf(p,
 		"{\"name\":\"%s\",\"service\":\"%s\",\"region\":\"%s\","
@@ -259,7 +282,7 @@
 void
 pr_unpublish(struct processes *p, const struct pr_host *h)
 {
-	control(p, p->platform_port, "DELETE",
+	pr_control(p, p->platform_port, "DELETE",
 	    talloc_asprintf(p, "/control/hosts/%s", h->name), NULL);
 }
 
@@ -281,7 +304,8 @@
 		text = talloc_strdup_append(text, "]}");
 	}
 	text = talloc_strdup_append(text, "]}");
-	control(p, p->platform_port, "PUT", "/control/config/accounts", text);
+	pr_control(
+	    p, p->platform_port, "PUT", "/control/config/accounts", text);
 }
 
 void
@@ -294,7 +318,7 @@
 void
 pr_faults(struct processes *p, const char *json)
 {
-	control(p, p->platform_port, "POST", "/control/faults", json);
+	pr_control(p, p->platform_port, "POST", "/control/faults", json);
 }
 
 char *
@@ -304,17 +328,26 @@
 }
 
 void
-pr_send(struct processes *p, const struct pr_request *r, uint64_t id,
-    void (*done)(void *, uint64_t, const struct fake_fetch_result *), void *ctx)
+pr_headers(struct processes *p, const struct pr_request *r, uint64_t id,
+    const char *headers[PR_HEADERS])
 {
-	const char *headers[4] = {NULL};
-	struct fake_fetch in = {0};
 	size_t n = 0;
 
+	memset(headers, 0, PR_HEADERS * sizeof(headers[0]));
 	headers[n++] = talloc_asprintf(p, "X-Test-Id: %s", pr_test_id(p, id));
 	if (r->key != NULL)
 		headers[n++] = talloc_asprintf(p, "Ibisrail-Key: %s", r->key);
 	headers[n] = r->header;
+}
+
+void
+pr_send(struct processes *p, const struct pr_request *r, uint64_t id,
+    void (*done)(void *, uint64_t, const struct fake_fetch_result *), void *ctx)
+{
+	const char *headers[PR_HEADERS];
+	struct fake_fetch in = {0};
+
+	pr_headers(p, r, id, headers);
 	in.id = id;
 	in.url = talloc_asprintf(p, "http://127.0.0.1:%u%s", r->port, r->path);
 	in.method = r->method != NULL ? r->method : "GET";
@@ -394,7 +427,7 @@
 	char *path = talloc_asprintf(p, "/control/seen?text=%s", text);
 	uint32_t count = 0;
 
-	for (size_t i = 0; i < PR_HOSTS; i++)
+	for (size_t i = 0; i < p->host_count; i++)
 		count +=
 		    pr_number(p, p->hosts[i].upstream_port, path, "seen") == 1;
 	return count;
@@ -423,7 +456,7 @@
 	    pr_number(p, port, "/control/stats", "config_revision");
 	int64_t list = pr_number(p, port, "/control/stats", "list_revision");
 
-	for (size_t i = 0; i < PR_HOSTS; i++) {
+	for (size_t i = 0; i < p->host_count; i++) {
 		struct pr_request r = {
 		    .port = p->hosts[i].admin_port, .path = "/ready"};
 		struct pr_answer a = pr_ask(p, &r);
@@ -454,11 +487,11 @@
 {
 	static const char *const services[] = {"s", "t"};
 
-	control(p, p->platform_port, "PUT", "/control/config/fleet",
+	pr_control(p, p->platform_port, "PUT", "/control/config/fleet",
 	    "{\"generation\":1,\"store_region\":\"north\","
 	    "\"link_bytes_per_s\":3750000,\"unconfirmed_view\":\"refuse\"}");
 	for (size_t i = 0; i < 2; i++)
-		control(p, p->platform_port, "PUT",
+		pr_control(p, p->platform_port, "PUT",
 		    talloc_asprintf(
 			p, "/control/config/service/%s", services[i]),
 		    talloc_asprintf(p,
@@ -503,7 +536,7 @@
 }
 
 struct processes *
-pr_start(const char *program)
+pr_start(const char *program, uint32_t host_count)
 {
 	static const char *const keys[PR_KEYS] = {"key-0-Vx81mQpz",
 	    "key-1-Rt4aKw0e", "key-2-Lm2yHs7u", "key-3-Bc5nGd3o",
@@ -514,12 +547,12 @@
 	find_programs(p, program);
 	set_environment(p);
 	memcpy(p->keys, keys, sizeof(keys));
-	memcpy(p->hosts, layout, sizeof(layout));
+	lay_out(p, host_count);
 	p->fetcher = fake_fetcher_new(CONNECTIONS);
 	p->platform.name = talloc_strdup(p, "platform");
 	p->platform_port = stand_in(p, &p->platform, "platform", NULL);
 	publish_all(p);
-	for (size_t i = 0; i < PR_HOSTS; i++) {
+	for (size_t i = 0; i < p->host_count; i++) {
 		struct pr_host *h = &p->hosts[i];
 
 		h->platform_port = p->platform_port;
@@ -550,7 +583,7 @@
 void
 pr_end(struct processes *p)
 {
-	for (size_t i = 0; i < PR_HOSTS; i++)
+	for (size_t i = 0; i < p->host_count; i++)
 		end_host(&p->hosts[i]);
 	end_host(&p->spare);
 	end_child(&p->platform);
--- a/test/support/processes.h
+++ b/test/support/processes.h
@@ -15,13 +15,18 @@
 
 #include "fakes/lib/fetch.h"
 
+/* Of the tests; the soak may have others. */
 #define PR_HOSTS 8
+#define PR_MEMORY_MB 160	 /* of each node */
+#define PR_HEADERS 8		 /* of a request, the NULL that ends them too */
+#define PR_AUTHORITY "127.0.0.1" /* host name of requests */
 #define PR_KEYS 6
 #define PR_WAIT_US INT64_C(60000000)
 
 struct pr_child {
 	char *name;
 	pid_t pid; /* 0: none, or ended */
+	uint32_t starts;
 };
 
 struct pr_host {
@@ -46,8 +51,9 @@
 	struct fake_fetcher *fetcher;
 	struct pr_child platform;
 	uint16_t platform_port;
-	struct pr_host hosts[PR_HOSTS];
-	struct pr_host spare; /* a ninth one, not started */
+	struct pr_host *hosts;
+	uint32_t host_count;
+	struct pr_host spare; /* one more, not started */
 	const char *keys[PR_KEYS];
 	bool withdrawn[PR_KEYS];
 	uint32_t generation; /* of the accounts */
@@ -72,7 +78,7 @@
 };
 
 /* Starts all. program is the path of the test program. */
-struct processes *pr_start(const char *program);
+struct processes *pr_start(const char *program, uint32_t host_count);
 void pr_end(struct processes *p);
 
 /* peers_port is 0 for any. Waits until it listens. */
@@ -100,6 +106,12 @@
 void pr_send(struct processes *p, const struct pr_request *r, uint64_t id,
     void (*done)(void *, uint64_t, const struct fake_fetch_result *),
     void *ctx);
+/* The headers of such a request, "Name: value", NULL-ended. */
+void pr_headers(struct processes *p, const struct pr_request *r, uint64_t id,
+    const char *headers[PR_HEADERS]);
+/* A control of a stand-in. */
+void pr_control(struct processes *p, uint16_t port, const char *method,
+    const char *path, const char *body);
 char *pr_test_id(struct processes *p, uint64_t id);
 
 /* Until the condition holds; what names it in the failure. */
