Test: a node's own pages stay within its memory limit

Cause: a process ended for its memory; no test with real processes looked at what a node holds.

Change: test_process_memory, eight nodes with memory_mb 48, each node's pages read from /proc/PID/statm after every step of the load: many short runs at one gate, callers that read nothing, slow senders of large bodies, large answers on all slots, a paused peer. No node may end by itself; each request that was passed on gets an answer or a refusal that is true. The support takes a memory limit for the hosts; a stand-in upstream takes the size of its answers while it runs.

--- a/test/support/processes.c
+++ b/test/support/processes.c
@@ -202,7 +202,7 @@
 	    "\"platform\":{\"address\":\"127.0.0.1\",\"port\":%u},"
 	    "\"slots\":36,\"upstream_connections\":100,\"memory_mb\":%u}\n",
 	    h->name, h->service, h->region, h->zone, peers, h->upstream_port,
-	    h->platform_port, (uint32_t)PR_MEMORY_MB);
+	    h->platform_port, h->memory_mb);
 	fclose(f);
 }
 
@@ -321,6 +321,12 @@
 	pr_control(p, p->platform_port, "POST", "/control/faults", json);
 }
 
+void
+pr_upstream_set(struct processes *p, const struct pr_host *h, const char *json)
+{
+	pr_control(p, h->upstream_port, "POST", "/control", json);
+}
+
 char *
 pr_test_id(struct processes *p, uint64_t id)
 {
@@ -535,8 +541,16 @@
 	assert_non_null(mkdtemp(p->dir));
 }
 
+static void
+set_memory(struct processes *p, uint32_t memory_mb)
+{
+	for (size_t i = 0; i < p->host_count; i++)
+		p->hosts[i].memory_mb = memory_mb;
+	p->spare.memory_mb = memory_mb;
+}
+
 struct processes *
-pr_start(const char *program, uint32_t host_count)
+pr_start_limited(const char *program, uint32_t host_count, uint32_t memory_mb)
 {
 	static const char *const keys[PR_KEYS] = {"key-0-Vx81mQpz",
 	    "key-1-Rt4aKw0e", "key-2-Lm2yHs7u", "key-3-Bc5nGd3o",
@@ -548,6 +562,7 @@
 	set_environment(p);
 	memcpy(p->keys, keys, sizeof(keys));
 	lay_out(p, host_count);
+	set_memory(p, memory_mb);
 	p->fetcher = fake_fetcher_new(CONNECTIONS);
 	p->platform.name = talloc_strdup(p, "platform");
 	p->platform_port = stand_in(p, &p->platform, "platform", NULL);
@@ -563,6 +578,12 @@
 	return p;
 }
 
+struct processes *
+pr_start(const char *program, uint32_t host_count)
+{
+	return pr_start_limited(program, host_count, PR_MEMORY_MB);
+}
+
 static void
 end_child(struct pr_child *c)
 {
--- a/test/support/processes.h
+++ b/test/support/processes.h
@@ -43,6 +43,7 @@
 	uint16_t admin_port;
 	uint16_t shown_peers_port; /* published instead, when not 0 */
 	uint16_t platform_port;	   /* of its settings */
+	uint32_t memory_mb;	   /* of its settings */
 };
 
 struct processes {
@@ -78,7 +79,10 @@
 };
 
 /* Starts all. program is the path of the test program. */
+/* Each node has the memory limit of the soak, or another. */
 struct processes *pr_start(const char *program, uint32_t host_count);
+struct processes *pr_start_limited(
+    const char *program, uint32_t host_count, uint32_t memory_mb);
 void pr_end(struct processes *p);
 
 /* peers_port is 0 for any. Waits until it listens. */
@@ -95,6 +99,9 @@
 void pr_publish_accounts(struct processes *p, uint32_t generation);
 void pr_withdraw(struct processes *p, uint32_t key);
 void pr_faults(struct processes *p, const char *json);
+/* Options of a host's upstream, while it runs. */
+void pr_upstream_set(
+    struct processes *p, const struct pr_host *h, const char *json);
 
 struct pr_answer pr_ask(struct processes *p, const struct pr_request *r);
 /* The number at a path as "view.config_revision" of a JSON answer. */
--- /dev/null
+++ b/test/test_process_memory.c
@@ -0,0 +1,484 @@
+/*
+ * Real processes with a small memory limit under loads that fill memory. Each
+ * node's own pages are read from outside: they stay within its limit, no node
+ * ends, and each request that is read to its end gets an answer.
+ */
+#include <sys/socket.h>
+
+#include <errno.h>
+#include <inttypes.h>
+#include <poll.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "support/process_load.h"
+#include "support/raw_http.h"
+
+#define MEMORY_MB 48
+#define BYTES_PER_MB (INT64_C(1024) * 1024)
+#define BYTES_PER_KB 1024
+#define STEP_MS 5
+#define SHOWN_MAX 100
+
+/* More answers of 1.5 KB than the limit could hold. */
+#define SHORT_COUNT 24000
+#define SHORT_AT_ONCE 32
+#define SHORT_ANSWER_BYTES 1500
+
+#define UNREAD_CONNECTIONS 16
+#define UNREAD_REQUESTS 32
+#define UNREAD_ANSWER_BYTES (256 * BYTES_PER_KB)
+#define READ_COUNT 400
+#define READ_AT_ONCE 8
+
+#define SENDERS 128
+#define SENDER_BODY_BYTES (1024 * BYTES_PER_KB)
+
+#define LARGE_COUNT 400
+#define LARGE_AT_ONCE 48
+#define LARGE_ANSWER_BYTES (1024 * BYTES_PER_KB)
+
+#define PAUSED_COUNT 480
+#define PAUSED_AT_ONCE 160
+#define PAUSED_BODY_BYTES (512 * BYTES_PER_KB)
+
+/* Pages of a sanitizer count as the process's own: they are not compared. */
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+#define PAGES_ARE_OURS false
+#else
+#define PAGES_ARE_OURS true
+#endif
+
+/* A caller that sends one request slowly and reads its answer. */
+struct sender {
+	int fd;
+	uint64_t id;
+	char *head;
+	size_t sent_bytes; /* of head and body */
+	size_t until_bytes;
+	char answer[RAW_ANSWER_BYTES];
+	size_t answer_bytes;
+	bool closed;
+};
+
+static int64_t peak_bytes[PR_HOSTS];
+
+/* Resident pages that are not of files; 0 when it is gone. */
+static int64_t
+own_bytes(pid_t pid)
+{
+	char text[128], *at = text;
+	int64_t resident, of_files;
+	FILE *f;
+
+	snprintf(text, sizeof(text), "/proc/%d/statm", (int)pid);
+	f = fopen(text, "r");
+	if (f == NULL)
+		return 0;
+	if (fgets(text, sizeof(text), f) == NULL)
+		text[0] = '\0';
+	fclose(f);
+	(void)strtoll(at, &at, 10);
+	resident = strtoll(at, &at, 10);
+	of_files = strtoll(at, &at, 10);
+	return (resident - of_files) * sysconf(_SC_PAGESIZE);
+}
+
+/* A node that ends by itself fails the test. */
+static void
+watch(void)
+{
+	for (size_t i = 0; i < PR_HOSTS; i++) {
+		struct pr_host *h = &p->hosts[i];
+		int64_t bytes = own_bytes(h->node.pid);
+		int status;
+
+		if (pr_ended(&h->node, &status))
+			fail_msg("%s ended: status %x", h->name, status);
+		if (bytes > peak_bytes[i])
+			peak_bytes[i] = bytes;
+	}
+}
+
+static void
+assert_within_limit(void)
+{
+	size_t worst = 0;
+
+	for (size_t i = 1; i < PR_HOSTS; i++) {
+		if (peak_bytes[i] > peak_bytes[worst])
+			worst = i;
+	}
+	print_message("peak %.1f MB of %d MB at %s\n",
+	    (double)peak_bytes[worst] / BYTES_PER_MB, MEMORY_MB,
+	    p->hosts[worst].name);
+	if (PAGES_ARE_OURS && peak_bytes[worst] > MEMORY_MB * BYTES_PER_MB)
+		fail_msg("%s: %" PRId64 " bytes", p->hosts[worst].name,
+		    peak_bytes[worst]);
+}
+
+static void
+set_answers(size_t bytes)
+{
+	for (size_t i = 0; i < PR_HOSTS; i++)
+		pr_upstream_set(p, &p->hosts[i],
+		    talloc_asprintf(p, "{\"answer_bytes\":%zu}", bytes));
+}
+
+static int64_t
+all_runs(void)
+{
+	int64_t n = 0;
+
+	for (size_t i = 0; i < PR_HOSTS; i++)
+		n += runs(&p->hosts[i]);
+	return n;
+}
+
+static char *
+body_of(size_t bytes)
+{
+	char *text = talloc_array(p, char, bytes + 1);
+
+	memset(text, 'b', bytes);
+	text[bytes] = '\0';
+	return text;
+}
+
+/* Where requests enter. */
+enum entries {
+	AT_FIRST_HOST,
+	AT_ALL_HOSTS
+};
+
+static void
+load_send(struct load *l, enum entries at)
+{
+	size_t i = at == AT_ALL_HOSTS ? l->sent % PR_HOSTS : 0;
+
+	l->request.port = p->hosts[i].callers_port;
+	pr_send(p, &l->request, l->first + l->sent, load_on_done, l);
+	l->sent++;
+}
+
+static void
+watched_step(struct load *l, enum entries at, uint32_t count, uint32_t at_once)
+{
+	while (l->sent < count && l->sent - l->done < at_once)
+		load_send(l, at);
+	fake_fetcher_step(p->fetcher, STEP_MS);
+	watch();
+}
+
+/* Each request has a time-out of its own. */
+static void
+watched_load(struct load *l, enum entries at, uint32_t count, uint32_t at_once)
+{
+	while (l->done < count)
+		watched_step(l, at, count, at_once);
+}
+
+/* Refused as not run, and no upstream was shown it. */
+static void
+assert_refusals_true(const struct load *l)
+{
+	uint32_t shown = 0;
+
+	for (uint32_t i = 0; i < l->sent && shown < SHOWN_MAX; i++) {
+		if (l->outcomes[i] != 'n')
+			continue;
+		shown++;
+		assert_int_equal(pr_seen(p, pr_test_id(p, l->first + i)), 0);
+	}
+}
+
+static void
+assert_all_answered(struct load *l)
+{
+	print_message(
+	    "%u sent: %u served, %u not run\n", l->sent, l->ok, l->not_run);
+	assert_none_cut_off(l);
+	assert_true(l->ok > 0);
+	assert_refusals_true(l);
+}
+
+/* Only the upstream of host 1 is left to service t. */
+static void
+leave_one_gate(void)
+{
+	for (size_t i = 3; i < PR_HOSTS; i += 2)
+		pr_publish(p, &p->hosts[i], "leaving");
+}
+
+static void
+test_many_short_runs_stay_within_limit(void **state)
+{
+	struct load *l = load_new("GET", "/t/run", NULL);
+
+	set_answers(SHORT_ANSWER_BYTES);
+	leave_one_gate();
+	watched_load(l, AT_FIRST_HOST, SHORT_COUNT, SHORT_AT_ONCE);
+	assert_all_answered(l);
+	assert_within_limit();
+}
+
+static int
+send_unread(const struct pr_host *entry)
+{
+	char *text = talloc_strdup(p, "");
+
+	for (int i = 0; i < UNREAD_REQUESTS; i++)
+		text = talloc_asprintf_append_buffer(text,
+		    "GET /t/run HTTP/1.1\r\nHost: t\r\nIbisrail-Key: %s\r\n"
+		    "X-Test-Id: %s\r\n\r\n",
+		    p->keys[KEY_OPEN], pr_test_id(p, ++p->next_id));
+	return raw_ask(entry->callers_port, text);
+}
+
+static bool
+has_no_calls(void *ctx)
+{
+	const struct pr_host *h = ctx;
+
+	watch();
+	return pr_number(p, h->admin_port, "/state", "calls") == 0;
+}
+
+static void
+test_callers_that_read_nothing_stay_within_limit(void **state)
+{
+	struct load *l = load_new("GET", "/t/run", NULL);
+	struct pr_host *entry = &p->hosts[0];
+	int fds[UNREAD_CONNECTIONS];
+
+	set_answers(UNREAD_ANSWER_BYTES);
+	for (int i = 0; i < UNREAD_CONNECTIONS; i++)
+		fds[i] = send_unread(entry);
+	watched_load(l, AT_FIRST_HOST, READ_COUNT, READ_AT_ONCE);
+	pr_wait("unread calls end", has_no_calls, entry);
+	for (int i = 0; i < UNREAD_CONNECTIONS; i++)
+		close(fds[i]);
+	assert_all_answered(l);
+	assert_within_limit();
+}
+
+static void
+sender_begin(struct sender *s, const struct pr_host *entry)
+{
+	s->id = ++p->next_id;
+	s->head = talloc_asprintf(p,
+	    "POST /t/charge HTTP/1.1\r\nHost: t\r\nIbisrail-Key: %s\r\n"
+	    "X-Test-Id: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
+	    p->keys[KEY_OPEN], pr_test_id(p, s->id), SENDER_BODY_BYTES);
+	s->until_bytes = strlen(s->head) + SENDER_BODY_BYTES / 2;
+	s->fd = raw_dial(entry->callers_port);
+}
+
+static void
+sender_end_body(struct sender *s)
+{
+	s->until_bytes = strlen(s->head) + SENDER_BODY_BYTES;
+}
+
+static void
+sender_send(struct sender *s, const char *body)
+{
+	size_t head_bytes = strlen(s->head);
+	ssize_t n;
+
+	while (s->sent_bytes < s->until_bytes) {
+		bool in_head = s->sent_bytes < head_bytes;
+		size_t end = in_head ? head_bytes : s->until_bytes;
+		const char *from = in_head ? s->head + s->sent_bytes
+					   : body + s->sent_bytes - head_bytes;
+
+		n = send(s->fd, from, end - s->sent_bytes,
+		    MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (n <= 0)
+			return;
+		s->sent_bytes += (size_t)n;
+	}
+}
+
+static void
+sender_read(struct sender *s)
+{
+	size_t room = sizeof(s->answer) - 1 - s->answer_bytes;
+	ssize_t n =
+	    recv(s->fd, s->answer + s->answer_bytes, room, MSG_DONTWAIT);
+
+	if (n > 0)
+		s->answer_bytes += (size_t)n;
+	else if (n == 0 || errno != EAGAIN)
+		s->closed = true;
+}
+
+static void
+senders_step(struct sender *senders, const char *body)
+{
+	for (int i = 0; i < SENDERS; i++) {
+		if (senders[i].closed)
+			continue;
+		sender_send(&senders[i], body);
+		sender_read(&senders[i]);
+	}
+}
+
+struct sending {
+	struct sender *senders;
+	const char *body;
+};
+
+static bool
+senders_ended(void *ctx)
+{
+	struct sending *g = ctx;
+
+	senders_step(g->senders, g->body);
+	watch();
+	for (int i = 0; i < SENDERS; i++) {
+		if (!g->senders[i].closed)
+			return false;
+	}
+	return true;
+}
+
+/* Whole and true; one without an answer was not passed on. */
+static void
+assert_sender(const struct sender *s, uint32_t *served, uint32_t *cut)
+{
+	bool ran = strstr(s->answer, "Ibisrail-Outcome: ran\r\n") != NULL;
+	bool refused =
+	    strstr(s->answer, "Ibisrail-Outcome: not-run\r\n") != NULL;
+	uint32_t seen = pr_seen(p, pr_test_id(p, s->id));
+
+	if (ran && strncmp(s->answer, "HTTP/1.1 200 ", 13) == 0)
+		*served += 1;
+	else if (seen != 0)
+		fail_msg(
+		    "seen by %u upstreams, answer \"%.200s\"", seen, s->answer);
+	else if (!refused)
+		*cut += 1;
+}
+
+static void
+test_slow_senders_stay_within_limit(void **state)
+{
+	struct load *l = load_new("GET", "/t/run", NULL);
+	struct pr_host *entry = &p->hosts[0];
+	struct sender *senders = talloc_zero_array(p, struct sender, SENDERS);
+	struct sending g = {senders, body_of(SENDER_BODY_BYTES)};
+	uint32_t served = 0, cut = 0;
+
+	for (int i = 0; i < SENDERS; i++)
+		sender_begin(&senders[i], entry);
+	while (l->done < READ_COUNT) {
+		senders_step(senders, g.body);
+		watched_step(l, AT_FIRST_HOST, READ_COUNT, READ_AT_ONCE);
+	}
+	for (int i = 0; i < SENDERS; i++)
+		sender_end_body(&senders[i]);
+	pr_wait("senders have their answers", senders_ended, &g);
+	for (int i = 0; i < SENDERS; i++) {
+		close(senders[i].fd);
+		assert_sender(&senders[i], &served, &cut);
+	}
+	print_message("%d senders: %u served, %u cut off before they ran\n",
+	    SENDERS, served, cut);
+	assert_all_answered(l);
+	assert_within_limit();
+}
+
+static void
+test_large_answers_on_all_slots_stay_within_limit(void **state)
+{
+	struct load *l = load_new("GET", "/t/run", NULL);
+
+	set_answers(LARGE_ANSWER_BYTES);
+	watched_load(l, AT_ALL_HOSTS, LARGE_COUNT, LARGE_AT_ONCE);
+	assert_all_answered(l);
+	assert_within_limit();
+}
+
+/* What was on its way to the paused one may have an unknown outcome. */
+static void
+test_paused_peer_stays_within_limit(void **state)
+{
+	struct load *l = load_new("POST", "/t/charge", NULL);
+	struct pr_host *paused = &p->hosts[1];
+	int64_t before = all_runs(), ran;
+
+	l->request.body = body_of(PAUSED_BODY_BYTES);
+	pr_signal(&paused->node, SIGSTOP);
+	watched_load(l, AT_FIRST_HOST, PAUSED_COUNT / 2, PAUSED_AT_ONCE);
+	pr_signal(&paused->node, SIGCONT);
+	watched_load(l, AT_FIRST_HOST, PAUSED_COUNT, PAUSED_AT_ONCE);
+	ran = all_runs() - before;
+	print_message("%u sent: %u served, %u not run, %u unknown; %" PRId64
+		      " ran\n",
+	    l->sent, l->ok, l->not_run, l->unknown, ran);
+	assert_int_equal(l->ok + l->not_run + l->unknown, l->sent);
+	assert_true(l->ok > 0);
+	assert_true(ran >= l->ok && ran <= l->ok + l->unknown);
+	assert_int_equal(double_runs(), l->doubles);
+	assert_refusals_true(l);
+	assert_within_limit();
+}
+
+static int
+limited_set_up(void **state)
+{
+	p = pr_start_limited(program, PR_HOSTS, MEMORY_MB);
+	pr_wait_serving(p);
+	return 0;
+}
+
+/* Fresh processes: what a case left in memory is none of the next one's. */
+static int
+restart_all(void **state)
+{
+	for (size_t i = 0; i < PR_HOSTS; i++) {
+		struct pr_host *h = &p->hosts[i];
+		int status;
+
+		if (h->node.pid != 0) {
+			pr_signal(&h->node, SIGKILL);
+			while (!pr_ended(&h->node, &status))
+				poll(NULL, 0, 1);
+		}
+	}
+	set_answers(0);
+	memset(peak_bytes, 0, sizeof(peak_bytes));
+	return processes_mend(state);
+}
+
+int
+main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_teardown(
+		test_many_short_runs_stay_within_limit, restart_all),
+	    cmocka_unit_test_teardown(
+		test_callers_that_read_nothing_stay_within_limit, restart_all),
+	    cmocka_unit_test_teardown(
+		test_slow_senders_stay_within_limit, restart_all),
+	    cmocka_unit_test_teardown(
+		test_large_answers_on_all_slots_stay_within_limit, restart_all),
+	    cmocka_unit_test_teardown(
+		test_paused_peer_stays_within_limit, restart_all),
+	};
+
+	program = argv[0];
+	if (argc > 1)
+		cmocka_set_test_filter(argv[1]);
+	return cmocka_run_group_tests(
+	    tests, limited_set_up, processes_tear_down);
+}
