Test: a node that was short of memory serves again

Cause: the cases of test_process_memory looked at pages and answers only; a node that refuses everything from then on passed.

--- a/test/test_process_memory.c
+++ b/test/test_process_memory.c
@@ -210,6 +210,17 @@
 	assert_refusals_true(l);
 }
 
+/* Once what filled the memory is gone. */
+static void
+assert_serves_again(void)
+{
+	for (size_t i = 0; i < PR_HOSTS; i++)
+		pr_publish(p, &p->hosts[i], "live");
+	set_answers(0);
+	pr_wait_serving(p);
+	watch();
+}
+
 /* Only the upstream of host 1 is left to service t. */
 static void
 leave_one_gate(void)
@@ -227,6 +238,7 @@
 	leave_one_gate();
 	watched_load(l, AT_FIRST_HOST, SHORT_COUNT, SHORT_AT_ONCE);
 	assert_all_answered(l);
+	assert_serves_again();
 	assert_within_limit();
 }
 
@@ -267,6 +279,7 @@
 	for (int i = 0; i < UNREAD_CONNECTIONS; i++)
 		close(fds[i]);
 	assert_all_answered(l);
+	assert_serves_again();
 	assert_within_limit();
 }
 
@@ -394,6 +407,7 @@
 	print_message("%d senders: %u served, %u cut off before they ran\n",
 	    SENDERS, served, cut);
 	assert_all_answered(l);
+	assert_serves_again();
 	assert_within_limit();
 }
 
@@ -405,6 +419,7 @@
 	set_answers(LARGE_ANSWER_BYTES);
 	watched_load(l, AT_ALL_HOSTS, LARGE_COUNT, LARGE_AT_ONCE);
 	assert_all_answered(l);
+	assert_serves_again();
 	assert_within_limit();
 }
 
@@ -430,6 +445,7 @@
 	assert_true(ran >= l->ok && ran <= l->ok + l->unknown);
 	assert_int_equal(double_runs(), l->doubles);
 	assert_refusals_true(l);
+	assert_serves_again();
 	assert_within_limit();
 }
 
