Upstream: answers wait while what is ahead of them is full

Callers of large answers would get 502, unknown: the gate's own share for messages or peers was exceeded by answers read from the upstream, and the fullest link was closed with all its attempts. Cause: each thread bounds what it holds, and none told the one before it. Change: while rings or peers hold over half of their bounds no answer is read from the upstream; it is tried again each 5 ms. Still red: nodes that receive such answers in parts close their fullest link as well.

--- a/src/io/upstream/upstream.c
+++ b/src/io/upstream/upstream.c
@@ -8,6 +8,8 @@
 
 #define BACKLOG_RETRY_US 1000
 #define SWEEP_US IR_US_PER_S
+/* How often reading is tried again that waits for other threads. */
+#define PAUSE_US (5 * IR_US_PER_MS)
 
 static void
 free_transfer(struct transfer *t)
@@ -135,6 +137,10 @@
 {
 	if (!ir_outbox_flush(&u->out))
 		ir_turn_ends_after(u->loop, u, BACKLOG_RETRY_US);
+	if (u->paused_count > 0) {
+		ir_upstream_conn_resume(u);
+		ir_turn_ends_after(u->loop, u, PAUSE_US);
+	}
 	set_sweep(u);
 	ir_turn(u->loop, u->channel->wake, u->channel->from_core);
 }
--- a/src/io/upstream/upstream_conn.c
+++ b/src/io/upstream/upstream_conn.c
@@ -237,9 +237,19 @@
 	fail(c, "closed");
 }
 
+/* An answer that was read goes on at once: what is ahead must take it. */
+static bool
+is_taken_ahead(const struct ir_memory *m)
+{
+	return ir_memory_held(m, IR_MEMORY_RINGS) <=
+		   m->bound_bytes[IR_MEMORY_RINGS] / 2 &&
+	       ir_memory_held(m, IR_MEMORY_PEERS) <=
+		   m->bound_bytes[IR_MEMORY_PEERS] / 2;
+}
+
 /*
  * Whether more of an answer may be read: there is room, or it is the one that
- * needs none, so that always one gets through.
+ * needs none here, so that always one gets through.
  */
 static bool
 may_read(struct upstream_conn *c)
@@ -247,7 +257,11 @@
 	struct ir_upstream *u = c->owner;
 	struct transfer *t = c->transfer;
 
-	if (t == NULL || t == u->over ||
+	if (t == NULL)
+		return true;
+	if (!is_taken_ahead(u->memory))
+		return false;
+	if (t == u->over ||
 	    ir_memory_has_room(u->memory, IR_MEMORY_UPSTREAM, ROOM_BYTES))
 		return true;
 	if (u->over != NULL)
