Records: one that gives way leaves its id, not two thirds of a kilobyte

Cause: a record whose answer was dropped still took 850 bytes until its deadline, though all that it can tell is that the attempt ran. Change: without a key only the attempt's id and its time stay, 208 bytes, so that STATUS is told answer-dropped as before. Test: test_node_memory, test_long_deadlines_do_not_turn_work_away fails with the change taken out; test_attempt_whose_record_gave_way_is_not_told_as_not_run.

--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -425,6 +425,10 @@
 	struct ir_record *r = ir_records_find(n->records, &f->attempt);
 	enum ir_error e;
 
+	if (ir_records_is_past(n->records, &f->attempt)) {
+		refuse_unrecorded(n, now, conn, xid, f, IR_E_ANSWER_DROPPED);
+		return;
+	}
 	if (r != NULL) {
 		attach(n, now, r, conn, xid, &f->attempt, false);
 		return;
@@ -447,6 +451,20 @@
 	attach(n, now, r, conn, xid, &f->attempt, false);
 }
 
+static void
+tell_past(struct ir_node *n, int64_t now, uint32_t conn, uint32_t xid,
+    const struct ir_attempt_ref *ref)
+{
+	struct ir_msg m = {.kind = IR_MSG_STATUS_REPLY};
+	struct ir_reply *out = &m.ir_msg_u.status_reply;
+
+	out->attempt = ref->attempt;
+	out->incarnation = n->settings.incarnation;
+	out->error = IR_E_ANSWER_DROPPED;
+	out->load = node_load(n, now, "");
+	peer_reply(n, conn, xid, &m);
+}
+
 /*
  * An origin asks after an attempt of its lost connection. One that never came
  * is recorded as refused, so that it cannot run later.
@@ -461,6 +479,10 @@
 		attach(n, now, r, conn, xid, &ref->attempt, true);
 		return;
 	}
+	if (ir_records_is_past(n->records, &ref->attempt)) {
+		tell_past(n, now, conn, xid, ref);
+		return;
+	}
 	if (ref->gate_incarnation != n->settings.incarnation)
 		return;
 	r = ir_records_add_absent(n->records, &ref->attempt);
--- a/src/upstream/record.c
+++ b/src/upstream/record.c
@@ -23,6 +23,15 @@
 _Static_assert(SLOTS *SLOT_US > IR_ATTEMPT_KEEP_US + 2 * SLOT_US,
     "the wheel must hold what is kept longest");
 
+/* An attempt that was answered and whose record gave way. */
+struct past {
+	struct ir_attempt_id attempt;
+	int64_t drop_us;
+	struct past *prev; /* of those kept as long */
+	struct past *next;
+	UT_hash_handle hh;
+};
+
 /* What a record takes beside its request. */
 #define RECORD_BYTES 2048
 
@@ -35,14 +44,17 @@
 	struct ir_record *by_caller;
 	struct ir_record *open;
 	struct ir_record *done[SLOTS]; /* by drop_us */
-	int64_t swept_us;	       /* all before it are forgotten */
-	struct ir_record *answered;    /* oldest first */
+	struct past *past;	       /* by attempt */
+	struct past *past_done[SLOTS];
+	int64_t swept_us;	    /* all before it are forgotten */
+	struct ir_record *answered; /* oldest first */
 	size_t open_count;
 };
 
 static int
 clear_tables(struct ir_records *rs)
 {
+	HASH_CLEAR(hh, rs->past);
 	HASH_CLEAR(hh, rs->aliases);
 	HASH_CLEAR(caller_hh, rs->by_caller);
 	HASH_CLEAR(key_hh, rs->by_key);
@@ -86,58 +98,6 @@
 	r->held_bytes = bytes;
 }
 
-static void
-forget_answer(struct ir_records *rs, struct ir_record *r)
-{
-	DL_DELETE2(rs->answered, r, answered_prev, answered_next);
-	TALLOC_FREE(r->headers);
-	r->header_count = 0;
-	TALLOC_FREE(r->body);
-	r->body_bytes = 0;
-	r->error = IR_E_ANSWER_DROPPED;
-	ir_records_filled(rs, r);
-}
-
-void
-ir_records_trim(struct ir_records *rs, size_t room_bytes)
-{
-	while (rs->answered != NULL &&
-	       !ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, room_bytes))
-		forget_answer(rs, rs->answered);
-}
-
-/* Whether there is room for new work; answers give way for it. */
-static bool
-has_room(struct ir_records *rs, size_t bytes)
-{
-	ir_records_trim(rs, bytes);
-	return !ir_memory_is_short(rs->memory) &&
-	       ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, bytes);
-}
-
-bool
-ir_records_alias(
-    struct ir_records *rs, struct ir_record *r, const struct ir_attempt_id *id)
-{
-	struct ir_alias *a;
-	size_t bytes;
-
-	ir_records_trim(rs, sizeof(*a));
-	if (!ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, sizeof(*a)))
-		return false;
-	a = talloc_zero(r, struct ir_alias);
-	if (a == NULL)
-		return false;
-	a->attempt = *id;
-	a->record = r;
-	LL_PREPEND(r->aliases, a);
-	HASH_ADD(hh, rs->aliases, attempt, sizeof(a->attempt), a);
-	bytes = ir_memory_of(a);
-	ir_memory_hold(rs->memory, IR_MEMORY_RECORDS, bytes);
-	r->held_bytes += bytes;
-	return true;
-}
-
 struct ir_record *
 ir_records_by_run(struct ir_records *rs, uint64_t run)
 {
@@ -200,6 +160,144 @@
 	       r->forward->caller_attempt[0] != '\0';
 }
 
+static uint64_t
+slot_of(int64_t us)
+{
+	return (uint64_t)(us / SLOT_US) % SLOTS;
+}
+
+/* Of those that are forgotten at the end of the slot of that time. */
+static struct ir_record **
+slot_at(struct ir_records *rs, int64_t us)
+{
+	return &rs->done[slot_of(us)];
+}
+
+static void
+drop_aliases(struct ir_records *rs, struct ir_record *r)
+{
+	struct ir_alias *a = r->aliases;
+
+	for (; a != NULL && rs->aliases != NULL; a = a->next)
+		HASH_DELETE(hh, rs->aliases, a);
+}
+
+static void
+drop(struct ir_records *rs, struct ir_record *r)
+{
+	struct ir_record **slot = slot_at(rs, r->drop_us);
+
+	drop_aliases(rs, r);
+	if (r->idempotency != NULL)
+		HASH_DELETE(key_hh, rs->by_key, r);
+	HASH_DELETE(hh, rs->by_attempt, r);
+	DL_DELETE(*slot, r);
+	if (r->error == IR_OK)
+		DL_DELETE2(rs->answered, r, answered_prev, answered_next);
+	ir_memory_release(rs->memory, IR_MEMORY_RECORDS, r->held_bytes);
+	talloc_free(r);
+}
+
+/* Its id stays, so that it is not told as never received. */
+static void
+become_past(struct ir_records *rs, struct ir_record *r)
+{
+	struct past *p = talloc_zero(rs, struct past);
+	struct past **slot;
+
+	if (p == NULL)
+		return;
+	p->attempt = r->attempt;
+	p->drop_us = r->drop_us;
+	slot = &rs->past_done[slot_of(p->drop_us)];
+	DL_APPEND(*slot, p);
+	HASH_ADD(hh, rs->past, attempt, sizeof(p->attempt), p);
+	ir_memory_hold(rs->memory, IR_MEMORY_RECORDS, ir_memory_of(p));
+	drop(rs, r);
+}
+
+static void
+drop_past(struct ir_records *rs, int64_t us, int64_t now)
+{
+	struct past **slot = &rs->past_done[slot_of(us)];
+	struct past *p, *next;
+
+	DL_FOREACH_SAFE (*slot, p, next) {
+		if (p->drop_us > now || rs->past == NULL)
+			continue;
+		DL_DELETE(*slot, p);
+		HASH_DELETE(hh, rs->past, p);
+		ir_memory_release(
+		    rs->memory, IR_MEMORY_RECORDS, ir_memory_of(p));
+		talloc_free(p);
+	}
+}
+
+bool
+ir_records_is_past(const struct ir_records *rs, const struct ir_attempt_id *id)
+{
+	const struct past *p;
+
+	HASH_FIND(hh, rs->past, id, sizeof(*id), p);
+	return p != NULL;
+}
+
+static void
+forget_answer(struct ir_records *rs, struct ir_record *r)
+{
+	if (r->idempotency == NULL && r->aliases == NULL) {
+		become_past(rs, r);
+		return;
+	}
+	DL_DELETE2(rs->answered, r, answered_prev, answered_next);
+	TALLOC_FREE(r->headers);
+	r->header_count = 0;
+	TALLOC_FREE(r->body);
+	r->body_bytes = 0;
+	r->error = IR_E_ANSWER_DROPPED;
+	ir_records_filled(rs, r);
+}
+
+void
+ir_records_trim(struct ir_records *rs, size_t room_bytes)
+{
+	while (rs->answered != NULL &&
+	       !ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, room_bytes))
+		forget_answer(rs, rs->answered);
+}
+
+/* Whether there is room for new work; answers give way for it. */
+static bool
+has_room(struct ir_records *rs, size_t bytes)
+{
+	ir_records_trim(rs, bytes);
+	return !ir_memory_is_short(rs->memory) &&
+	       ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, bytes);
+}
+
+bool
+ir_records_alias(
+    struct ir_records *rs, struct ir_record *r, const struct ir_attempt_id *id)
+{
+	struct ir_alias *a;
+	size_t bytes;
+
+	ir_records_trim(rs, sizeof(*a));
+	if (!ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, sizeof(*a)))
+		return false;
+	a = talloc_zero(r, struct ir_alias);
+	if (a == NULL)
+		return false;
+	a->attempt = *id;
+	a->record = r;
+	LL_PREPEND(r->aliases, a);
+	HASH_ADD(hh, rs->aliases, attempt, sizeof(a->attempt), a);
+	bytes = ir_memory_of(a);
+	ir_memory_hold(rs->memory, IR_MEMORY_RECORDS, bytes);
+	r->held_bytes += bytes;
+	return true;
+}
+
 struct ir_record *
 ir_records_add(
     struct ir_records *rs, const struct ir_attempt_id *id, size_t request_bytes)
@@ -275,13 +373,6 @@
 	return (deadline_us > now ? deadline_us : now) + IR_RECORD_MARGIN_US;
 }
 
-/* Of those that are forgotten at the end of the slot of that time. */
-static struct ir_record **
-slot_at(struct ir_records *rs, int64_t us)
-{
-	return &rs->done[(uint64_t)(us / SLOT_US) % SLOTS];
-}
-
 void
 ir_records_done(struct ir_records *rs, struct ir_record *r, int64_t now)
 {
@@ -304,31 +395,6 @@
 		DL_APPEND2(rs->answered, r, answered_prev, answered_next);
 }
 
-static void
-drop_aliases(struct ir_records *rs, struct ir_record *r)
-{
-	struct ir_alias *a = r->aliases;
-
-	for (; a != NULL && rs->aliases != NULL; a = a->next)
-		HASH_DELETE(hh, rs->aliases, a);
-}
-
-static void
-drop(struct ir_records *rs, struct ir_record *r)
-{
-	struct ir_record **slot = slot_at(rs, r->drop_us);
-
-	drop_aliases(rs, r);
-	if (r->idempotency != NULL)
-		HASH_DELETE(key_hh, rs->by_key, r);
-	HASH_DELETE(hh, rs->by_attempt, r);
-	DL_DELETE(*slot, r);
-	if (r->error == IR_OK)
-		DL_DELETE2(rs->answered, r, answered_prev, answered_next);
-	ir_memory_release(rs->memory, IR_MEMORY_RECORDS, r->held_bytes);
-	talloc_free(r);
-}
-
 /* After a pause the slot may hold records of a later turn of the wheel. */
 static void
 drop_slot(struct ir_records *rs, int64_t us, int64_t now)
@@ -349,8 +415,10 @@
 	/* After a long pause all slots are due once. */
 	if (rs->swept_us < from_us)
 		rs->swept_us = from_us;
-	for (; now - rs->swept_us >= SLOT_US; rs->swept_us += SLOT_US)
+	for (; now - rs->swept_us >= SLOT_US; rs->swept_us += SLOT_US) {
 		drop_slot(rs, rs->swept_us, now);
+		drop_past(rs, rs->swept_us, now);
+	}
 }
 
 size_t
--- a/src/upstream/record.h
+++ b/src/upstream/record.h
@@ -6,8 +6,8 @@
  * A record with an Idempotency-Key outlives its answer by IR_ATTEMPT_KEEP_US.
  * Any other is kept until its origin, which ends its call at the deadline, can
  * no longer ask after it. Where the bound IR_MEMORY_RECORDS leaves no room,
- * answers are dropped, oldest first; the record then tells
- * IR_E_ANSWER_DROPPED.
+ * answers are dropped, oldest first; what is left to tell is
+ * IR_E_ANSWER_DROPPED, and of a record without a key no more than its id.
  */
 #ifndef IR_UPSTREAM_RECORD_H
 #define IR_UPSTREAM_RECORD_H
@@ -94,6 +94,9 @@
 struct ir_record *ir_records_find(
     struct ir_records *rs, const struct ir_attempt_id *id);
 struct ir_record *ir_records_by_run(struct ir_records *rs, uint64_t run);
+/* Whether it ran and was answered, and its record gave way. */
+bool ir_records_is_past(
+    const struct ir_records *rs, const struct ir_attempt_id *id);
 /* Opaque text given to the upstream, as in ir_record.attempt_text. */
 struct ir_record *ir_records_by_text(struct ir_records *rs, const char *text);
 /* A running one whose caller gave that id for its attempt, or NULL. */
--- a/test/test_node_memory.c
+++ b/test/test_node_memory.c
@@ -439,6 +439,28 @@
 	assert_int_equal(g->told.account_shed_level, UINT32_MAX);
 }
 
+static void
+test_long_deadlines_do_not_turn_work_away(void **state)
+{
+	struct gate *g = *state;
+
+	ir_memory_init(&g->memory, LIMIT_BYTES / 3);
+	load(g, 1600, 20, 10000, 1500);
+	assert_int_equal(g->refused, 0);
+	assert_int_equal(g->served, 1600 * 20);
+}
+
+static void
+test_attempt_whose_record_gave_way_is_not_told_as_not_run(void **state)
+{
+	struct gate *g = *state;
+
+	load(g, 600, 5, 20000, 36000);
+	g->last = IR_OK;
+	ask_status(g, 1);
+	assert_int_equal(g->last, IR_E_ANSWER_DROPPED);
+}
+
 static void
 test_refused_attempts_do_not_crowd_out_good_ones(void **state)
 {
@@ -548,6 +570,8 @@
 	    T(test_process_near_its_limit_takes_no_new_work),
 	    T(test_process_near_its_limit_goes_on_with_what_it_has),
 	    T(test_process_near_its_limit_tells_its_peers),
+	    T(test_long_deadlines_do_not_turn_work_away),
+	    T(test_attempt_whose_record_gave_way_is_not_told_as_not_run),
 	    T(test_refused_attempts_do_not_crowd_out_good_ones),
 	    T(test_counts_are_zero_when_all_has_ended),
 	};
