Callers: a queue that is not told does not count as read

Cause: the result of SIOCOUTQ was dropped. Where the call was not served the queue counted as empty: a caller whose queue was known before then counted as reading, and kept its connection although it took nothing. Change: an unknown queue is told apart; then only what the socket accepted counts as taken. Measured: 12 of 12 in test_caller_memory. On the code before, the new test failed: test/test_caller_memory.c:467 c->dead

--- a/src/io/callers/caller_unread.c
+++ b/src/io/callers/caller_unread.c
@@ -12,13 +12,16 @@
 /* The same while more is held than the bound. */
 #define STALL_US IR_US_PER_S
 
+#define QUEUED_UNKNOWN (-1)
+
 /* Bytes that were sent and that the caller's system has not taken. */
 static int
 queued(const struct caller_conn *c)
 {
-	int bytes = 0;
+	int bytes;
 
-	(void)ioctl(c->fd, SIOCOUTQ, &bytes);
+	if (ioctl(c->fd, SIOCOUTQ, &bytes) != 0)
+		return QUEUED_UNKNOWN;
 	return bytes;
 }
 
@@ -53,7 +56,10 @@
 static bool
 has_taken(const struct caller_conn *c)
 {
-	return queued(c) < c->queued_bytes;
+	int bytes = queued(c);
+
+	/* Not served: only what the socket accepted counts as taken. */
+	return bytes != QUEUED_UNKNOWN && bytes < c->queued_bytes;
 }
 
 static void
--- a/test/test_caller_memory.c
+++ b/test/test_caller_memory.c
@@ -453,6 +453,22 @@
 	close(fd);
 }
 
+/* A listening socket tells nothing of a queue. */
+static void
+test_caller_whose_queue_is_not_told_does_not_count_as_reading(void **state)
+{
+	struct fixture *f = *state;
+	struct caller_conn *c;
+	int fd = ask_without_reading(f, &c);
+	int own = c->fd;
+
+	c->fd = dup(f->callers->callers.fd);
+	ir_caller_conn_sweep(f->callers, ir_clock_now() + 11 * IR_US_PER_S);
+	assert_true(c->dead);
+	close(own);
+	close(fd);
+}
+
 static void
 test_waiting_request_keeps_only_what_its_answer_needs(void **state)
 {
@@ -506,6 +522,8 @@
 		test_callers_that_stop_reading_do_not_hold_more_than_the_bound),
 	    WITH_CALLERS(test_caller_that_reads_little_is_not_ended),
 	    WITH_CALLERS(test_caller_that_sends_and_never_reads_is_ended),
+	    WITH_CALLERS(
+		test_caller_whose_queue_is_not_told_does_not_count_as_reading),
 	    WITH_CALLERS(test_waiting_request_keeps_only_what_its_answer_needs),
 	    WITH_CALLERS(test_input_buffer_is_not_larger_than_what_it_holds),
 	};
