Callers: answers over the bound end stalled connections at once

Cause: an answer of the core was always taken, and nothing was ended before a caller had taken nothing for 1 s: requests that were out already could fill the process in the meantime. Answers behind an earlier one of their connection were never looked at. Change: when an answer, written as far as its socket accepts, leaves more held than the bound, connections are ended until the rest fits: stalled callers before those of which it is not known yet, these before those that read; of equals the one with most unsent bytes; if no socket is full, the connection that holds most. Each is logged as request-bad, reason unread-memory. Nothing is walked while there is room.

--- a/src/io/callers/caller_conn.h
+++ b/src/io/callers/caller_conn.h
@@ -79,6 +79,7 @@
 	bool dead;	  /* to be freed */
 	int64_t used_us;  /* last progress */
 	bool unread;	  /* the caller takes no more of out now */
+	bool reads;	  /* it took something since it is unread */
 	int64_t taken_us; /* when it took something last */
 	int queued_bytes; /* sent, and not taken by then */
 	struct caller_conn *unread_prev;
@@ -169,5 +170,11 @@
 void ir_caller_unread_remove(struct caller_conn *c);
 /* Ends connections that took nothing for long, or without room for 1 s. */
 void ir_callers_end_unread(struct ir_callers *c, int64_t now);
+/*
+ * Over the bound: ends connections at once until the rest fits. Stalled
+ * callers go before those that may read, these before those that do; of equals
+ * the one with most unsent bytes.
+ */
+void ir_callers_give_way(struct ir_callers *c, int64_t now);
 
 #endif
--- a/src/io/callers/callers.c
+++ b/src/io/callers/callers.c
@@ -34,6 +34,8 @@
 	HASH_DEL(c->waiting, r);
 	ir_request_answer(r, &m->u.answer);
 	ir_caller_conn_write(r->conn);
+	if (!ir_callers_have_room(c, 0))
+		ir_callers_give_way(c, ir_clock_now());
 }
 
 /* What the core left unanswered at its end may have run. */
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -111,8 +111,9 @@
 	"Compare the versions of both hosts."},
     {IR_EVENT_REQUEST_BAD, "error: the kind; reason",
 	"A request was malformed or exceeded a bound; or its caller took "
-	"nothing of the answer for 10 s (unread), or for 1 s without room "
-	"for more (unread-memory), and the connection was ended.",
+	"nothing of the answer for 10 s (unread), or there was no room for "
+	"more and it took nothing for 1 s, or held most of what callers had "
+	"not taken (unread-memory), and the connection was ended.",
 	"Tell its caller, if it repeats."},
     {IR_EVENT_KEY_REFUSED, "error: the kind; service: the one called",
 	"A request came without a key where one is needed, or with a key "
--- a/test/test_caller_memory.c
+++ b/test/test_caller_memory.c
@@ -27,6 +27,8 @@
 #define FLOOD 400
 #define TEXT_BYTES 8192
 #define BODY_BYTES 1000000
+#define HOST_BYTES (160 * UINT64_C(1024) * 1024)
+#define OUT 200
 #define POST                               \
 	"POST /s/ HTTP/1.1\r\nHost: x\r\n" \
 	"Content-Length: 1000000\r\n\r\n"
@@ -469,6 +471,128 @@
 	close(fd);
 }
 
+static void
+test_answers_of_requests_that_are_out_do_not_outgrow_the_bound(void **state)
+{
+	struct fixture *f = *state;
+	struct caller_conn *c;
+	uint64_t ids[OUT];
+	int fds[OUT];
+
+	ir_memory_init(&f->memory, HOST_BYTES);
+	for (int i = 0; i < OUT; i++) {
+		fds[i] = dial(f, &c);
+		say(f, fds[i], GET, strlen(GET));
+		ids[i] = pass_on(f);
+	}
+	for (int i = 0; i < OUT; i++) {
+		reply(f, ids[i], BODY_BYTES);
+		assert_in_range(
+		    held(f), 0, f->memory.bound_bytes[IR_MEMORY_CALLERS]);
+	}
+	assert_in_range(f->callers->conn_count, 20, OUT - 1);
+	for (int i = 0; i < OUT; i++)
+		close(fds[i]);
+}
+
+/* Their turn does not come: the first request is not answered. */
+static void
+test_answers_behind_one_that_is_out_do_not_outgrow_the_bound(void **state)
+{
+	struct fixture *f = *state;
+	struct caller_conn *c[2];
+	int fds[2];
+
+	for (int i = 0; i < 2; i++) {
+		fds[i] = dial(f, &c[i]);
+		say(f, fds[i], GET, strlen(GET));
+		(void)pass_on(f);
+		say(f, fds[i], GET, strlen(GET));
+		f->memory.bound_bytes[IR_MEMORY_CALLERS] = BODY_BYTES * 3 / 2;
+		reply(f, pass_on(f), BODY_BYTES - (size_t)i);
+	}
+	assert_true(c[0]->dead);
+	assert_false(c[1]->dead);
+	for (int i = 0; i < 2; i++)
+		close(fds[i]);
+}
+
+/* The request is out; its answer needs room. */
+static int
+ask(struct fixture *f, struct caller_conn **c, uint64_t *id)
+{
+	int fd = dial(f, c);
+
+	say(f, fd, GET, strlen(GET));
+	*id = pass_on(f);
+	return fd;
+}
+
+static void
+test_caller_that_reads_does_not_give_way_for_one_that_stalls(void **state)
+{
+	struct fixture *f = *state;
+	char *text = talloc_size(f, BODY_BYTES);
+	struct caller_conn *c[3];
+	uint64_t id;
+	int fds[3];
+
+	fds[0] = ask_without_reading(f, &c[0]);
+	fds[1] = ask(f, &c[1], &id);
+	reply(f, id, BODY_BYTES / 2);
+	fds[2] = ask(f, &c[2], &id);
+	c[0]->taken_us -= IR_US_PER_S;
+	c[1]->taken_us -= IR_US_PER_S;
+	assert_true(read(fds[0], text, BODY_BYTES / 20) > 0);
+	leave_room(f, BODY_BYTES / 2);
+	reply(f, id, BODY_BYTES * 9 / 10);
+	assert_false(c[0]->dead);
+	assert_true(c[1]->dead);
+	assert_false(c[2]->dead);
+	for (int i = 0; i < 3; i++)
+		close(fds[i]);
+}
+
+static void
+test_stalled_caller_with_most_unsent_bytes_gives_way(void **state)
+{
+	struct fixture *f = *state;
+	struct caller_conn *c[3];
+	uint64_t id;
+	int fds[3];
+
+	fds[0] = ask(f, &c[0], &id);
+	reply(f, id, BODY_BYTES / 2);
+	fds[1] = ask_without_reading(f, &c[1]);
+	fds[2] = ask(f, &c[2], &id);
+	leave_room(f, BODY_BYTES / 10);
+	reply(f, id, BODY_BYTES / 2);
+	assert_false(c[0]->dead);
+	assert_true(c[1]->dead);
+	assert_false(c[2]->dead);
+	for (int i = 0; i < 3; i++)
+		close(fds[i]);
+}
+
+static void
+test_answer_that_its_caller_takes_ends_no_connection(void **state)
+{
+	struct fixture *f = *state;
+	struct caller_conn *c[2];
+	uint64_t id;
+	int fds[2];
+
+	fds[0] = ask_without_reading(f, &c[0]);
+	fds[1] = ask(f, &c[1], &id);
+	leave_room(f, 100);
+	reply(f, id, BODY_BYTES / 100);
+	assert_false(c[0]->dead);
+	assert_false(c[1]->dead);
+	for (int i = 0; i < 2; i++)
+		close(fds[i]);
+	settle(f);
+}
+
 static void
 test_waiting_request_keeps_only_what_its_answer_needs(void **state)
 {
@@ -524,6 +648,14 @@
 	    WITH_CALLERS(test_caller_that_sends_and_never_reads_is_ended),
 	    WITH_CALLERS(
 		test_caller_whose_queue_is_not_told_does_not_count_as_reading),
+	    WITH_CALLERS(
+		test_answers_of_requests_that_are_out_do_not_outgrow_the_bound),
+	    WITH_CALLERS(
+		test_answers_behind_one_that_is_out_do_not_outgrow_the_bound),
+	    WITH_CALLERS(
+		test_caller_that_reads_does_not_give_way_for_one_that_stalls),
+	    WITH_CALLERS(test_stalled_caller_with_most_unsent_bytes_gives_way),
+	    WITH_CALLERS(test_answer_that_its_caller_takes_ends_no_connection),
 	    WITH_CALLERS(test_waiting_request_keeps_only_what_its_answer_needs),
 	    WITH_CALLERS(test_input_buffer_is_not_larger_than_what_it_holds),
 	};
