Callers: a request is passed on only with room for its answer

Cause: room was checked for a request and never for its answer: 200 requests out held 165 KB, and their answers, unread, 195 MB. With the bound held at once, those answers cost connections whose requests had run. Change: each request that is out is expected to bring as many bytes as the mean of recent answers, in which one counts 1/64, and 32 KB before any came. A request for whose answer there is no room beside the others is refused as overload, reason memory, not run: when its head was read, and again when all of it came. With none out it is always passed on, since only answers bring the mean down. Errors do not count in the mean. After answers of 1 MB, 20 to 25 of 200 requests are passed on, and none of the 200 connections is ended when nobody reads. 400 requests out with answers of 36,000 bytes are neither refused nor ended in a process of 160 MB. Without the look when all of it came (trial) only test_bodies_that_end_together_are_judged_one_by_one failed. The tests of usual requests and of the mean alone guard what must stay right.

--- a/src/io/callers/caller_conn.h
+++ b/src/io/callers/caller_conn.h
@@ -14,6 +14,7 @@
 
 #include "core/table.h"
 #include "io/callers/caller_answer.h"
+#include "io/callers/caller_expect.h"
 #include "io/callers/caller_headers.h"
 #include "io/callers/callers.h"
 
@@ -107,6 +108,7 @@
 	struct caller_conn *dead; /* freed at the end of the turn */
 	uint64_t last_id;
 	struct request *waiting; /* by id */
+	struct ir_expect expect; /* of their answers */
 	size_t open_requests;
 	uint8_t read[READ_BYTES];
 	bool closing;	      /* answers end their connections */
@@ -156,6 +158,11 @@
 /* Whether a connection, a request or so many bytes of it more may be held. */
 bool ir_callers_have_room_to_accept(const struct ir_callers *c);
 bool ir_callers_have_room_to_begin(const struct ir_callers *c);
+/*
+ * Whether a further answer may be waited for. With none waited for always: an
+ * expectation that is too high comes down by answers only.
+ */
+bool ir_callers_have_room_to_wait(const struct ir_callers *c);
 bool ir_callers_have_room(const struct ir_callers *c, size_t bytes);
 /* More than half of the bound is held: connections get equal parts only. */
 bool ir_callers_are_crowded(const struct ir_callers *c);
--- a/src/io/callers/caller_memory.c
+++ b/src/io/callers/caller_memory.c
@@ -75,6 +75,15 @@
 	return ir_callers_have_room(c, REQUEST_ROOM_BYTES);
 }
 
+bool
+ir_callers_have_room_to_wait(const struct ir_callers *c)
+{
+	size_t waiting = HASH_COUNT(c->waiting);
+
+	return waiting == 0 || ir_callers_have_room(
+				   c, ir_expect_bytes(&c->expect, waiting + 1));
+}
+
 bool
 ir_callers_are_crowded(const struct ir_callers *c)
 {
--- a/src/io/callers/caller_request.c
+++ b/src/io/callers/caller_request.c
@@ -94,6 +94,10 @@
 		r->last = true;
 	form = form_of(r);
 	r->answer = ir_caller_answer_bytes(r, &form, a);
+	/* Refusals come sooner than answers, and would hide their size. */
+	if (a->error == IR_OK)
+		ir_expect_note(&r->conn->listener->callers->expect,
+		    talloc_get_size(r->answer));
 	r->state = REQUEST_ANSWERED;
 	ir_request_count(r);
 }
@@ -132,7 +136,8 @@
 		r->refusal = ir_caller_headers_read(
 		    r->call, callers->dialect, &r->head->raw, call);
 	if (r->refusal.error == IR_OK &&
-	    !ir_callers_have_room_to_begin(callers))
+	    (!ir_callers_have_room_to_begin(callers) ||
+		!ir_callers_have_room_to_wait(callers)))
 		ir_request_refuse_memory(r);
 }
 
@@ -205,6 +210,9 @@
 	if (r->refusal.error == IR_OK)
 		r->refusal = ir_caller_key_check(
 		    c->dialect, call, r->head->target, &r->head->raw);
+	/* Others may have been passed on while its body came. */
+	if (r->refusal.error == IR_OK && !ir_callers_have_room_to_wait(c))
+		ir_request_refuse_memory(r);
 	if (r->refusal.error != IR_OK) {
 		ir_request_refuse(r);
 		return;
--- a/src/io/callers/callers.c
+++ b/src/io/callers/callers.c
@@ -227,6 +227,7 @@
 	c->callers.fd = callers_fd;
 	c->egress.fd = egress_fd;
 	ir_outbox_init(&c->out, channel->to_core);
+	ir_expect_init(&c->expect);
 	c->egress.egress = true;
 	talloc_set_destructor(c, free_callers);
 	c->loop = tevent_context_init(c);
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -145,7 +145,7 @@
     {IR_EVENT_CALL_REFUSED,
 	"id; error; retry_ms: when the caller may come back; service, "
 	"account, config: what decided it; reason: memory when there was no "
-	"room to receive it",
+	"room to receive it or for its answer",
 	"A request was refused at this entry before it was sent to a gate.",
 	"rate: look at the account's rate and demand. no-route, key-unknown: "
 	"compare config with the revision published. memory: callers send "
--- a/test/test_caller_memory.c
+++ b/test/test_caller_memory.c
@@ -29,6 +29,9 @@
 #define BODY_BYTES 1000000
 #define HOST_BYTES (160 * UINT64_C(1024) * 1024)
 #define OUT 200
+#define USUAL_OUT 400
+#define USUAL_MOST_BYTES 36000
+#define LEARNT 500
 #define POST                               \
 	"POST /s/ HTTP/1.1\r\nHost: x\r\n" \
 	"Content-Length: 1000000\r\n\r\n"
@@ -593,6 +596,156 @@
 	settle(f);
 }
 
+static void
+test_rare_large_answer_hardly_moves_what_is_expected(void **state)
+{
+	struct ir_expect e;
+
+	ir_expect_init(&e);
+	for (int i = 0; i < LEARNT; i++)
+		ir_expect_note(&e, SMALL_BYTES);
+	assert_in_range(ir_expect_bytes(&e, 1), SMALL_BYTES, SMALL_BYTES + 20);
+	ir_expect_note(&e, BODY_BYTES);
+	assert_in_range(ir_expect_bytes(&e, 1), SMALL_BYTES, BODY_BYTES / 50);
+	for (int i = 0; i < LEARNT; i++)
+		ir_expect_note(&e, BODY_BYTES);
+	assert_in_range(
+	    ir_expect_bytes(&e, 2), BODY_BYTES * 199 / 100, BODY_BYTES * 2);
+	assert_int_equal(ir_expect_bytes(&e, 0), 0);
+}
+
+/* Its caller takes them. */
+static void
+answer_often(struct fixture *f, size_t bytes)
+{
+	char *text = talloc_size(f, 2 * BODY_BYTES);
+	struct caller_conn *c;
+	int fd = dial(f, &c);
+
+	for (int i = 0; i < LEARNT; i++) {
+		say(f, fd, GET, strlen(GET));
+		reply(f, pass_on(f), bytes);
+		assert_true(read_all(f, fd, text, 2 * BODY_BYTES) > bytes);
+	}
+	close(fd);
+	settle(f);
+	talloc_free(text);
+}
+
+/* Of those that came to the core; answers of so many bytes, none read. */
+static size_t
+answer_unread(struct fixture *f, size_t bytes)
+{
+	struct ir_to_core *m;
+	size_t count = 0;
+	uint64_t ids[USUAL_OUT];
+
+	while ((m = ir_ring_pop(f->channel->to_core)) != NULL) {
+		ids[count++] = m->u.call.id;
+		talloc_free(m);
+	}
+	for (size_t i = 0; i < count; i++)
+		reply(f, ids[i], bytes);
+	return count;
+}
+
+/* One after the other to each connection. */
+static void
+say_to_all(struct fixture *f, const int *fds, const char *text)
+{
+	for (int i = 0; i < OUT; i++)
+		say(f, fds[i], text, strlen(text));
+}
+
+static void
+dial_all(struct fixture *f, int *fds)
+{
+	struct caller_conn *c;
+
+	for (int i = 0; i < OUT; i++)
+		fds[i] = dial(f, &c);
+}
+
+static void
+close_all(const int *fds)
+{
+	for (int i = 0; i < OUT; i++)
+		close(fds[i]);
+}
+
+static void
+test_requests_whose_answers_would_end_connections_are_refused(void **state)
+{
+	struct fixture *f = *state;
+	char text[TEXT_BYTES];
+	int fds[OUT];
+
+	ir_memory_init(&f->memory, HOST_BYTES);
+	answer_often(f, BODY_BYTES);
+	dial_all(f, fds);
+	say_to_all(f, fds, GET);
+	read_all(f, fds[OUT - 1], text, sizeof(text));
+	expect_refused(text);
+	assert_in_range(answer_unread(f, BODY_BYTES), 20, 25);
+	assert_int_equal(f->callers->conn_count, OUT);
+	close_all(fds);
+}
+
+static void
+test_bodies_that_end_together_are_judged_one_by_one(void **state)
+{
+	struct fixture *f = *state;
+	char text[TEXT_BYTES];
+	int fds[OUT];
+
+	ir_memory_init(&f->memory, HOST_BYTES);
+	answer_often(f, BODY_BYTES);
+	dial_all(f, fds);
+	say_to_all(f, fds,
+	    "POST /s/ HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n");
+	assert_true(ir_ring_empty(f->channel->to_core));
+	say_to_all(f, fds, "b");
+	read_all(f, fds[OUT - 1], text, sizeof(text));
+	expect_refused(text);
+	assert_in_range(answer_unread(f, BODY_BYTES), 20, 25);
+	assert_int_equal(f->callers->conn_count, OUT);
+	close_all(fds);
+}
+
+/* Neither refused nor ended, also when nobody reads for a while. */
+static void
+test_usual_requests_find_room_for_their_answers(void **state)
+{
+	struct fixture *f = *state;
+	int fds[OUT];
+
+	ir_memory_init(&f->memory, HOST_BYTES);
+	dial_all(f, fds);
+	for (int i = 0; i < USUAL_OUT / OUT; i++)
+		say_to_all(f, fds, GET);
+	assert_int_equal(answer_unread(f, USUAL_MOST_BYTES), USUAL_OUT);
+	assert_int_equal(f->callers->conn_count, OUT);
+	close_all(fds);
+}
+
+/* Else what is expected could not come down again. */
+static void
+test_request_is_let_in_when_no_other_waits(void **state)
+{
+	struct fixture *f = *state;
+	struct caller_conn *c;
+	uint64_t id;
+	int fd;
+
+	answer_often(f, BODY_BYTES);
+	leave_room(f, BODY_BYTES / 2);
+	fd = ask(f, &c, &id);
+	reply(f, id, SMALL_BYTES);
+	assert_false(c->dead);
+	close(fd);
+	settle(f);
+}
+
 static void
 test_waiting_request_keeps_only_what_its_answer_needs(void **state)
 {
@@ -656,6 +809,13 @@
 		test_caller_that_reads_does_not_give_way_for_one_that_stalls),
 	    WITH_CALLERS(test_stalled_caller_with_most_unsent_bytes_gives_way),
 	    WITH_CALLERS(test_answer_that_its_caller_takes_ends_no_connection),
+	    cmocka_unit_test(
+		test_rare_large_answer_hardly_moves_what_is_expected),
+	    WITH_CALLERS(
+		test_requests_whose_answers_would_end_connections_are_refused),
+	    WITH_CALLERS(test_bodies_that_end_together_are_judged_one_by_one),
+	    WITH_CALLERS(test_usual_requests_find_room_for_their_answers),
+	    WITH_CALLERS(test_request_is_let_in_when_no_other_waits),
 	    WITH_CALLERS(test_waiting_request_keeps_only_what_its_answer_needs),
 	    WITH_CALLERS(test_input_buffer_is_not_larger_than_what_it_holds),
 	};
