Upstream: a run's order counts as on its way only until it was taken

Callers would get 504, unknown, for runs that were answered: with large bodies nothing was read from the upstream any more until deadlines passed. Cause: the thread keeps the order for the run's time, so its bytes stayed in the count of messages between threads, of which half stops reading of answers. Evidence: test_process_memory, slow senders of 1 MB on 48 MB nodes: No answer within the deadline; it passed before that wait was there. Change: the count ends when the order is taken; the run's own count has it then.

--- a/src/io/message.c
+++ b/src/io/message.c
@@ -57,17 +57,18 @@
 	    memory, IR_MEMORY_RINGS, MESSAGE_BYTES + content);
 }
 
-static void
-end_way(const struct ir_way *w)
+void
+ir_way_end(struct ir_way *w)
 {
 	if (w->memory != NULL)
 		ir_memory_release(w->memory, IR_MEMORY_RINGS, w->bytes);
+	w->memory = NULL;
 }
 
 static int
 free_to_core(struct ir_to_core *m)
 {
-	end_way(&m->way);
+	ir_way_end(&m->way);
 	if (m->kind == IR_TO_CORE_MESSAGE)
 		ir_codec_free(&m->u.msg);
 	return 0;
@@ -86,7 +87,7 @@
 static int
 free_from_core(struct ir_from_core *m)
 {
-	end_way(&m->way);
+	ir_way_end(&m->way);
 	if (m->kind == IR_FROM_CORE_REPORT && m->u.report.json != NULL)
 		json_object_put(m->u.report.json);
 	return 0;
--- a/src/io/message.h
+++ b/src/io/message.h
@@ -128,6 +128,8 @@
  * is freed. To be called before it is handed over.
  */
 void ir_way_begin(struct ir_way *w, struct ir_memory *memory, size_t content);
+/* For a taker that keeps the message: it is on its way no longer. */
+void ir_way_end(struct ir_way *w);
 /* Whether a message with so much content stays within the bound. */
 bool ir_way_has_room(const struct ir_memory *memory, size_t content);
 
--- a/src/io/upstream/upstream.c
+++ b/src/io/upstream/upstream.c
@@ -72,6 +72,7 @@
 	t->id = m->id;
 	t->owner = u;
 	t->order = m;
+	ir_way_end(&m->way);
 	t->answer.message = ir_to_core_new(IR_TO_CORE_RAN);
 	t->bytes.memory = u->memory;
 	t->answer.bytes = &t->bytes;
--- a/test/test_upstream_run.c
+++ b/test/test_upstream_run.c
@@ -327,6 +327,7 @@
 	struct ir_run *r = &m->u.run;
 
 	m->id = ++f->last_id;
+	ir_way_begin(&m->way, &f->memory, body_bytes);
 	r->id = m->id;
 	r->attempt = "a1";
 	r->request = "r1";
@@ -575,6 +576,7 @@
 		sched_yield();
 	assert_in_range(
 	    ir_memory_held(&f->memory, IR_MEMORY_UPSTREAM), 1, BOUND_BYTES);
+	assert_int_equal(ir_memory_held(&f->memory, IR_MEMORY_RINGS), 0);
 	m = ir_from_core_new(IR_FROM_CORE_CANCEL_RUN);
 	m->id = id;
 	ir_ring_push(f->channel->from_core, m);
