Soak: the platform's dialect, and runs counted instead of texts seen

Cause: the soak played the own dialect only, while our users run ibisraild-platform.

Now the upstreams' own counts of runs are asked: the charge must have run once at most at all s upstreams together (before: two passed), and never when told not run. In the platform's dialect statuses that promise it count as told not run.

--- /dev/null
+++ b/test/fakes/lib/instance.c
@@ -0,0 +1,92 @@
+/* A stand-in upstream as an instance of our users' platform. */
+#include <inttypes.h>
+#include <string.h>
+
+#include "fakes/lib/instance.h"
+#include "platform/names.h"
+
+#define H_LOAD "X-Ibisrail-Instance-Load"
+
+static void
+add_load(struct fake_upstream *u, struct fake_request *r)
+{
+	fake_header_add(r, H_LOAD,
+	    talloc_asprintf(
+		r, "%u,%u,%u", u->running, u->queued, u->options.slots));
+}
+
+/* The id echoed tells late answers apart. */
+static void
+add_attempt(struct fake_request *r)
+{
+	const char *attempt = fake_header(r, H_ATTEMPT);
+
+	if (attempt != NULL)
+		fake_header_add(r, H_ATTEMPT, attempt);
+}
+
+void
+fake_instance_not_run(struct fake_upstream *u, struct fake_request *r)
+{
+	fake_header_add(r, H_NOT_RUN, "1");
+	add_attempt(r);
+	add_load(u, r);
+}
+
+bool
+fake_instance_refuse(struct fake_upstream *u, struct fake_request *r)
+{
+	const char *expected = fake_header(r, H_EXPECTED);
+	unsigned status = 0;
+
+	if (fake_header(r, H_ATTEMPT) == NULL)
+		status = 400;
+	else if (expected != NULL &&
+		 strcmp(expected, u->options.instance_id) != 0)
+		status = 421;
+	if (status == 0)
+		return false;
+	u->stats.shed++;
+	fake_instance_not_run(u, r);
+	fake_answer_json(r, status, "{}\n");
+	return true;
+}
+
+void
+fake_instance_sign(struct fake_upstream *u, struct fake_request *r)
+{
+	add_attempt(r);
+	add_load(u, r);
+	fake_header_add(r, H_DIGEST,
+	    talloc_asprintf(
+		r, "%s.%" PRIu64, u->options.instance_id, u->stats.answered));
+}
+
+static const char *
+copied(TALLOC_CTX *mem, const struct fake_request *r, const char *name)
+{
+	const char *value = fake_header(r, name);
+
+	if (value == NULL)
+		return NULL;
+	return talloc_asprintf(mem, "%s: %s", name, value);
+}
+
+const char *
+fake_instance_call(TALLOC_CTX *mem, const struct fake_request *r, uint32_t n,
+    const char *call, const char *headers[FAKE_CALL_HEADERS])
+{
+	const char *attempt = fake_header(r, H_ATTEMPT);
+	const char *slash = strchr(call, '/');
+	size_t i = 0;
+
+	headers[i++] = talloc_asprintf(mem, "Host: %.*s%s", (int)(slash - call),
+	    call, FAKE_AUTHORITY_SUFFIX);
+	headers[i++] = talloc_asprintf(
+	    mem, "%s: %s.%u", H_ATTEMPT, attempt != NULL ? attempt : "", n);
+	headers[i] = copied(mem, r, "X-Test-Id");
+	i += headers[i] != NULL;
+	headers[i] = copied(mem, r, H_DEADLINE);
+	/* A route's prefix ends with a slash. */
+	return talloc_asprintf(mem, "%s/", slash);
+}
--- a/test/fakes/lib/seen.c
+++ b/test/fakes/lib/seen.c
@@ -106,6 +106,15 @@
 	count_entry(s, &s->ids, id, FAKE_MAX_SEEN_IDS);
 }
 
+uint32_t
+fake_seen_runs(const struct fake_seen *s, const char *id)
+{
+	const struct entry *e;
+
+	HASH_FIND_STR(s->ids, id, e);
+	return e != NULL ? e->count : 0;
+}
+
 bool
 fake_seen_contains(const struct fake_seen *s, const char *text)
 {
--- a/test/fakes/lib/seen.h
+++ b/test/fakes/lib/seen.h
@@ -22,6 +22,8 @@
 void fake_seen_header(struct fake_seen *s, const char *name, const char *value);
 void fake_seen_text(struct fake_seen *s, const void *text, size_t size_bytes);
 void fake_seen_run(struct fake_seen *s, const char *id);
+/* How often that id ran. */
+uint32_t fake_seen_runs(const struct fake_seen *s, const char *id);
 bool fake_seen_contains(const struct fake_seen *s, const char *text);
 bool fake_seen_complete(const struct fake_seen *s);
 /* Adds header_names, double_runs (count) and double_run_ids (some of them). */
--- a/test/fakes/lib/upstream.h
+++ b/test/fakes/lib/upstream.h
@@ -32,6 +32,7 @@
 	int64_t service_us;
 	int64_t jitter_us; /* added by a hash of the run's number */
 	size_t answer_bytes;
+	const char *instance_id; /* of the platform's; NULL: own dialect */
 	uint16_t egress_port;
 	const char *calls[FAKE_MAX_CALLS_ON]; /* SERVICE/path, in order */
 	uint32_t call_count;
--- a/test/fakes/lib/upstream_control.c
+++ b/test/fakes/lib/upstream_control.c
@@ -141,6 +141,16 @@
 	answer_object(r, 200, obj);
 }
 
+static void
+on_runs(struct fake_upstream *u, struct fake_request *r)
+{
+	struct json_object *obj = json_object_new_object();
+	const char *id = fake_query(r, "id");
+
+	put(obj, "runs", id != NULL ? fake_seen_runs(u->seen, id) : 0);
+	answer_object(r, 200, obj);
+}
+
 static void
 on_health(const struct fake_upstream *u, struct fake_request *r)
 {
@@ -171,6 +181,8 @@
 		on_stats(u, r);
 	else if (strcmp(r->path, "/control/seen") == 0)
 		on_seen(u, r);
+	else if (strcmp(r->path, "/control/runs") == 0)
+		on_runs(u, r);
 	else if (strcmp(r->path, "/health") == 0)
 		on_health(u, r);
 	else if (strcmp(r->path, "/load") == 0)
--- /dev/null
+++ b/test/fakes/store.c
@@ -0,0 +1,527 @@
+/*
+ * Stand-in of the store of our users' platform.
+ *
+ * Readers: the calls of platform/names.h. Entries of upstreams are written
+ * anew with the next sequence at each heartbeat.
+ * Controls: PUT and DELETE of /control/kv/KEY (the body is the value; KEY may
+ * contain slashes), POST /control/faults, GET /control/stats.
+ *
+ * Faults, each until set otherwise:
+ *   down    readers' connections are reset
+ *   hang    they get no answer
+ *   slow_ms answers come that late
+ *   forget  (at once) history up to now is gone: watches of it get 410
+ */
+#include <argtable2.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "core/table.h"
+#include "fakes/lib/life.h"
+#include "fakes/lib/server.h"
+#include "fakes/lib/timers.h"
+#include "platform/names.h"
+
+#define SWEEP_US 5000
+#define HEARTBEAT_MS 500
+#define MAX_WAIT_MS 30000
+#define MAX_PAGE_ITEMS 500
+#define MAX_HISTORY 4000 /* changes */
+#define F_SEQUENCE "sequence"
+#define US_PER_MS 1000
+
+struct item {
+	const char *key;
+	char *value;
+	size_t value_bytes;
+	uint64_t revision;
+	uint64_t created;
+	UT_hash_handle hh;
+};
+
+/* A change, as the watches are told of it. */
+struct change {
+	const char *key;
+	uint64_t revision;
+	struct json_object *event;
+	struct change *prev;
+	struct change *next;
+};
+
+struct read {
+	struct fake_request *request;
+	int64_t not_before_us;
+	int64_t until_us;
+	struct read *prev;
+	struct read *next;
+};
+
+struct store {
+	struct fake_server *server;
+	struct fake_timers *timers;
+	struct item *items;
+	struct change *history; /* oldest first */
+	uint32_t history_count;
+	uint64_t revision;
+	uint64_t forgotten; /* history up to this revision is gone */
+	struct read *reads;
+	bool down;
+	bool hang;
+	int64_t slow_us;
+	int64_t heartbeat_us;
+	uint64_t read_count;
+	uint64_t gone_count;
+};
+
+static bool
+begins(const char *text, const char *prefix)
+{
+	return strncmp(text, prefix, strlen(prefix)) == 0;
+}
+
+static void
+put_number(struct json_object *o, const char *key, uint64_t value)
+{
+	json_object_object_add(o, key, json_object_new_int64((int64_t)value));
+}
+
+static void
+put_text(struct json_object *o, const char *key, const char *value)
+{
+	json_object_object_add(o, key, json_object_new_string(value));
+}
+
+static struct json_object *
+item_json(const struct item *i)
+{
+	size_t size = sodium_base64_encoded_len(
+	    i->value_bytes, sodium_base64_VARIANT_ORIGINAL);
+	char *text = talloc_array(NULL, char, size);
+	struct json_object *o = json_object_new_object();
+
+	sodium_bin2base64(text, size, (const uint8_t *)i->value, i->value_bytes,
+	    sodium_base64_VARIANT_ORIGINAL);
+	put_text(o, F_KEY, i->key);
+	put_text(o, F_VALUE, text);
+	put_number(o, F_REVISION, i->revision);
+	put_number(o, F_CREATED, i->created);
+	put_number(o, "lease", 0);
+	talloc_free(text);
+	return o;
+}
+
+static struct json_object *
+deletion_json(const char *key, uint64_t revision)
+{
+	struct json_object *o = json_object_new_object();
+
+	put_text(o, F_KEY, key);
+	put_number(o, F_REVISION, revision);
+	json_object_object_add(o, F_DELETED, json_object_new_boolean(true));
+	return o;
+}
+
+static void
+forget_oldest(struct store *s)
+{
+	struct change *c = s->history;
+
+	DL_DELETE(s->history, c);
+	s->history_count--;
+	s->forgotten = c->revision;
+	json_object_put(c->event);
+	talloc_free(c);
+}
+
+/* Takes the event over. */
+static void
+note_change(struct store *s, const char *key, struct json_object *event)
+{
+	struct change *c = talloc_zero(s, struct change);
+
+	c->key = talloc_strdup(c, key);
+	c->revision = s->revision;
+	c->event = event;
+	DL_APPEND(s->history, c);
+	if (++s->history_count > MAX_HISTORY)
+		forget_oldest(s);
+}
+
+static void
+put_item(struct store *s, const char *key, const char *value, size_t size)
+{
+	struct item *i;
+
+	HASH_FIND_STR(s->items, key, i);
+	if (i == NULL) {
+		i = talloc_zero(s, struct item);
+		i->key = talloc_strdup(i, key);
+		i->created = s->revision + 1;
+		HASH_ADD_KEYPTR(hh, s->items, i->key, strlen(i->key), i);
+	}
+	talloc_free(i->value);
+	i->value = talloc_strndup(i, value, size);
+	i->value_bytes = size;
+	i->revision = ++s->revision;
+	note_change(s, key, item_json(i));
+}
+
+static void
+delete_item(struct store *s, const char *key)
+{
+	struct item *i;
+
+	HASH_FIND_STR(s->items, key, i);
+	if (i == NULL)
+		return;
+	s->revision++;
+	note_change(s, key, deletion_json(key, s->revision));
+	HASH_DEL(s->items, i);
+	talloc_free(i);
+}
+
+static void
+answer(struct store *s, struct fake_request *r, struct json_object *o)
+{
+	put_number(o, F_STORE_REVISION, s->revision);
+	fake_answer_json(
+	    r, 200, json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN));
+	json_object_put(o);
+}
+
+static void
+answer_key(struct store *s, struct fake_request *r)
+{
+	const char *key = fake_query(r, "key");
+	struct item *i = NULL;
+
+	if (key != NULL)
+		HASH_FIND_STR(s->items, key, i);
+	if (i == NULL)
+		fake_answer_json(r, 404, "{}\n");
+	else
+		answer(s, r, item_json(i));
+}
+
+static int
+by_key(const struct item *a, const struct item *b)
+{
+	return strcmp(a->key, b->key);
+}
+
+static void
+answer_range(struct store *s, struct fake_request *r)
+{
+	const char *prefix = fake_query(r, "path_prefix");
+	const char *after = fake_query(r, "after");
+	struct json_object *o = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	bool more = false;
+	struct item *i;
+
+	HASH_SRT(hh, s->items, by_key);
+	for (i = s->items; i != NULL && !more; i = i->hh.next) {
+		if (!begins(i->key, prefix != NULL ? prefix : ""))
+			continue;
+		if (after != NULL && strcmp(i->key, after) <= 0)
+			continue;
+		more = json_object_array_length(list) == MAX_PAGE_ITEMS;
+		if (!more)
+			json_object_array_add(list, item_json(i));
+	}
+	json_object_object_add(o, F_ITEMS, list);
+	json_object_object_add(o, F_MORE, json_object_new_boolean(more));
+	answer(s, r, o);
+}
+
+/* The changes that a watch waits for; NULL without one. */
+static struct json_object *
+events_of(const struct store *s, const struct fake_request *r)
+{
+	const char *prefix = fake_query(r, "path_prefix");
+	uint64_t after = fake_query_number(r, "after");
+	struct json_object *list = NULL;
+	const struct change *c;
+
+	DL_FOREACH (s->history, c) {
+		if (c->revision <= after ||
+		    !begins(c->key, prefix != NULL ? prefix : ""))
+			continue;
+		if (list == NULL)
+			list = json_object_new_array();
+		json_object_array_add(list, json_object_get(c->event));
+	}
+	return list;
+}
+
+/* False while it has nothing to tell. */
+static bool
+answer_watch(struct store *s, struct fake_request *r, bool waited)
+{
+	struct json_object *events, *o;
+
+	if (fake_query_number(r, "after") < s->forgotten) {
+		s->gone_count++;
+		fake_answer_json(r, 410, "{}\n");
+		return true;
+	}
+	events = events_of(s, r);
+	if (events == NULL && !waited)
+		return false;
+	o = json_object_new_object();
+	json_object_object_add(
+	    o, F_EVENTS, events != NULL ? events : json_object_new_array());
+	answer(s, r, o);
+	return true;
+}
+
+/* False while the read waits on. */
+static bool
+proceed(struct store *s, const struct read *w, int64_t now)
+{
+	struct fake_request *r = w->request;
+
+	if (s->down) {
+		fake_reset(r);
+		return true;
+	}
+	if (s->hang || now < w->not_before_us)
+		return false;
+	if (strcmp(r->path, KEY_PATH) == 0)
+		answer_key(s, r);
+	else if (strcmp(r->path, RANGE_PATH) == 0)
+		answer_range(s, r);
+	else
+		return answer_watch(s, r, now >= w->until_us);
+	return true;
+}
+
+static void
+on_read(struct store *s, struct fake_request *r)
+{
+	uint64_t wait_ms = fake_query_number(r, "wait_ms");
+	struct read *w = talloc_zero(r, struct read);
+	int64_t now = fake_now();
+
+	if (wait_ms > MAX_WAIT_MS)
+		wait_ms = MAX_WAIT_MS;
+	s->read_count++;
+	w->request = r;
+	w->not_before_us = now + s->slow_us;
+	w->until_us = now + (int64_t)wait_ms * US_PER_MS;
+	if (proceed(s, w, now))
+		return;
+	r->owner = w;
+	DL_APPEND(s->reads, w);
+}
+
+static void
+sweep_reads(struct store *s)
+{
+	int64_t now = fake_now();
+	struct read *w, *next;
+
+	DL_FOREACH_SAFE (s->reads, w, next) {
+		struct fake_request *r = w->request;
+
+		if (!proceed(s, w, now))
+			continue;
+		r->owner = NULL;
+		DL_DELETE(s->reads, w);
+	}
+}
+
+/* The upstream writes its entry again, with the next number. */
+static void
+beat(struct store *s, struct item *i)
+{
+	struct json_object *o = json_tokener_parse(i->value);
+	struct json_object *v;
+	const char *text;
+
+	if (json_object_object_get_ex(o, F_SEQUENCE, &v)) {
+		put_number(o, F_SEQUENCE, json_object_get_uint64(v) + 1);
+		text =
+		    json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN);
+		put_item(s, i->key, text, strlen(text));
+	}
+	json_object_put(o);
+}
+
+static void
+on_heartbeat(void *ctx, uint64_t id)
+{
+	struct store *s = ctx;
+	struct item *i;
+
+	fake_server_lock(s->server);
+	/* A store that is down accepts no writes. */
+	for (i = s->items; i != NULL && !s->down; i = i->hh.next) {
+		if (begins(i->key, SERVERS_PREFIX))
+			beat(s, i);
+	}
+	fake_server_unlock(s->server);
+	fake_timers_add(
+	    s->timers, fake_now() + s->heartbeat_us, on_heartbeat, s, 0);
+}
+
+static void
+on_sweep(void *ctx, uint64_t id)
+{
+	struct store *s = ctx;
+
+	fake_server_sweep(s->server);
+	fake_server_lock(s->server);
+	sweep_reads(s);
+	fake_server_unlock(s->server);
+	fake_timers_add(s->timers, fake_now() + SWEEP_US, on_sweep, s, 0);
+}
+
+static void
+on_gone(void *ctx, struct fake_request *r)
+{
+	struct store *s = ctx;
+	struct read *w = r->owner;
+
+	if (w == NULL)
+		return;
+	r->owner = NULL;
+	DL_DELETE(s->reads, w);
+}
+
+static void
+on_write(struct store *s, struct fake_request *r, const char *key)
+{
+	if (strcmp(r->method, "PUT") == 0)
+		put_item(s, key, (const char *)r->body, r->body_bytes);
+	else
+		delete_item(s, key);
+	fake_answer_json(r, 200,
+	    talloc_asprintf(r, "{\"revision\":%" PRIu64 "}\n", s->revision));
+	sweep_reads(s);
+}
+
+static bool
+flag(struct json_object *o, const char *key, bool held)
+{
+	struct json_object *v;
+
+	if (!json_object_object_get_ex(o, key, &v))
+		return held;
+	return json_object_get_boolean(v);
+}
+
+/* Members that are absent keep their value. */
+static void
+on_faults(struct store *s, struct fake_request *r)
+{
+	char *text = talloc_strndup(r, (char *)r->body, r->body_bytes);
+	struct json_object *o = json_tokener_parse(text != NULL ? text : "");
+	struct json_object *v;
+
+	s->down = flag(o, "down", s->down);
+	s->hang = flag(o, "hang", s->hang);
+	if (json_object_object_get_ex(o, "slow_ms", &v))
+		s->slow_us = json_object_get_int64(v) * US_PER_MS;
+	while (flag(o, "forget", false) && s->history != NULL)
+		forget_oldest(s);
+	json_object_put(o);
+	fake_answer_json(r, 200, "{}\n");
+	sweep_reads(s);
+}
+
+static void
+on_stats(struct store *s, struct fake_request *r)
+{
+	struct item *config;
+
+	HASH_FIND_STR(s->items, CONFIG_KEY, config);
+	fake_answer_json(r, 200,
+	    talloc_asprintf(r,
+		"{\"revision\":%" PRIu64 ",\"config_revision\":%" PRIu64
+		",\"reads\":%" PRIu64 ",\"gone\":%" PRIu64 "}\n",
+		s->revision, config != NULL ? config->revision : 0,
+		s->read_count, s->gone_count));
+}
+
+static void
+on_request(void *ctx, struct fake_request *r)
+{
+	static const char control[] = "/control/kv/";
+	struct store *s = ctx;
+
+	if (strcmp(r->path, KEY_PATH) == 0 ||
+	    strcmp(r->path, RANGE_PATH) == 0 ||
+	    strcmp(r->path, WATCH_PATH) == 0)
+		on_read(s, r);
+	else if (begins(r->path, control))
+		on_write(s, r, r->path + sizeof(control) - 1);
+	else if (strcmp(r->path, "/control/faults") == 0)
+		on_faults(s, r);
+	else if (strcmp(r->path, "/control/stats") == 0)
+		on_stats(s, r);
+	else
+		fake_answer_json(r, 404, "{}\n");
+}
+
+static const struct fake_handler handler = {on_request, on_gone};
+
+static int
+serve(uint16_t port, int heartbeat_ms, int lifetime_s)
+{
+	struct store *s = talloc_zero(NULL, struct store);
+
+	fake_life_begin();
+	s->revision = 1;
+	s->heartbeat_us = (int64_t)heartbeat_ms * US_PER_MS;
+	s->server = fake_server_start(port, &handler, s);
+	if (s->server == NULL) {
+		fprintf(stderr, "store: cannot listen on port %u\n", port);
+		talloc_free(s);
+		return 1;
+	}
+	s->timers = fake_timers_start();
+	fake_timers_add(s->timers, fake_now() + SWEEP_US, on_sweep, s, 0);
+	fake_timers_add(
+	    s->timers, fake_now() + s->heartbeat_us, on_heartbeat, s, 0);
+	fake_life_wait(lifetime_s);
+	fake_timers_stop(s->timers);
+	fake_server_stop(s->server);
+	while (s->history != NULL)
+		forget_oldest(s);
+	HASH_CLEAR(hh, s->items);
+	talloc_free(s);
+	return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_int *port =
+	    arg_int0(NULL, "port", "N", "port on 127.0.0.1, 0 for any");
+	struct arg_int *beats =
+	    arg_int0(NULL, "heartbeat-ms", "N", "between an entry's writes");
+	struct arg_int *life =
+	    arg_int0(NULL, "lifetime", "S", "seconds until it ends itself");
+	struct arg_end *end = arg_end(5);
+	void *table[] = {port, beats, life, end};
+	int rc = 2;
+
+	port->ival[0] = 0;
+	beats->ival[0] = HEARTBEAT_MS;
+	life->ival[0] = FAKE_LIFETIME_S;
+	if (arg_parse(argc, argv, table) == 0) {
+		rc = serve(
+		    (uint16_t)port->ival[0], beats->ival[0], life->ival[0]);
+	} else {
+		arg_print_errors(stderr, end, "store");
+		arg_print_syntax(stderr, table, "\n");
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return rc;
+}
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -29,6 +29,7 @@
 	uint32_t open;	    /* requests sent there, of the load */
 	int64_t send_us;    /* none is sent there before */
 	uint64_t largest_bytes;
+	int64_t cut_off_us; /* when a link of it was last not as it should be */
 	enum proxy_mode peers;
 	enum proxy_mode store;
 };
@@ -55,6 +56,7 @@
 	uint64_t seed;
 	uint64_t random;
 	struct proxies *proxies;
+	uint16_t peers_port; /* of all hosts, in the platform's dialect */
 	struct trouble *hosts;
 	struct holds *holds;
 	bool store_down;
