Soak: many hosts

Cause: eight nodes were the most; the proxies asked each connection at each turn, and their sockets were inherited by restarted nodes, so that a connection that a proxy had ended stayed open.

Change: proxies wait by epoll and touch what is ready; their sockets are closed on exec. Faults come as much more often as there are more hosts; look-ups are bounded by what they ask of all upstreams.

--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -3,6 +3,8 @@
 
 #include "soak/hold.h"
 
+/* For so many hosts; more of them have faults as much more often. */
+#define PAUSE_HOSTS 8
 #define MIN_PAUSE_US (50 * IR_US_PER_MS)
 #define PAUSE_SPAN_MS 350
 /* Within a series. */
@@ -244,9 +246,12 @@
 int64_t
 soak_fault_pause(struct soak *s)
 {
+	int64_t pause_us;
+
 	if (s->series_left > 0)
 		return soak_below(s, SERIES_PAUSE_SPAN_MS) * IR_US_PER_MS;
-	return MIN_PAUSE_US + soak_below(s, PAUSE_SPAN_MS) * IR_US_PER_MS;
+	pause_us = MIN_PAUSE_US + soak_below(s, PAUSE_SPAN_MS) * IR_US_PER_MS;
+	return pause_us * PAUSE_HOSTS / p->host_count;
 }
 
 static void
--- a/test/soak/load.c
+++ b/test/soak/load.c
@@ -16,8 +16,8 @@
 #define SENT_IN_VAIN 64
 /* A withdrawn key: the bound for a change to be in force everywhere. */
 #define KEY_BOUND_US (6 * IR_US_PER_S)
-/* Requests that are not idempotent and whose upstreams are looked up. */
-#define MAX_LOOKED_UP 400
+/* Requests that are not idempotent: each is asked for at all upstreams. */
+#define MAX_LOOK_UPS 4800
 
 /* Where a host serves on when it is cut off, it cannot learn of it. */
 static bool
@@ -176,9 +176,9 @@
 void
 soak_look_up_runs(struct soak *s)
 {
-	uint32_t looked_up = 0;
+	uint32_t looked_up = 0, most = MAX_LOOK_UPS / p->host_count;
 
-	for (uint32_t i = 0; i < s->count && looked_up < MAX_LOOKED_UP; i++) {
+	for (uint32_t i = 0; i < s->count && looked_up < most; i++) {
 		const struct sent *q = &s->sent[i];
 
 		/* Those served as they should be matter least: some of them. */
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -1,10 +1,10 @@
 /* Loopback proxies between processes. */
+#include <sys/epoll.h>
 #include <sys/socket.h>
 
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
-#include <poll.h>
 #include <pthread.h>
 #include <stdbool.h>
 #include <stdlib.h>
@@ -17,7 +17,8 @@
 #include "soak/proxy.h"
 
 #define MAX_PROXIES 256
-#define MAX_PAIRS 512
+#define MAX_PAIRS 8192
+#define MAX_EVENTS 256
 #define PIECE_BYTES 16384
 #define TURN_MS 5
 
@@ -29,6 +30,7 @@
 	size_t size;
 	size_t sent;
 	int64_t ready_us; /* not written before */
+	bool readable;	  /* as far as known */
 	bool ended;
 };
 
@@ -54,6 +56,10 @@
 	uint32_t count;
 	struct pair *pairs;
 	uint32_t pair_count;
+	int epoll_fd; /* of a listener: no pointer; else of a half */
+	bool has_callers;
+	bool moved;		       /* in this turn */
+	struct proxy now[MAX_PROXIES]; /* as of this turn */
 	pthread_t thread;
 	pthread_mutex_t lock; /* of targets, modes and count */
 	bool stopping;
@@ -86,17 +92,6 @@
 	close(fd);
 }
 
-static struct proxy
-state_of(struct proxies *p, uint32_t index)
-{
-	struct proxy copy;
-
-	pthread_mutex_lock(&p->lock);
-	copy = p->all[index];
-	pthread_mutex_unlock(&p->lock);
-	return copy;
-}
-
 static void
 end_pair(struct proxies *p, struct pair *c, bool by_reset)
 {
@@ -112,17 +107,31 @@
 	talloc_free(c);
 }
 
+/* Told once of each change; what is left is remembered. */
+static void
+watch(struct proxies *p, int fd, struct half *h)
+{
+	struct epoll_event e = {.events = EPOLLIN | EPOLLRDHUP | EPOLLET};
+
+	if (h == NULL)
+		e.events = EPOLLIN;
+	e.data.ptr = h;
+	if (epoll_ctl(p->epoll_fd, EPOLL_CTL_ADD, fd, &e) != 0)
+		abort();
+}
+
 static void
 accept_one(struct proxies *p, uint32_t index, const struct proxy *s)
 {
 	struct sockaddr_in a = endpoint(s->target_address, s->target);
-	int client = accept4(s->listen_fd, NULL, NULL, SOCK_NONBLOCK);
+	int client =
+	    accept4(s->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 	int server;
 	struct pair *c;
 
 	if (client < 0)
 		return;
-	server = socket(AF_INET, SOCK_STREAM, 0);
+	server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	if (s->mode == PROXY_RESET || s->target == 0 ||
 	    p->pair_count >= MAX_PAIRS || server < 0 ||
 	    connect(server, (struct sockaddr *)&a, sizeof(a)) != 0) {
@@ -137,33 +146,47 @@
 	c->server = server;
 	c->up = (struct half){.from = client, .to = server};
 	c->down = (struct half){.from = server, .to = client};
+	watch(p, client, &c->up);
+	watch(p, server, &c->down);
 	DL_APPEND(p->pairs, c);
 	p->pair_count++;
 }
 
 /* False when the direction failed. */
 static bool
-move(struct half *h, enum proxy_mode mode, int64_t now)
+receive(struct proxies *p, struct half *h, enum proxy_mode mode, int64_t now)
 {
-	ssize_t n;
+	ssize_t n = recv(h->from, h->data, sizeof(h->data), MSG_DONTWAIT);
 
-	if (h->size == 0 && !h->ended) {
-		n = recv(h->from, h->data, sizeof(h->data), MSG_DONTWAIT);
-		if (n < 0)
-			return errno == EAGAIN || errno == EINTR;
-		h->ended = n == 0;
-		h->size = (size_t)n;
-		h->sent = 0;
-		h->ready_us = now;
-		if (mode == PROXY_DELAY)
-			h->ready_us += PROXY_DELAY_MS * IR_US_PER_MS;
+	if (n < 0) {
+		h->readable = errno == EINTR;
+		return errno == EAGAIN || errno == EINTR;
 	}
+	p->moved = true;
+	h->ended = n == 0;
+	h->size = (size_t)n;
+	h->sent = 0;
+	h->ready_us = now;
+	if (mode == PROXY_DELAY)
+		h->ready_us += PROXY_DELAY_MS * IR_US_PER_MS;
+	return true;
+}
+
+static bool
+move(struct proxies *p, struct half *h, enum proxy_mode mode, int64_t now)
+{
+	ssize_t n;
+
+	if (h->size == 0 && !h->ended && h->readable &&
+	    !receive(p, h, mode, now))
+		return false;
 	if (h->size == 0 || now < h->ready_us)
 		return !h->ended;
 	n = send(h->to, h->data + h->sent, h->size - h->sent,
 	    MSG_DONTWAIT | MSG_NOSIGNAL);
 	if (n < 0)
 		return errno == EAGAIN || errno == EINTR;
+	p->moved = true;
 	h->sent += (size_t)n;
 	if (h->sent == h->size)
 		h->size = 0;
@@ -173,17 +196,17 @@
 static void
 step_pair(struct proxies *p, struct pair *c, int64_t now)
 {
-	struct proxy s = state_of(p, c->proxy);
+	enum proxy_mode mode = p->now[c->proxy].mode;
 	bool ok = true;
 
-	if (s.mode == PROXY_RESET) {
+	if (mode == PROXY_RESET) {
 		end_pair(p, c, true);
 		return;
 	}
-	if (s.mode != PROXY_SILENT)
-		ok = move(&c->up, s.mode, now);
-	if (ok && s.mode != PROXY_SILENT && s.mode != PROXY_ONE_WAY)
-		ok = move(&c->down, s.mode, now);
+	if (mode != PROXY_SILENT)
+		ok = move(p, &c->up, mode, now);
+	if (ok && mode != PROXY_SILENT && mode != PROXY_ONE_WAY)
+		ok = move(p, &c->down, mode, now);
 	if (!ok)
 		end_pair(p, c, false);
 }
@@ -191,20 +214,46 @@
 static void
 wait_for_work(struct proxies *p)
 {
-	static struct pollfd fds[MAX_PROXIES + 2 * MAX_PAIRS];
-	struct pair *c;
-	nfds_t n = 0;
+	struct epoll_event events[MAX_EVENTS];
+	int n =
+	    epoll_wait(p->epoll_fd, events, MAX_EVENTS, p->moved ? 0 : TURN_MS);
+
+	p->has_callers = false;
+	for (int i = 0; i < n; i++) {
+		struct half *h = events[i].data.ptr;
+
+		if (h == NULL)
+			p->has_callers = true;
+		else
+			h->readable = true;
+	}
+}
 
-	for (uint32_t i = 0; i < p->count; i++)
-		fds[n++] = (struct pollfd){p->all[i].listen_fd, POLLIN, 0};
-	/* Only what flows: a silenced connection stays readable. */
-	DL_FOREACH (p->pairs, c) {
-		if (state_of(p, c->proxy).mode != PROXY_PASS)
-			continue;
-		fds[n++] = (struct pollfd){c->client, POLLIN, 0};
-		fds[n++] = (struct pollfd){c->server, POLLIN, 0};
+static void
+accept_all(struct proxies *p, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++)
+		accept_one(p, i, &p->now[i]);
+}
+
+static void
+turn(struct proxies *p)
+{
+	struct pair *c, *next;
+	int64_t now = ir_clock_now();
+	uint32_t count;
+
+	pthread_mutex_lock(&p->lock);
+	count = p->count;
+	memcpy(p->now, p->all, sizeof(p->now));
+	pthread_mutex_unlock(&p->lock);
+	if (p->has_callers)
+		accept_all(p, count);
+	p->moved = false;
+	DL_FOREACH_SAFE (p->pairs, c, next) {
+		step_pair(p, c, now);
 	}
-	poll(fds, n, TURN_MS);
+	wait_for_work(p);
 }
 
 static void *
@@ -212,20 +261,8 @@
 {
 	struct proxies *p = ctx;
 
-	while (!__atomic_load_n(&p->stopping, __ATOMIC_ACQUIRE)) {
-		struct pair *c, *next;
-		int64_t now = ir_clock_now();
-
-		for (uint32_t i = 0; i < p->count; i++) {
-			struct proxy s = state_of(p, i);
-
-			accept_one(p, i, &s);
-		}
-		DL_FOREACH_SAFE (p->pairs, c, next) {
-			step_pair(p, c, now);
-		}
-		wait_for_work(p);
-	}
+	while (!__atomic_load_n(&p->stopping, __ATOMIC_ACQUIRE))
+		turn(p);
 	return NULL;
 }
 
@@ -235,6 +272,9 @@
 	struct proxies *p = talloc_zero(mem, struct proxies);
 
 	pthread_mutex_init(&p->lock, NULL);
+	p->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	if (p->epoll_fd < 0)
+		abort();
 	if (pthread_create(&p->thread, NULL, run, p) != 0)
 		abort();
 	return p;
@@ -249,6 +289,7 @@
 		end_pair(p, p->pairs, true);
 	for (uint32_t i = 0; i < p->count; i++)
 		close(p->all[i].listen_fd);
+	close(p->epoll_fd);
 	pthread_mutex_destroy(&p->lock);
 	talloc_free(p);
 }
@@ -260,7 +301,7 @@
 	struct sockaddr_in a =
 	    endpoint((struct in_addr){inet_addr(address)}, port);
 	socklen_t size = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
 	if (fd < 0 || p->count == MAX_PROXIES ||
 	    bind(fd, (struct sockaddr *)&a, sizeof(a)) != 0 ||
@@ -270,8 +311,9 @@
 	pthread_mutex_lock(&p->lock);
 	p->all[p->count].listen_fd = fd;
 	p->all[p->count].target_address.s_addr = inet_addr(target);
-	__atomic_store_n(&p->count, p->count + 1, __ATOMIC_RELEASE);
+	p->count++;
 	pthread_mutex_unlock(&p->lock);
+	watch(p, fd, NULL);
 	return ntohs(a.sin_port);
 }
 
--- a/test/support/processes.c
+++ b/test/support/processes.c
@@ -29,7 +29,7 @@
 #define MAX_ARGUMENTS 16
 #define PACE_MS 10
 #define ASK_TIMEOUT_MS 20000
-#define CONNECTIONS 256
+#define CONNECTIONS 512
 #define LIFETIME_S "280"
 
 extern char **environ;
