Soak: a host that keeps what it remembers, and longer runs

Cause: a gate remembers attempts for 60 s, and no node of the soak lived and was kept busy for so long; a run ended at 60,000 requests.

Change: the node of one host, as the seed decides, is never told to end, and gets each other burst, which last 0.5 to 4 s; up to a million requests a run, whose texts are freed once they are sent. Refused callers wait in bursts too.

--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -10,7 +10,8 @@
 /* Within a series. */
 #define SERIES_PAUSE_SPAN_MS 40
 #define MAX_SERIES 6
-#define BURST_US (1 * IR_US_PER_S)
+#define MIN_BURST_MS 500
+#define BURST_SPAN_MS 3500
 #define MAX_HELD_AT_ONCE 16
 #define STORE_SLOW_MS 400
 #define LARGE_ANSWER_BYTES (256 * 1024)
@@ -37,7 +38,7 @@
 		soak_start_node(s, i);
 		return;
 	}
-	switch (soak_below(s, 5)) {
+	switch (soak_below(s, 5) + (i == s->spared ? 2 : 0)) {
 	case 0:
 		t->expected_end = true;
 		pr_signal(&h->node, SIGKILL);
@@ -160,6 +161,16 @@
 	holds_open(s, i, HOLD_BODIES, count);
 }
 
+/* Each other one at the host that keeps what it remembers. */
+static void
+begin_burst(struct soak *s, size_t i)
+{
+	s->burst_host = soak_below(s, 2) == 0 ? s->spared : i;
+	s->burst_until_us =
+	    ir_clock_now() +
+	    (MIN_BURST_MS + soak_below(s, BURST_SPAN_MS)) * IR_US_PER_MS;
+}
+
 /* What makes a node hold bytes. */
 static void
 fault_of_memory(struct soak *s, size_t i)
@@ -178,8 +189,7 @@
 			toggle_large_answers(s, (i + n) % p->host_count);
 		break;
 	case 3:
-		s->burst_host = i;
-		s->burst_until_us = ir_clock_now() + BURST_US;
+		begin_burst(s, i);
 		break;
 	default:
 		send_to_paused(s, i, count);
--- a/test/soak/hold.c
+++ b/test/soak/hold.c
@@ -147,18 +147,20 @@
 {
 	struct pr_request r = {.path = path, .key = p->keys[KEY_MAIN]};
 	const char *headers[PR_HEADERS];
-	const char *target = pr_headers(p, &r, id, headers);
-	char *text = talloc_asprintf(h, "%s %s HTTP/1.1\r\n", method, target);
+	TALLOC_CTX *parts = talloc_new(NULL);
+	const char *target = pr_headers(parts, p, &r, id, headers);
+	char *head = talloc_asprintf(h, "%s %s HTTP/1.1\r\n", method, target);
 
 	/* The platform's requests name a host of their own. */
 	if (!p->of_platform)
-		text = talloc_strdup_append(text, "Host: " PR_ADDRESS "\r\n");
+		head = talloc_strdup_append(head, "Host: " PR_ADDRESS "\r\n");
 	for (size_t i = 0; headers[i] != NULL; i++)
-		text = talloc_asprintf_append(text, "%s\r\n", headers[i]);
+		head = talloc_asprintf_append(head, "%s\r\n", headers[i]);
 	if (body_bytes > 0)
-		text = talloc_asprintf_append(
-		    text, "Content-Length: %zu\r\n", body_bytes);
-	return talloc_strdup_append(text, "\r\n");
+		head = talloc_asprintf_append(
+		    head, "Content-Length: %zu\r\n", body_bytes);
+	talloc_free(parts);
+	return talloc_strdup_append(head, "\r\n");
 }
 
 static void
--- a/test/soak/load.c
+++ b/test/soak/load.c
@@ -71,7 +71,7 @@
 {
 	struct soak *s = ctx;
 	struct sent *q = &s->sent[id - s->first];
-	const char *own = pr_test_id(p, id);
+	char *own = pr_test_id(s, id);
 
 	s->done++;
 	s->hosts[q->host].open--;
@@ -92,6 +92,7 @@
 	if (was_closed(r))
 		soak_note_cut(s, q->host, q->starts, id);
 	check_key(s, q, id);
+	talloc_free(own);
 }
 
 static void
@@ -108,7 +109,7 @@
 		q->key = KEY_MAIN;
 	q->charge = soak_below(s, 3) == 0;
 	if (burst)
-		r.path = "/t/run";
+		r.path = p->hosts[i].service[0] == 't' ? "/t/run" : "/s/run";
 	if (q->charge) {
 		r.method = "POST";
 		r.path = "/s/charge";
@@ -127,7 +128,7 @@
 
 	if (p->hosts[i].node.pid == 0 && soak_below(s, SENT_IN_VAIN) != 0)
 		return;
-	if (!burst && ir_clock_now() < s->hosts[i].send_us)
+	if (ir_clock_now() < s->hosts[i].send_us)
 		return;
 	while (s->hosts[i].open < at_once && s->count < SOAK_MAX_REQUESTS)
 		send_one(s, i, burst);
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -200,6 +200,7 @@
 	s->sent = talloc_zero_array(s, struct sent, SOAK_MAX_REQUESTS);
 	s->hosts = talloc_zero_array(s, struct trouble, p->host_count);
 	s->holds = holds_new(s);
+	s->spared = soak_below(s, p->host_count);
 	start_all(s);
 	run(s, seconds);
 	proxies_stop(s->proxies);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -15,7 +15,7 @@
 #include "support/process_load.h"
 
 #define SOAK_STEP_MS 5
-#define SOAK_MAX_REQUESTS 60000
+#define SOAK_MAX_REQUESTS 1000000
 #define SOAK_MAX_CUT 4096
 #define SOAK_MAX_BROKEN_BYTES 512
 
@@ -58,6 +58,7 @@
 	struct proxies *proxies;
 	uint16_t peers_port; /* of all hosts, in the platform's dialect */
 	struct trouble *hosts;
+	size_t spared; /* host whose node never ends, to keep what it keeps */
 	struct holds *holds;
 	bool store_down;
 	bool store_stale;
--- a/test/support/process_platform.c
+++ b/test/support/process_platform.c
@@ -141,17 +141,17 @@
 }
 
 const char *
-pr_platform_target(struct processes *p, const struct pr_request *r, uint64_t id,
+pr_platform_target(TALLOC_CTX *mem, const struct pr_request *r, uint64_t id,
     const char *headers[PR_HEADERS], size_t *n)
 {
 	if (strncmp(r->path, "/s/", 3) != 0 && strncmp(r->path, "/t/", 3) != 0)
 		return r->path;
+	headers[(*n)++] = talloc_asprintf(
+	    mem, "Host: %c%s", r->path[1], FAKE_AUTHORITY_SUFFIX);
 	headers[(*n)++] =
-	    talloc_asprintf(p, "Host: %c%s", r->path[1], FAKE_AUTHORITY_SUFFIX);
-	headers[(*n)++] =
-	    talloc_asprintf(p, H_ATTEMPT ": %s", pr_test_id(p, id));
-	headers[(*n)++] = talloc_asprintf(p, H_DEADLINE ": %d", DEADLINE_MS);
+	    talloc_asprintf(mem, H_ATTEMPT ": %s", pr_test_id(mem, id));
+	headers[(*n)++] = talloc_asprintf(mem, H_DEADLINE ": %d", DEADLINE_MS);
 	if (r->key != NULL)
-		headers[(*n)++] = talloc_asprintf(p, H_KEY ": %s", r->key);
-	return talloc_asprintf(p, "%s/", r->path + 2);
+		headers[(*n)++] = talloc_asprintf(mem, H_KEY ": %s", r->key);
+	return talloc_asprintf(mem, "%s/", r->path + 2);
 }
--- a/test/support/process_platform.h
+++ b/test/support/process_platform.h
@@ -29,7 +29,7 @@
  * The target of a request whose path begins with /s/ or /t/, its headers
  * added to a list of *n; other requests are left as they are.
  */
-const char *pr_platform_target(struct processes *p, const struct pr_request *r,
+const char *pr_platform_target(TALLOC_CTX *mem, const struct pr_request *r,
     uint64_t id, const char *headers[PR_HEADERS], size_t *n);
 
 #endif
--- a/test/support/processes.c
+++ b/test/support/processes.c
@@ -366,38 +366,41 @@
 }
 
 char *
-pr_test_id(struct processes *p, uint64_t id)
+pr_test_id(TALLOC_CTX *mem, uint64_t id)
 {
-	return talloc_asprintf(p, "test-%08" PRIu64 "-id", id);
+	return talloc_asprintf(mem, "test-%08" PRIu64 "-id", id);
 }
 
 const char *
-pr_headers(struct processes *p, const struct pr_request *r, uint64_t id,
-    const char *headers[PR_HEADERS])
+pr_headers(TALLOC_CTX *mem, const struct processes *p,
+    const struct pr_request *r, uint64_t id, const char *headers[PR_HEADERS])
 {
 	const char *target = r->path;
 	size_t n = 0;
 
 	memset(headers, 0, PR_HEADERS * sizeof(headers[0]));
-	headers[n++] = talloc_asprintf(p, "X-Test-Id: %s", pr_test_id(p, id));
+	headers[n++] =
+	    talloc_asprintf(mem, "X-Test-Id: %s", pr_test_id(mem, id));
 	if (p->of_platform)
-		target = pr_platform_target(p, r, id, headers, &n);
+		target = pr_platform_target(mem, r, id, headers, &n);
 	else if (r->key != NULL)
-		headers[n++] = talloc_asprintf(p, "Ibisrail-Key: %s", r->key);
+		headers[n++] = talloc_asprintf(mem, "Ibisrail-Key: %s", r->key);
 	headers[n] = r->header;
 	return target;
 }
 
+/* The fetcher copies everything. */
 void
 pr_send(struct processes *p, const struct pr_request *r, uint64_t id,
     void (*done)(void *, uint64_t, const struct fake_fetch_result *), void *ctx)
 {
+	TALLOC_CTX *mem = talloc_new(NULL);
 	const char *headers[PR_HEADERS];
 	struct fake_fetch in = {0};
 
 	in.id = id;
-	in.url = talloc_asprintf(
-	    p, "http://127.0.0.1:%u%s", r->port, pr_headers(p, r, id, headers));
+	in.url = talloc_asprintf(mem, "http://127.0.0.1:%u%s", r->port,
+	    pr_headers(mem, p, r, id, headers));
 	in.method = r->method != NULL ? r->method : "GET";
 	in.headers = headers;
 	in.body = r->body;
@@ -406,6 +409,7 @@
 	in.done = done;
 	in.ctx = ctx;
 	fake_fetch(p->fetcher, &in);
+	talloc_free(mem);
 }
 
 struct asking {
--- a/test/support/processes.h
+++ b/test/support/processes.h
@@ -128,13 +128,14 @@
 void pr_send(struct processes *p, const struct pr_request *r, uint64_t id,
     void (*done)(void *, uint64_t, const struct fake_fetch_result *),
     void *ctx);
-/* The headers of such a request, "Name: value", NULL-ended, and its target. */
-const char *pr_headers(struct processes *p, const struct pr_request *r,
-    uint64_t id, const char *headers[PR_HEADERS]);
+/* The headers of such a request, "Name: value", NULL-ended, and its target: of
+ * mem. */
+const char *pr_headers(TALLOC_CTX *mem, const struct processes *p,
+    const struct pr_request *r, uint64_t id, const char *headers[PR_HEADERS]);
 /* A control of a stand-in. */
 void pr_control(struct processes *p, uint16_t port, const char *method,
     const char *path, const char *body);
-char *pr_test_id(struct processes *p, uint64_t id);
+char *pr_test_id(TALLOC_CTX *mem, uint64_t id);
 
 /* Until the condition holds; what names it in the failure. */
 void pr_wait(const char *what, bool (*holds)(void *ctx), void *ctx);
