--- a/test/soak/memory.c
+++ b/test/soak/memory.c
@@ -1,14 +1,9 @@
 /* The nodes' own pages, as the system counts them. */
-#include <fcntl.h>
 #include <inttypes.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <unistd.h>
 
 #include "soak/soak.h"
 
 #define LOOK_US (100 * IR_US_PER_MS)
-#define TEXT_BYTES 128
 #define BYTES_PER_MB (UINT64_C(1024) * 1024)
 #define LIMIT_BYTES (PR_MEMORY_MB * BYTES_PER_MB)
 
@@ -19,38 +14,11 @@
 #define LIMIT_IS_PROMISED true
 #endif
 
-/* Resident pages without those of files; 0 when the process is gone. */
-static uint64_t
-own_bytes(pid_t pid)
-{
-	char name[TEXT_BYTES], text[TEXT_BYTES];
-	uint64_t resident, of_files;
-	ssize_t n;
-	char *at;
-	int fd;
-
-	snprintf(name, sizeof(name), "/proc/%d/statm", (int)pid);
-	fd = open(name, O_RDONLY | O_CLOEXEC);
-	if (fd < 0)
-		return 0;
-	n = read(fd, text, sizeof(text) - 1);
-	close(fd);
-	if (n <= 0)
-		return 0;
-	text[n] = '\0';
-	(void)strtoull(text, &at, 10);
-	resident = strtoull(at, &at, 10);
-	of_files = strtoull(at, &at, 10);
-	if (resident < of_files)
-		return 0;
-	return (resident - of_files) * (uint64_t)sysconf(_SC_PAGESIZE);
-}
-
 static void
 watch(struct soak *s, size_t i)
 {
 	struct trouble *t = &s->hosts[i];
-	uint64_t bytes = own_bytes(p->hosts[i].node.pid);
+	uint64_t bytes = pr_own_bytes(p->hosts[i].node.pid);
 
 	if (bytes > t->largest_bytes)
 		t->largest_bytes = bytes;
--- a/test/support/processes.c
+++ b/test/support/processes.c
@@ -26,6 +26,7 @@
 #include "platform/names.h"
 #include "support/process_platform.h"
 
+#define PAGES_TEXT_BYTES 128
 #define MAX_ARGUMENTS 16
 #define PACE_MS 10
 #define ASK_TIMEOUT_MS 20000
@@ -271,6 +272,32 @@
 	h->upstream_port = stand_in(p, &h->upstream, "upstream", options);
 }
 
+uint64_t
+pr_own_bytes(pid_t pid)
+{
+	char name[PAGES_TEXT_BYTES], text[PAGES_TEXT_BYTES];
+	uint64_t resident, of_files;
+	ssize_t n;
+	char *at;
+	int fd;
+
+	snprintf(name, sizeof(name), "/proc/%d/statm", (int)pid);
+	fd = open(name, O_RDONLY | O_CLOEXEC);
+	if (fd < 0)
+		return 0;
+	n = read(fd, text, sizeof(text) - 1);
+	close(fd);
+	if (n <= 0)
+		return 0;
+	text[n] = '\0';
+	(void)strtoull(text, &at, 10);
+	resident = strtoull(at, &at, 10);
+	of_files = strtoull(at, &at, 10);
+	if (resident < of_files)
+		return 0;
+	return (resident - of_files) * (uint64_t)sysconf(_SC_PAGESIZE);
+}
+
 void
 pr_signal(const struct pr_child *c, int signal)
 {
--- a/test/support/processes.h
+++ b/test/support/processes.h
@@ -101,6 +101,8 @@
 /* peers_port is 0 for any. Waits until it listens. */
 void pr_node_start(struct processes *p, struct pr_host *h, uint16_t peers_port);
 void pr_upstream_start(struct processes *p, struct pr_host *h);
+/* Its resident pages without those of files; 0 when it is gone. */
+uint64_t pr_own_bytes(pid_t pid);
 void pr_signal(const struct pr_child *c, int signal);
 /* Whether it has ended; *status is as of waitpid. */
 bool pr_ended(struct pr_child *c, int *status);
--- a/test/test_process_memory.c
+++ b/test/test_process_memory.c
@@ -71,34 +71,13 @@
 
 static int64_t peak_bytes[PR_HOSTS];
 
-/* Resident pages that are not of files; 0 when it is gone. */
-static int64_t
-own_bytes(pid_t pid)
-{
-	char text[128], *at = text;
-	int64_t resident, of_files;
-	FILE *f;
-
-	snprintf(text, sizeof(text), "/proc/%d/statm", (int)pid);
-	f = fopen(text, "r");
-	if (f == NULL)
-		return 0;
-	if (fgets(text, sizeof(text), f) == NULL)
-		text[0] = '\0';
-	fclose(f);
-	(void)strtoll(at, &at, 10);
-	resident = strtoll(at, &at, 10);
-	of_files = strtoll(at, &at, 10);
-	return (resident - of_files) * sysconf(_SC_PAGESIZE);
-}
-
 /* A node that ends by itself fails the test. */
 static void
 watch(void)
 {
 	for (size_t i = 0; i < PR_HOSTS; i++) {
 		struct pr_host *h = &p->hosts[i];
-		int64_t bytes = own_bytes(h->node.pid);
+		int64_t bytes = (int64_t)pr_own_bytes(h->node.pid);
 		int status;
 
 		if (pr_ended(&h->node, &status))
