--- a/test/fakes/lib/upstream_control.c
+++ b/test/fakes/lib/upstream_control.c
@@ -75,8 +75,6 @@
 		u->options.service_us = n * 1000;
 	if (get_number(obj, "slots", &n) && n > 0)
 		u->options.slots = (uint32_t)n;
-	if (get_number(obj, "answer_bytes", &n) && n >= 0)
-		u->options.answer_bytes = (size_t)n;
 	if (get_number(obj, "queue", &n) && n >= 0)
 		u->options.queue = (uint32_t)n;
 	if (get_number(obj, "answer_bytes", &n) && n >= 0)
