Soak: the main account has no rate

Cause: most requests of long runs were refused for want of rate tokens while their minters were gone, and asked no memory of any node.

Change: the first account of the soak has no rate, and half of the requests are of it. The process tests keep its rate.

--- a/test/soak/load.c
+++ b/test/soak/load.c
@@ -104,7 +104,10 @@
 
 	q->host = (uint16_t)i;
 	q->starts = s->hosts[i].starts;
-	q->key = (uint8_t)soak_below(s, PR_KEYS);
+	/* Each other one without a rate, whose tokens may be out of reach. */
+	q->key = KEY_MAIN;
+	if (soak_below(s, 2) == 0)
+		q->key = (uint8_t)soak_below(s, PR_KEYS);
 	if (s->withdrawn_us[q->key] != 0 && soak_below(s, SENT_WITHDRAWN) != 0)
 		q->key = KEY_MAIN;
 	q->charge = soak_below(s, 3) == 0;
--- a/test/support/processes.h
+++ b/test/support/processes.h
@@ -29,9 +29,10 @@
 /* What is started. */
 struct pr_fleet {
 	uint32_t host_count;
-	uint32_t memory_mb; /* limit of each node */
-	bool of_platform;   /* nodes and stand-ins speak its dialect */
-	bool nodes_later;   /* by pr_node_start */
+	uint32_t memory_mb;  /* limit of each node */
+	bool of_platform;    /* nodes and stand-ins speak its dialect */
+	bool nodes_later;    /* by pr_node_start */
+	bool main_unlimited; /* the first account has no rate */
 };
 
 struct pr_child {
@@ -65,6 +66,7 @@
 	char *programs; /* directory */
 	char *dir;	/* settings and outputs */
 	bool of_platform;
+	bool main_unlimited;
 	struct fake_fetcher *fetcher;
 	struct pr_child platform;
 	uint16_t platform_port;
