--- a/test/test_core_out.c
+++ b/test/test_core_out.c
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <utlist.h>
 
 #include <cmocka.h>
 
@@ -42,7 +43,22 @@
 static int
 tear_down(void **state)
 {
-	talloc_free(*state);
+	struct fixture *f = *state;
+	struct doomed *d, *next;
+	struct owed *o;
+
+	for (int i = 0; i < IR_DUTY_COUNT; i++)
+		ir_outbox_clear(&f->core.out[i]);
+	while ((o = f->core.owed) != NULL) {
+		DL_DELETE(f->core.owed, o);
+		talloc_free(o->message);
+		talloc_free(o);
+	}
+	HASH_ITER (hh, f->core.doomed, d, next) {
+		HASH_DEL(f->core.doomed, d);
+		talloc_free(d);
+	}
+	talloc_free(f);
 	return 0;
 }
 
