--- a/test/mutate.sh
+++ b/test/mutate.sh
@@ -31,7 +31,7 @@
 fi
 scratch=$root/build/mutations/$SHARD
 mkdir -p "$scratch"
-for part in src include test Makefile config.mk; do
+for part in src include platform test Makefile config.mk; do
 	cp -R "$root/$part" "$scratch/"
 done
 cd "$scratch" || exit 1
