Callers: log and count connections that the node itself closes

An on-call engineer could not tell a caller that left from a node that closed the caller's connection with requests in progress: both were logged as cancelled, and nothing counted the second, which is what a lost answer looks like from outside.

call-ended has a reason now: answered, caller-closed, caller-reset, send-failed, or idle, unread, unread-memory, stopped for closes by the node. ibisrail_calls_cut_total counts requests in progress on connections that the node closed. No decision changes.

test_request_whose_connection_is_cut_is_counted_and_named is new, and test_disconnect_of_a_caller_is_reported checks the other side; both pass. test_callers, test_caller_conn, test_caller_memory, test_pages pass.

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -157,8 +157,12 @@
 
 /* Callers. */
 void ir_node_call(struct ir_node *n, int64_t now, const struct ir_call *in);
-/* The caller disconnected. The call gets no answer. */
-void ir_node_caller_disconnected(struct ir_node *n, int64_t now, uint64_t id);
+/*
+ * The caller's connection was closed. The call gets no answer. reason is for
+ * the log.
+ */
+void ir_node_caller_disconnected(
+    struct ir_node *n, int64_t now, uint64_t id, const char *reason);
 
 /* The local upstream. */
 void ir_node_run_ended(struct ir_node *n, int64_t now, uint64_t run,
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -42,18 +42,20 @@
 
 static void
 log_call_ended(struct ir_node *n, int64_t now, const struct call *c,
-    enum ir_error e, unsigned status)
+    enum ir_error e, unsigned status, const char *reason)
 {
 	const struct ir_error_info *i = ir_error_info(e);
 	char id[NODE_LOG_ID_BYTES];
 
 	ir_histogram_add(&n->histograms, IR_HISTOGRAM_CALL, now - c->start_us);
 	node_log(n, IR_EVENT_CALL_ENDED,
-	    "id=%s error=%s outcome=%s status=%u ms=%lld tries=%u host=%s",
+	    "id=%s error=%s outcome=%s status=%u ms=%lld tries=%u host=%s "
+	    "reason=%s",
 	    node_log_id(id, c->caller_attempt, &c->request), i->name,
 	    ir_outcome_name(i->outcome), status,
 	    (long long)((now - c->start_us) / IR_US_PER_MS), c->tried_count,
-	    c->tried_count > 0 ? c->tried_hosts[c->tried_count - 1] : "none");
+	    c->tried_count > 0 ? c->tried_hosts[c->tried_count - 1] : "none",
+	    reason);
 }
 
 static void
@@ -76,7 +78,7 @@
     struct ir_node *n, int64_t now, struct call *c, const struct ir_answer *a)
 {
 	ir_counters_add(&n->counters, IR_COUNTER_ANSWERED, 1);
-	log_call_ended(n, now, c, IR_OK, a->status);
+	log_call_ended(n, now, c, IR_OK, a->status, "answered");
 	n->ops.answer(n->ctx, c->id, a);
 	free_call(n, now, c);
 }
@@ -112,16 +114,16 @@
 		    c->service, c->account);
 	if (c->parent != NULL && is_callee_refusal(e))
 		c->parent->callee_refused = true;
-	log_call_ended(n, now, c, e, 0);
+	log_call_ended(n, now, c, e, 0, "answered");
 	send_error(n, c->id, e, retry_after_ms);
 	free_call(n, now, c);
 }
 
 void
-call_abandon(struct ir_node *n, int64_t now, struct call *c)
+call_abandon(struct ir_node *n, int64_t now, struct call *c, const char *reason)
 {
 	ir_counters_add(&n->counters, IR_COUNTER_CANCELLED, 1);
-	log_call_ended(n, now, c, IR_E_CANCELLED, 0);
+	log_call_ended(n, now, c, IR_E_CANCELLED, 0, reason);
 	free_call(n, now, c);
 }
 
@@ -230,14 +232,15 @@
 }
 
 void
-ir_node_caller_disconnected(struct ir_node *n, int64_t now, uint64_t id)
+ir_node_caller_disconnected(
+    struct ir_node *n, int64_t now, uint64_t id, const char *reason)
 {
 	struct call *c;
 
 	n->now_us = now;
 	HASH_FIND(hh, n->calls, &id, sizeof(id), c);
 	if (c != NULL)
-		call_abandon(n, now, c);
+		call_abandon(n, now, c, reason);
 	node_run_deferred(n, now);
 }
 
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -321,7 +321,8 @@
 void call_retry(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
     uint32_t retry_after_ms);
 /* Ends the call without an answer: the caller has disconnected. */
-void call_abandon(struct ir_node *n, int64_t now, struct call *c);
+void call_abandon(
+    struct ir_node *n, int64_t now, struct call *c, const char *reason);
 /* Aborts the calls whose deadline has passed. */
 void call_tick(struct ir_node *n, int64_t now);
 /* Tries the account's calls that wait for tokens, in order of arrival. */
--- a/src/io/callers/caller_blocked.c
+++ b/src/io/callers/caller_blocked.c
@@ -86,7 +86,7 @@
 
 	ir_io_log_event(log, IR_EVENT_REQUEST_BAD, reason, "error=%s",
 	    ir_error_info(IR_E_ANSWER_DROPPED)->name);
-	ir_caller_conn_close(c);
+	ir_caller_conn_cut(c, reason);
 }
 
 void
--- a/src/io/callers/caller_conn.c
+++ b/src/io/callers/caller_conn.c
@@ -23,7 +23,7 @@
 #define CONTINUE_ANSWER "HTTP/1.1 100 Continue\r\n\r\n"
 
 void
-ir_caller_conn_close(struct caller_conn *c)
+ir_caller_conn_close(struct caller_conn *c, const char *reason)
 {
 	struct ir_callers *callers = c->listener->callers;
 	struct request *r;
@@ -39,7 +39,7 @@
 		DL_DELETE(c->requests, r);
 		if (r->state == REQUEST_SUBMITTED) {
 			HASH_DEL(callers->submitted, r);
-			ir_request_report_abandoned(callers, r->id);
+			ir_request_report_abandoned(callers, r->id, reason);
 		}
 		callers->open_requests--;
 		talloc_free(r->call);
@@ -50,6 +50,28 @@
 	LL_PREPEND(callers->closed_conns, c);
 }
 
+static uint32_t
+submitted_count(const struct caller_conn *c)
+{
+	const struct request *r;
+	uint32_t count = 0;
+
+	DL_FOREACH (c->requests, r) {
+		if (r->state == REQUEST_SUBMITTED)
+			count++;
+	}
+	return count;
+}
+
+void
+ir_caller_conn_cut(struct caller_conn *c, const char *reason)
+{
+	if (!c->closed)
+		ir_counters_add(&c->listener->callers->channel->counters,
+		    IR_COUNTER_CALLS_CUT, submitted_count(c));
+	ir_caller_conn_close(c, reason);
+}
+
 /* Sends the output. False if the socket is blocked or the connection closed. */
 static bool
 send_output(struct caller_conn *c)
@@ -69,7 +91,7 @@
 			return false;
 		}
 		if (n < 0) {
-			ir_caller_conn_close(c);
+			ir_caller_conn_close(c, "send-failed");
 			return false;
 		}
 		drained = true;
@@ -203,7 +225,8 @@
 {
 	if (!orderly || c->lingering || has_unanswered(c) ||
 	    c->output == NULL) {
-		ir_caller_conn_close(c);
+		ir_caller_conn_close(
+		    c, orderly ? "caller-closed" : "caller-reset");
 		return;
 	}
 	c->no_more_requests = true;
@@ -303,7 +326,7 @@
 	ir_callers_close_blocked(callers, now);
 	DL_FOREACH_SAFE (callers->conns, c, next) {
 		if (is_stale(c, now))
-			ir_caller_conn_close(c);
+			ir_caller_conn_cut(c, "idle");
 		else if (!c->no_more_requests && c->output == NULL)
 			ir_caller_conn_write(c);
 	}
--- a/src/io/callers/caller_conn.h
+++ b/src/io/callers/caller_conn.h
@@ -122,8 +122,13 @@
 
 /* caller_conn.c: creates a connection that owns the socket fd. */
 void ir_caller_conn_new(struct listener *l, int fd);
-/* Closes the connection; reports its submitted requests as abandoned. */
-void ir_caller_conn_close(struct caller_conn *c);
+/*
+ * Closes the connection; reports its submitted requests as abandoned. reason: a
+ * string constant, for the log. The second function is for a connection that
+ * this node gives up: it counts those requests in IR_COUNTER_CALLS_CUT.
+ */
+void ir_caller_conn_close(struct caller_conn *c, const char *reason);
+void ir_caller_conn_cut(struct caller_conn *c, const char *reason);
 /* Sends the answers that are next in order, then parses buffered input. */
 void ir_caller_conn_write(struct caller_conn *c);
 /*
@@ -152,7 +157,8 @@
 void ir_request_answer(struct request *r, const struct ir_answer *a);
 void ir_request_refuse(struct request *r);
 /* Tells the core that the caller of a submitted request disconnected. */
-void ir_request_report_abandoned(struct ir_callers *c, uint64_t id);
+void ir_request_report_abandoned(
+    struct ir_callers *c, uint64_t id, const char *reason);
 
 /*
  * caller_memory.c: charges to IR_MEMORY_CALLERS. The update functions adjust
--- a/src/io/callers/caller_request.c
+++ b/src/io/callers/caller_request.c
@@ -10,11 +10,13 @@
 #define MAX_METHOD_BYTES 16
 
 void
-ir_request_report_abandoned(struct ir_callers *c, uint64_t id)
+ir_request_report_abandoned(
+    struct ir_callers *c, uint64_t id, const char *reason)
 {
 	struct ir_to_core *m = ir_to_core_new(IR_TO_CORE_CALL_ABANDONED);
 
 	m->id = id;
+	m->reason = reason;
 	ir_outbox_push(&c->outbox, m);
 }
 
--- a/src/io/callers/callers.c
+++ b/src/io/callers/callers.c
@@ -210,7 +210,7 @@
 free_callers(struct ir_callers *c)
 {
 	while (c->conns != NULL)
-		ir_caller_conn_close(c->conns);
+		ir_caller_conn_cut(c->conns, "stopped");
 	free_closed(c);
 	TALLOC_FREE(c->caller_listener.event);
 	TALLOC_FREE(c->egress_listener.event);
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -142,7 +142,7 @@
 		handle_call(c, now, m);
 		break;
 	case IR_TO_CORE_CALL_ABANDONED:
-		ir_node_caller_disconnected(c->node, now, m->id);
+		ir_node_caller_disconnected(c->node, now, m->id, m->reason);
 		break;
 	case IR_TO_CORE_RUN_ENDED:
 		ir_node_run_ended(c->node, now, m->id, &m->u.result);
--- a/src/io/message.h
+++ b/src/io/message.h
@@ -47,6 +47,7 @@
 	struct ir_message_charge charge;
 	/* CALL_ABANDONED: of the call; RUN_ENDED: of the run; REPORT_REQUEST */
 	uint64_t id;
+	const char *reason;	    /* CALL_ABANDONED: a string constant */
 	uint32_t conn;		    /* PEER_* */
 	uint32_t xid;		    /* PEER_MESSAGE: transaction id */
 	int64_t request_sent_us;    /* STORE_FAILED: when the read was begun */
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -189,8 +189,13 @@
 	"If only one host has long runs or failures, check its upstream."},
     {IR_EVENT_CALL_ENDED,
 	"id; error, outcome, status: as sent to the caller; ms: since it was "
-	"admitted; tries: number of gates tried; host: the last one",
-	"The request was answered.", "Nothing."},
+	"admitted; tries: number of gates tried; host: the last one; reason: "
+	"answered, or why the caller's connection was closed before: "
+	"caller-closed, caller-reset, send-failed by the caller; idle, unread, "
+	"unread-memory, stopped by this host",
+	"The request was answered, or its caller's connection was closed.",
+	"Nothing if the caller closed it. Otherwise the caller lost an answer: "
+	"see ibisrail_calls_cut_total and the lines before it."},
     {IR_EVENT_BUCKET_HANDED,
 	"account: its name; bucket: its number; to: the host",
 	"A token bucket of an account was handed over to another host.",
--- a/src/metric/counter.c
+++ b/src/metric/counter.c
@@ -60,6 +60,8 @@
 	"Sections of the view refused as invalid."},
     [IR_COUNTER_RING_FULL] = {"ibisrail_ring_full_total",
 	"Items refused because a ring between threads was full."},
+    [IR_COUNTER_CALLS_CUT] = {"ibisrail_calls_cut_total",
+	"Calls in progress whose caller's connection this node closed."},
 };
 
 const char *
--- a/test/support/fleet_calls.c
+++ b/test/support/fleet_calls.c
@@ -370,7 +370,8 @@
 	if (c->answers != 0 || c->abandoned)
 		return;
 	c->abandoned = true;
-	ir_node_caller_disconnected(f->nodes[c->node].node, f->now_us, c->id);
+	ir_node_caller_disconnected(
+	    f->nodes[c->node].node, f->now_us, c->id, "caller-closed");
 }
 
 static void
--- a/test/test_caller_memory.c
+++ b/test/test_caller_memory.c
@@ -460,6 +460,27 @@
 	close(fd);
 }
 
+static void
+test_request_whose_connection_is_cut_is_counted_and_named(void **state)
+{
+	struct fixture *f = *state;
+	struct caller_conn *c;
+	int fd = block_on_answer(f, &c);
+	struct ir_to_core *abandoned;
+
+	send_text(f, fd, GET, strlen(GET));
+	(void)pop_call_id(f);
+	ir_callers_sweep(f->callers, ir_clock_now() + 11 * IR_US_PER_S);
+	assert_true(c->closed);
+	assert_int_equal(f->channel->counters.value[IR_COUNTER_CALLS_CUT], 1);
+	abandoned = ir_ring_pop(f->channel->to_core);
+	assert_non_null(abandoned);
+	assert_int_equal(abandoned->kind, IR_TO_CORE_CALL_ABANDONED);
+	assert_string_equal(abandoned->reason, "unread");
+	talloc_free(abandoned);
+	close(fd);
+}
+
 /* SIOCOUTQ fails on a listening socket. */
 static void
 test_unknown_send_queue_does_not_count_as_progress(void **state)
@@ -809,6 +830,8 @@
 	    WITH_CALLERS(test_callers_that_stop_reading_stay_within_the_bound),
 	    WITH_CALLERS(test_slow_reading_caller_is_not_closed),
 	    WITH_CALLERS(test_caller_that_sends_and_never_reads_is_closed),
+	    WITH_CALLERS(
+		test_request_whose_connection_is_cut_is_counted_and_named),
 	    WITH_CALLERS(test_unknown_send_queue_does_not_count_as_progress),
 	    WITH_CALLERS(
 		test_answers_to_submitted_requests_stay_within_the_bound),
--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -323,6 +323,8 @@
 	abandoned = next_message(f);
 	assert_int_equal(abandoned->kind, IR_TO_CORE_CALL_ABANDONED);
 	assert_int_equal(abandoned->id, call->u.call.id);
+	assert_string_equal(abandoned->reason, "caller-closed");
+	assert_int_equal(f->channel->counters.value[IR_COUNTER_CALLS_CUT], 0);
 	/* An answer that the core sent before it got the report is dropped. */
 	send_answer(f, abandoned->id, IR_OK);
 	talloc_free(call);
