Core: the I/O side tells whether it took a message for a peer

Cause: ir_node_ops.send and connect return nothing, so that the core cannot keep a message that has no room; the I/O side closes the connection instead. Change: both return whether the message was taken. All implementations take all messages as before; a host of the simulated fleet can be set to take none.

--- a/bench/capacity/bench_node.c
+++ b/bench/capacity/bench_node.c
@@ -75,7 +75,7 @@
 
 /* Actions of the node: messages are counted and queued, the rest is noted. */
 
-static void
+static bool
 on_connect(void *ctx, uint32_t conn, const char *address, uint16_t port)
 {
 	struct bench_node *b = ctx;
@@ -89,6 +89,7 @@
 	b->pending_conns = talloc_realloc(
 	    b, b->pending_conns, uint32_t, b->pending_conn_count + 1);
 	b->pending_conns[b->pending_conn_count++] = conn;
+	return true;
 }
 
 static void
@@ -96,7 +97,7 @@
 {
 }
 
-static void
+static bool
 on_send(void *ctx, uint32_t conn, uint32_t xid, const struct ir_msg *m)
 {
 	struct bench_node *b = ctx;
@@ -108,6 +109,7 @@
 	s->size_bytes = ir_codec_encode(s, xid, m, &s->data);
 	count_message(b, m->kind, s->size_bytes);
 	LL_PREPEND(b->outbox, s);
+	return true;
 }
 
 static void
--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -104,11 +104,15 @@
 	/*
 	 * Peers. The I/O side reports the end of each connection, also of one
 	 * that could not be established, by ir_node_conn_closed().
+	 *
+	 * connect() and send() return false when there is no room for the
+	 * message now. Nothing was done then, and no close will be reported. A
+	 * message on a connection that is being closed needs no room.
 	 */
-	void (*connect)(
+	bool (*connect)(
 	    void *ctx, uint32_t conn, const char *address, uint16_t port);
 	void (*close)(void *ctx, uint32_t conn);
-	void (*send)(
+	bool (*send)(
 	    void *ctx, uint32_t conn, uint32_t xid, const struct ir_msg *m);
 	/*
 	 * The local upstream. The I/O side reports the end of each run that is
--- a/src/io/core/core_out.c
+++ b/src/io/core/core_out.c
@@ -75,7 +75,7 @@
 	ir_outbox_push(&c->outboxes[IR_THREAD_PEERS], m);
 }
 
-static void
+static bool
 on_connect(void *ctx, uint32_t conn, const char *address, uint16_t port)
 {
 	struct core *c = ctx;
@@ -87,13 +87,14 @@
 		closed = ir_to_core_new(IR_TO_CORE_PEER_CLOSED);
 		closed->conn = conn;
 		defer_event(c, closed);
-		return;
+		return true;
 	}
 	m = ir_from_core_new(IR_FROM_CORE_PEER_CONNECT);
 	m->conn = conn;
 	m->u.connect.address = ir_text_copy(m, address);
 	m->u.connect.port = port;
 	ir_outbox_push(&c->outboxes[IR_THREAD_PEERS], m);
+	return true;
 }
 
 static void
@@ -105,14 +106,14 @@
 		send_close(c, conn);
 }
 
-static void
+static bool
 on_send(void *ctx, uint32_t conn, uint32_t xid, const struct ir_msg *msg)
 {
 	struct core *c = ctx;
 	struct ir_from_core *m;
 
 	if (is_closing(c, conn))
-		return;
+		return true;
 	m = ir_from_core_new(IR_FROM_CORE_PEER_SEND);
 	m->conn = conn;
 	m->u.send.size_bytes = ir_codec_encode(m, xid, msg, &m->u.send.data);
@@ -123,7 +124,7 @@
 		report_full(c, "peers", "send");
 		mark_closing(c, conn);
 		send_close(c, conn);
-		return;
+		return true;
 	}
 	ir_message_charge_hold(
 	    &m->charge, c->loop->memory, m->u.send.size_bytes);
@@ -133,9 +134,10 @@
 		    "conn=%u kind=%d", conn, (int)msg->kind);
 		mark_closing(c, conn);
 		send_close(c, conn);
-		return;
+		return true;
 	}
 	ir_outbox_push(&c->outboxes[IR_THREAD_PEERS], m);
+	return true;
 }
 
 static void
--- a/test/support/fleet.c
+++ b/test/support/fleet.c
@@ -124,7 +124,7 @@
 	return i >= 0 && i < f->node_count && f->nodes[i].alive ? i : -1;
 }
 
-void
+bool
 fleet_op_connect(void *ctx, uint32_t conn, const char *address, uint16_t port)
 {
 	struct fleet_node *fn = ctx;
@@ -135,13 +135,15 @@
 	struct fleet_event *ev;
 
 	if (!fn->alive)
-		return;
+		return true;
+	if (fn->no_room)
+		return false;
 	if (b < 0) {
 		schedule_closed(f, a, conn);
-		return;
+		return true;
 	}
 	if (f->cut[a][b] || f->cut[b][a])
-		return;
+		return true;
 	c = talloc_zero(f, struct fleet_conn);
 	c->a = a;
 	c->b = b;
@@ -152,6 +154,7 @@
 	ev = fleet_event(f, EVENT_CONNECTED, a, f->now_us + f->delay_us);
 	ev->conn = conn;
 	fleet_schedule(f, ev);
+	return true;
 }
 
 static int64_t
@@ -220,7 +223,7 @@
 	fleet_schedule(f, ev);
 }
 
-void
+bool
 fleet_op_send(void *ctx, uint32_t conn, uint32_t xid, const struct ir_msg *m)
 {
 	struct fleet_node *fn = ctx;
@@ -232,7 +235,9 @@
 	int to;
 
 	if (!fn->alive || c == NULL)
-		return;
+		return true;
+	if (fn->no_room)
+		return false;
 	to = c->a == from ? c->b : c->a;
 	if (f->verbose)
 		(void)fprintf(stderr, "%10lld %s sends %d to %s\n",
@@ -245,10 +250,10 @@
 	/* The hook may have closed the connection. */
 	c = find_conn(f, from, conn);
 	if (c == NULL || f->next_drop || c->silent || f->cut[from][to])
-		return;
+		return true;
 	/* Once a cut has ended, TCP delivers nothing after the lost bytes. */
 	if (c->lossy && !f->cut[to][from])
-		return;
+		return true;
 	at = f->now_us + f->delay_us;
 	/* Messages of a stream stay in order: a delay holds up later ones. */
 	if (at + f->next_delay_us < c->last_arrival_us[c->a == from])
@@ -259,6 +264,7 @@
 	schedule_message(f, to, id, xid, from, m, at);
 	if (f->next_duplicate)
 		schedule_message(f, to, id, xid, from, m, at + f->delay_us);
+	return true;
 }
 
 void
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -111,6 +111,7 @@
 	char region[16];
 	char zone[16];
 	bool alive;
+	bool no_room; /* send() and connect() return false */
 	int64_t paused_until_us;
 	uint64_t incarnation;
 	enum fleet_upstream_mode upstream_mode;
--- a/test/support/fleet_priv.h
+++ b/test/support/fleet_priv.h
@@ -71,10 +71,10 @@
 /* Calls the test's hook; it sets the next_* fields for this message. */
 void fleet_report_step(struct fleet *f, enum fleet_step step, int node,
     int peer, enum ir_msg_kind kind);
-void fleet_op_connect(
+bool fleet_op_connect(
     void *ctx, uint32_t conn, const char *address, uint16_t port);
 void fleet_op_close(void *ctx, uint32_t conn);
-void fleet_op_send(
+bool fleet_op_send(
     void *ctx, uint32_t conn, uint32_t xid, const struct ir_msg *m);
 struct fleet_call *fleet_find_call(struct fleet *f, const char *marker);
 void fleet_deliver_run_end(struct fleet *f, struct fleet_event *ev);
--- a/test/test_node_memory.c
+++ b/test/test_node_memory.c
@@ -43,12 +43,13 @@
 
 static uint8_t body[MAX_BODY_BYTES];
 
-static void
+static bool
 on_connect(void *ctx, uint32_t conn, const char *address, uint16_t port)
 {
 	struct gate_fixture *g = ctx;
 
 	g->conn = conn;
+	return true;
 }
 
 static void
@@ -68,7 +69,7 @@
 		g->unknown++;
 }
 
-static void
+static bool
 on_send(void *ctx, uint32_t conn, uint32_t xid, const struct ir_msg *m)
 {
 	struct gate_fixture *g = ctx;
@@ -84,6 +85,7 @@
 		count_outcome(g, (enum ir_error)m->ir_msg_u.answer.error);
 	if (m->kind == IR_MSG_STATUS_REPLY)
 		count_outcome(g, (enum ir_error)m->ir_msg_u.status_reply.error);
+	return true;
 }
 
 static void
