Gate: an answer without room for its message stays in its record

Callers saw: requests that had run ended as host-lost (unknown). The connection that was to carry one more answer was closed while the messages to the peers' thread had no room. Cause: the core sent an answer and forgot its waiter, whether or not the message could be taken. Fix: a record whose waiters lack the answer is unsent: it neither expires nor gives way to other answers, and is sent again, in order, from each tick and from ir_node_send_unsent(). An answer that gets ready while unsent ones alone fill the share of records is dropped, and its origin told so, true as it ran. New work is refused at that bound as before. The list holds unsent records only, so a tick with none costs one comparison at any number of records. Evidence: test_send_room before: "0 != 0x1" at test_send_room.c:74 in both cases (no answer 300 ms after there is room again); now both pass, no link is lost. test_record has three cases for what is kept and dropped.

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -206,6 +206,13 @@
 /* Call at least every 10 ms while work is in progress, else every 100 ms. */
 void ir_node_tick(struct ir_node *n, int64_t now);
 
+/*
+ * Sends replies that send() had no room for, oldest first. Returns whether all
+ * were sent. To be called before further messages of peers are passed on, when
+ * there may be room again; ir_node_tick() does the same.
+ */
+bool ir_node_send_unsent(struct ir_node *n, int64_t now);
+
 /*
  * Starts a graceful shutdown. Refuses work from peers, finishes work in
  * progress and hands token buckets over. New calls of callers are refused from
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -385,6 +385,10 @@
 /* Ends a record with e, aborts its child calls and sends its answer. */
 void serve_finish_record(struct ir_node *n, int64_t now, struct ir_record *r,
     enum ir_error e, uint32_t retry_after_ms);
+/*
+ * Sends answers that had no room, oldest first. Returns whether all were sent.
+ */
+bool serve_send_unsent(struct ir_node *n, int64_t now);
 void serve_tick(struct ir_node *n, int64_t now);
 
 /* run.c */
@@ -413,8 +417,11 @@
  */
 bool peer_send_or_queue(
     struct ir_node *n, int64_t now, struct peer *p, const struct ir_msg *m);
-/* Replies on the connection that the request came on, if it still exists. */
-void peer_reply(
+/*
+ * Replies on the connection that the request came on, if it still exists. False
+ * when there is no room for the reply now.
+ */
+bool peer_reply(
     struct ir_node *n, uint32_t conn, uint32_t xid, const struct ir_msg *m);
 void peer_tick(struct ir_node *n, int64_t now);
 bool peer_is_self(struct ir_node *n, const struct peer *p);
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -257,10 +257,18 @@
 	} while (n->self_head != NULL || n->runs_to_start);
 }
 
+bool
+ir_node_send_unsent(struct ir_node *n, int64_t now)
+{
+	n->now_us = now;
+	return serve_send_unsent(n, now);
+}
+
 void
 ir_node_tick(struct ir_node *n, int64_t now)
 {
 	n->now_us = now;
+	(void)ir_node_send_unsent(n, now);
 	control_update_lease(n, now);
 	call_tick(n, now);
 	serve_tick(n, now);
@@ -284,6 +292,7 @@
 ir_node_is_idle(const struct ir_node *n)
 {
 	return n->calls == NULL && ir_records_open_count(n->records) == 0 &&
+	       ir_records_first_unsent(n->records) == NULL &&
 	       n->self_head == NULL;
 }
 
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -153,18 +153,20 @@
 	return true;
 }
 
-void
+bool
 peer_reply(
     struct ir_node *n, uint32_t conn, uint32_t xid, const struct ir_msg *m)
 {
 	if (conn == SELF_CONN) {
 		self_send(n, xid, m);
-		return;
+		return true;
 	}
 	if (conn_find(n, conn) == NULL)
-		return;
+		return true;
+	if (!n->ops.send(n->ctx, conn, xid, m))
+		return false;
 	ir_counters_add(&n->counters, IR_COUNTER_MESSAGES_SENT, 1);
-	n->ops.send(n->ctx, conn, xid, m);
+	return true;
 }
 
 static void
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -40,8 +40,12 @@
 	out->body.body_len = r->body_bytes;
 }
 
-static void
-send_answers(struct ir_node *n, int64_t now, struct ir_record *r)
+/*
+ * Sends the record's answer to those of its waiters for whom there is room.
+ * Returns whether none is left.
+ */
+static bool
+send_to_waiters(struct ir_node *n, int64_t now, struct ir_record *r, bool room)
 {
 	struct ir_waiter *w, *tmp;
 
@@ -49,16 +53,44 @@
 		struct ir_msg m = {0};
 		struct ir_reply *out;
 
+		if (!room && w->conn != SELF_CONN)
+			continue;
 		fill_reply(n, now, r, w, &m);
 		out = w->by_status ? &m.ir_msg_u.status_reply
 				   : &m.ir_msg_u.answer;
 		/* Retry tokens left are returned once, to the first waiter. */
 		out->tokens_left = r->retry_quota.tokens;
+		room = peer_reply(n, w->conn, w->xid, &m);
+		if (!room)
+			continue;
 		r->retry_quota.tokens = 0;
-		peer_reply(n, w->conn, w->xid, &m);
 		LL_DELETE(r->waiters, w);
 		talloc_free(w);
 	}
+	return r->waiters == NULL;
+}
+
+/* Answers that have no room are sent in the order in which they were ready. */
+static void
+send_answers(struct ir_node *n, int64_t now, struct ir_record *r)
+{
+	bool room = ir_records_first_unsent(n->records) == NULL;
+
+	if (!send_to_waiters(n, now, r, room) && !r->unsent)
+		ir_records_mark_unsent(n->records, r);
+}
+
+bool
+serve_send_unsent(struct ir_node *n, int64_t now)
+{
+	struct ir_record *r;
+
+	while ((r = ir_records_first_unsent(n->records)) != NULL) {
+		if (!send_to_waiters(n, now, r, true))
+			return false;
+		ir_records_mark_sent(n->records, r);
+	}
+	return true;
 }
 
 void
--- a/src/upstream/record.c
+++ b/src/upstream/record.c
@@ -48,7 +48,8 @@
 	struct evicted *evicted;	      /* hashed by attempt */
 	struct evicted *evicted_wheel[WHEEL_SLOTS];
 	int64_t expired_until_us;   /* all records of earlier slots are freed */
-	struct ir_record *answered; /* oldest first */
+	struct ir_record *answered; /* and sent; oldest first */
+	struct ir_record *unsent;   /* oldest first */
 	size_t open_count;
 };
 
@@ -247,13 +248,8 @@
 }
 
 static void
-evict_answer(struct ir_records *rs, struct ir_record *r)
+drop_answer(struct ir_records *rs, struct ir_record *r)
 {
-	if (r->idempotency_key == NULL && r->aliases == NULL) {
-		evict_record(rs, r);
-		return;
-	}
-	DL_DELETE2(rs->answered, r, answered_prev, answered_next);
 	TALLOC_FREE(r->headers);
 	r->header_count = 0;
 	TALLOC_FREE(r->body);
@@ -262,6 +258,17 @@
 	ir_records_update_size(rs, r);
 }
 
+static void
+evict_answer(struct ir_records *rs, struct ir_record *r)
+{
+	if (r->idempotency_key == NULL && r->aliases == NULL) {
+		evict_record(rs, r);
+		return;
+	}
+	DL_DELETE2(rs->answered, r, answered_prev, answered_next);
+	drop_answer(rs, r);
+}
+
 void
 ir_records_evict_answers(struct ir_records *rs, size_t free_bytes)
 {
@@ -400,6 +407,45 @@
 		DL_APPEND2(rs->answered, r, answered_prev, answered_next);
 }
 
+void
+ir_records_mark_unsent(struct ir_records *rs, struct ir_record *r)
+{
+	if (r->error == IR_OK)
+		DL_DELETE2(rs->answered, r, answered_prev, answered_next);
+	r->unsent = true;
+	DL_APPEND2(rs->unsent, r, answered_prev, answered_next);
+	ir_records_evict_answers(rs, 0);
+	if (r->error == IR_OK && r != rs->unsent &&
+	    !ir_memory_has_room(rs->memory, IR_MEMORY_RECORDS, 0))
+		drop_answer(rs, r);
+}
+
+void
+ir_records_mark_sent(struct ir_records *rs, struct ir_record *r)
+{
+	r->unsent = false;
+	DL_DELETE2(rs->unsent, r, answered_prev, answered_next);
+	if (r->error == IR_OK)
+		DL_APPEND2(rs->answered, r, answered_prev, answered_next);
+}
+
+struct ir_record *
+ir_records_first_unsent(const struct ir_records *rs)
+{
+	return rs->unsent;
+}
+
+static void
+postpone_expiry(struct ir_records *rs, struct ir_record *r, int64_t now)
+{
+	struct ir_record **slot = slot_at(rs, r->expire_us);
+
+	DL_DELETE(*slot, r);
+	r->expire_us = now + IR_RECORD_MARGIN_US;
+	slot = slot_at(rs, r->expire_us);
+	DL_APPEND(*slot, r);
+}
+
 /* After a pause the slot may hold records that expire a revolution later. */
 static void
 expire_slot(struct ir_records *rs, int64_t us, int64_t now)
@@ -407,7 +453,11 @@
 	struct ir_record *r, *next;
 
 	DL_FOREACH_SAFE (*slot_at(rs, us), r, next) {
-		if (r->expire_us <= now)
+		if (r->expire_us > now)
+			continue;
+		if (r->unsent)
+			postpone_expiry(rs, r, now);
+		else
 			free_record(rs, r);
 	}
 }
--- a/src/upstream/record.h
+++ b/src/upstream/record.h
@@ -9,6 +9,10 @@
  * oldest answers are evicted: a record with a key then answers
  * IR_E_ANSWER_DROPPED; of a record without a key, only the attempt id is kept,
  * see ir_records_is_evicted().
+ *
+ * A record whose answer could not be sent yet is unsent: it neither expires nor
+ * is evicted until it is marked as sent. An answer that is ready while unsent
+ * ones fill IR_MEMORY_RECORDS is dropped.
  */
 #ifndef IR_UPSTREAM_RECORD_H
 #define IR_UPSTREAM_RECORD_H
@@ -80,9 +84,11 @@
 	size_t accounted_bytes; /* in IR_MEMORY_RECORDS */
 	int64_t expire_us;	/* if done: time to free the record */
 	bool refused;		/* done without a run */
+	bool unsent;		/* done, and some waiters lack the answer */
 	struct ir_record *prev; /* among open ones, or in the expiry slot */
 	struct ir_record *next;
-	struct ir_record *answered_prev; /* list of those with an answer */
+	/* List of those with an answer, or of those that are unsent. */
+	struct ir_record *answered_prev;
 	struct ir_record *answered_next;
 	UT_hash_handle hh;
 	UT_hash_handle run_hh;
@@ -141,6 +147,12 @@
 /* Marks r as done, with its answer filled in, and frees its request. */
 void ir_records_mark_done(
     struct ir_records *rs, struct ir_record *r, int64_t now);
+/* Marks r, which is done, as unsent. */
+void ir_records_mark_unsent(struct ir_records *rs, struct ir_record *r);
+/* Marks r, which is unsent, as sent. */
+void ir_records_mark_sent(struct ir_records *rs, struct ir_record *r);
+/* The record that has been unsent for longest, or NULL. */
+struct ir_record *ir_records_first_unsent(const struct ir_records *rs);
 /* Evicts the oldest answers until free_bytes fit into the memory bound. */
 void ir_records_evict_answers(struct ir_records *rs, size_t free_bytes);
 /* Frees the records that expired by now. */
--- a/test/test_record.c
+++ b/test/test_record.c
@@ -60,12 +60,18 @@
 }
 
 static void
-answer(struct fixture *f, struct ir_record *r, int64_t now, size_t bytes)
+mark_answered(struct fixture *f, struct ir_record *r, int64_t now, size_t bytes)
 {
 	r->error = IR_OK;
 	r->body = talloc_size(r, bytes);
 	r->body_bytes = (uint32_t)bytes;
 	ir_records_mark_done(f->records, r, now);
+}
+
+static void
+answer(struct fixture *f, struct ir_record *r, int64_t now, size_t bytes)
+{
+	mark_answered(f, r, now, bytes);
 	ir_records_evict_answers(f->records, 0);
 }
 
@@ -175,6 +181,73 @@
 	assert_int_equal(ir_memory_held(&f->memory, IR_MEMORY_RECORDS), 0);
 }
 
+static void
+answer_unsent(struct fixture *f, struct ir_record *r)
+{
+	mark_answered(f, r, START_US, ANSWER_BYTES);
+	ir_records_mark_unsent(f->records, r);
+}
+
+/* Newer answers that were sent take up the memory bound. */
+static void
+test_unsent_answer_is_neither_evicted_nor_expired(void **state)
+{
+	struct fixture *f = *state;
+	struct ir_record *r = add(f, START_US + 1, NULL);
+
+	answer_unsent(f, r);
+	for (int i = 0; i < 200; i++)
+		answer(f, add(f, START_US + 30 * IR_US_PER_S, NULL), START_US,
+		    ANSWER_BYTES);
+	for (int64_t t = 0; t < 20 * IR_US_PER_S; t += 10 * IR_US_PER_MS)
+		ir_records_expire(f->records, START_US + t);
+	assert_ptr_equal(find(f, 1), r);
+	assert_int_equal(r->error, IR_OK);
+	assert_int_equal(r->body_bytes, ANSWER_BYTES);
+	ir_records_mark_sent(f->records, r);
+	ir_records_expire(f->records, START_US + 21 * IR_US_PER_S);
+	assert_null(find(f, 1));
+}
+
+static void
+test_unsent_answers_are_listed_oldest_first(void **state)
+{
+	struct fixture *f = *state;
+	struct ir_record *r[3];
+
+	for (int i = 0; i < 3; i++) {
+		r[i] = add(f, START_US + 1, NULL);
+		answer_unsent(f, r[i]);
+	}
+	for (int i = 0; i < 3; i++) {
+		assert_ptr_equal(ir_records_first_unsent(f->records), r[i]);
+		ir_records_mark_sent(f->records, r[i]);
+	}
+	assert_null(ir_records_first_unsent(f->records));
+}
+
+/* All attempts run already, so that none can be refused. */
+static void
+test_unsent_answers_stay_within_memory_bound(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t bound = f->memory.bound_bytes[IR_MEMORY_RECORDS];
+	struct ir_record *r[200];
+	int dropped = 0;
+
+	for (int i = 0; i < 200; i++)
+		r[i] = add(f, START_US + 1, NULL);
+	for (int i = 0; i < 200; i++) {
+		answer_unsent(f, r[i]);
+		dropped += r[i]->error == IR_E_ANSWER_DROPPED;
+		assert_true(
+		    ir_memory_held(&f->memory, IR_MEMORY_RECORDS) <= bound);
+	}
+	assert_true(dropped > 0 && dropped < 200);
+	assert_int_equal(r[0]->error, IR_OK);
+	assert_int_equal(r[199]->error, IR_E_ANSWER_DROPPED);
+}
+
 int
 main(void)
 {
@@ -186,6 +259,9 @@
 	    T(test_answers_are_evicted_before_work_is_refused),
 	    T(test_repeats_of_a_key_stay_within_the_memory_bound),
 	    T(test_work_is_refused_without_room),
+	    T(test_unsent_answer_is_neither_evicted_nor_expired),
+	    T(test_unsent_answers_are_listed_oldest_first),
+	    T(test_unsent_answers_stay_within_memory_bound),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/test/test_send_room.c
@@ -0,0 +1,146 @@
+/* Messages to peers that the I/O side has no room for. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+#include "core/internal.h"
+#include "support/fleet.h"
+
+#define ORIGIN 0
+#define GATE 1
+#define CALLS 6
+#define RUN_US (20 * IR_US_PER_MS)
+#define NO_ROOM_US (300 * IR_US_PER_MS)
+
+static const struct fleet_request write_request = {
+    "t", "write", true, NULL, false, 0, 0};
+
+/* Host 0 has no upstream of service t; gates are the hosts after it. */
+static struct fleet *
+make_fleet(int gates)
+{
+	struct fleet *f = fleet_create(NULL, 1);
+
+	(void)fleet_add_node(f, "s", "r1", "z1");
+	for (int i = 0; i < gates; i++)
+		(void)fleet_add_node(f, "t", "r1", "z1");
+	fleet_publish_defaults(f);
+	for (int i = 0; i < f->node_count; i++) {
+		f->nodes[i].run_duration_us = RUN_US;
+		fleet_start(f, i);
+	}
+	assert_true(fleet_wait_ready(f));
+	/* A new issuer waits until the former one's lease and grants end. */
+	fleet_run(f, 6 * IR_US_PER_S);
+	return f;
+}
+
+static void
+end_fleet(struct fleet *f)
+{
+	fleet_check_end(f);
+	if (f->failure != NULL)
+		fail_msg("%s", f->failure);
+	talloc_free(f);
+}
+
+/* Has the origin's links up and its tokens prefetched. */
+static void
+warm_up(struct fleet *f)
+{
+	for (int i = 0; i < 2 * f->node_count; i++)
+		(void)fleet_call(f, ORIGIN, &write_request);
+	fleet_run(f, IR_US_PER_S / 2);
+}
+
+static uint64_t
+links_lost(const struct fleet *f)
+{
+	uint64_t lost = 0;
+
+	for (int i = 0; i < f->node_count; i++)
+		lost += ir_node_counter(
+		    f->nodes[i].node, IR_COUNTER_LINKS_LOST);
+	return lost;
+}
+
+static void
+assert_answers(const struct fleet *f, int first, int count, enum ir_error e)
+{
+	for (int i = first; i < first + count; i++) {
+		assert_int_equal(f->calls[i].answers, 1);
+		assert_string_equal(ir_error_info(f->calls[i].answer.error)->name,
+		    ir_error_info(e)->name);
+	}
+}
+
+/* Makes calls, and takes the gate's room before their runs end. */
+static int
+make_answers_without_room(struct fleet *f, const struct fleet_request *r)
+{
+	int first = f->call_count;
+
+	for (int i = 0; i < CALLS; i++)
+		(void)fleet_call(f, ORIGIN, r);
+	fleet_run(f, RUN_US / 2);
+	f->nodes[GATE].no_room = true;
+	return first;
+}
+
+static void
+test_answers_without_room_are_sent_when_there_is_room(void **state)
+{
+	struct fleet *f = make_fleet(1);
+	uint64_t lost;
+	int first;
+
+	warm_up(f);
+	lost = links_lost(f);
+	first = make_answers_without_room(f, &write_request);
+	fleet_run(f, NO_ROOM_US);
+	assert_int_equal(f->calls[first].answers, 0);
+	f->nodes[GATE].no_room = false;
+	fleet_run(f, NO_ROOM_US);
+	assert_answers(f, first, CALLS, IR_OK);
+	assert_int_equal(links_lost(f), lost);
+	end_fleet(f);
+}
+
+/* A record is forgotten 250 ms after its attempt was refused. */
+static void
+test_refusals_without_room_are_sent_when_there_is_room(void **state)
+{
+	struct fleet *f = make_fleet(1);
+	int first;
+
+	warm_up(f);
+	f->nodes[GATE].upstream_mode = UPSTREAM_SHEDS;
+	f->delay_us = 5 * IR_US_PER_MS;
+	first = f->call_count;
+	for (int i = 0; i < CALLS; i++)
+		(void)fleet_call(f, ORIGIN, &write_request);
+	fleet_run(f, 6 * IR_US_PER_MS);
+	f->nodes[GATE].no_room = true;
+	fleet_run(f, 2 * NO_ROOM_US);
+	assert_int_equal(f->calls[first].answers, 0);
+	f->nodes[GATE].no_room = false;
+	fleet_run(f, NO_ROOM_US);
+	assert_answers(f, first, CALLS, IR_E_UPSTREAM_SHED);
+	end_fleet(f);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(
+		test_answers_without_room_are_sent_when_there_is_room),
+	    cmocka_unit_test(
+		test_refusals_without_room_are_sent_when_there_is_room),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
