Calls: an attempt without room for its FORWARD goes elsewhere or is refused

Callers saw: calls with no answer until their deadline, or host-lost, where the messages to the peers' thread had no room; their link was closed. Cause: an attempt counted as sent whether or not its FORWARD was taken. Fix: peer_send() tells. An attempt that was not sent did not run: it is ended at once, its retry tokens return, and the call goes to another host (its own needs no room) or fails as overload, not run. What is not sent starts no clock of an unanswered message; an unsent VIEW_REQUEST is made again by the next poll. Evidence: test_send_room before: "0 != 0x1" at test_send_room.c:76 in test_call_without_room_goes_to_the_own_gate and test_call_without_room_is_refused_at_once; after: 4 passed, no link lost.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -112,6 +112,17 @@
 	    (long long)(age_us / IR_US_PER_MS));
 }
 
+/* An attempt that was not sent does not count towards FREE_REFUSALS. */
+static void
+retry_unsent(
+    struct ir_node *n, int64_t now, struct attempt *a, enum ir_error e)
+{
+	struct call *c = a->call;
+
+	free_attempt(n, a);
+	call_retry(n, now, c, e, 0);
+}
+
 static void
 send_forward(struct ir_node *n, int64_t now, struct attempt *a)
 {
@@ -119,18 +130,23 @@
 	struct call *c = a->call;
 
 	a->retry_tokens = ir_retry_quota_split(c->retry_quota);
+	fill_forward(n, &m.ir_msg_u.forward, a, now);
+	if (peer_send(n, now, a->peer, &m) == 0) {
+		ir_retry_quota_return(
+		    c->retry_quota, a->retry_tokens, a->retry_tokens);
+		retry_unsent(n, now, a, IR_E_OVERLOAD);
+		return;
+	}
 	a->sent_us = now;
 	a->state = ATTEMPT_SENT;
 	a->gate_incarnation = peer_is_self(n, a->peer)
 				  ? n->settings.incarnation
 				  : a->peer->link.incarnation;
-	fill_forward(n, &m.ir_msg_u.forward, a, now);
 	c->sent_attempts++;
 	log_sent(n, now, a);
 	ir_counters_add(&n->counters, IR_COUNTER_ATTEMPTS, 1);
 	ir_balancer_request_sent(n->balancer, now, a->peer->name,
 	    in_other_region(n, a->peer), c->body_bytes);
-	(void)peer_send(n, now, a->peer, &m);
 }
 
 void
@@ -203,16 +219,6 @@
 	}
 }
 
-/* An attempt that was not sent does not count towards FREE_REFUSALS. */
-static void
-retry_unsent(struct ir_node *n, int64_t now, struct attempt *a)
-{
-	struct call *c = a->call;
-
-	free_attempt(n, a);
-	call_retry(n, now, c, IR_E_NO_HOST, 0);
-}
-
 /*
  * A sent attempt waits until the link is up again and its status can be
  * requested. An idempotent call with retry tokens is retried elsewhere at once.
@@ -238,7 +244,7 @@
 
 	DL_FOREACH_SAFE (p->attempts, a, tmp) {
 		if (a->state == ATTEMPT_UNSENT)
-			retry_unsent(n, now, a);
+			retry_unsent(n, now, a, IR_E_NO_HOST);
 		else
 			sent_link_lost(n, now, a);
 	}
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -185,6 +185,8 @@
 		    (uint64_t *)&m.ir_msg_u.view_request.list_revision);
 	p->view_request_sent_us = now;
 	p->view_request_xid = peer_send(n, now, p, &m);
+	if (p->view_request_xid == 0)
+		return;
 	ir_counters_add(&n->counters, IR_COUNTER_VIEW_REQUESTS, 1);
 }
 
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -329,7 +329,10 @@
     struct ir_node *n, int64_t now, const char *account);
 
 /* attempt.c */
-/* Begins an attempt at h; sends it at once, or when the link comes up. */
+/*
+ * Begins an attempt at h; sends it at once, or when the link comes up. If there
+ * is no room for it then, the call is retried elsewhere or fails as overload.
+ */
 void attempt_start(
     struct ir_node *n, int64_t now, struct call *c, const struct ir_host *h);
 /*
@@ -408,7 +411,10 @@
  * silent peer: the link sends no heartbeats for them.
  */
 bool peer_ensure_link_for_poll(struct ir_node *n, int64_t now, struct peer *p);
-/* Sends a message on a link that is up. Returns its xid, never 0. */
+/*
+ * Sends a message on a link that is up. Returns its xid; 0 when there is no
+ * room for it now, and then the link does not count as used.
+ */
 uint32_t peer_send(
     struct ir_node *n, int64_t now, struct peer *p, const struct ir_msg *m);
 /*
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -122,9 +122,10 @@
 		self_send(n, xid, m);
 		return xid;
 	}
+	if (!n->ops.send(n->ctx, p->link.conn, xid, m))
+		return 0;
 	ir_counters_add(&n->counters, IR_COUNTER_MESSAGES_SENT, 1);
 	ir_link_message_sent(&p->link, now);
-	n->ops.send(n->ctx, p->link.conn, xid, m);
 	return xid;
 }
 
--- a/test/test_send_room.c
+++ b/test/test_send_room.c
@@ -17,6 +17,8 @@
 
 static const struct fleet_request write_request = {
     "t", "write", true, NULL, false, 0, 0};
+static const struct fleet_request open_request = {
+    "t", "open", false, NULL, false, 0, 0};
 
 /* Host 0 has no upstream of service t; gates are the hosts after it. */
 static struct fleet *
@@ -132,6 +134,46 @@
 	end_fleet(f);
 }
 
+/* The call enters at a gate: its own needs no room. */
+static void
+test_call_without_room_goes_to_the_own_gate(void **state)
+{
+	struct fleet *f = make_fleet(2);
+	int first;
+
+	warm_up(f);
+	first = f->call_count;
+	f->nodes[GATE].no_room = true;
+	for (int i = 0; i < CALLS; i++)
+		(void)fleet_call(f, GATE, &open_request);
+	fleet_run(f, NO_ROOM_US);
+	assert_answers(f, first, CALLS, IR_OK);
+	end_fleet(f);
+}
+
+static void
+test_call_without_room_is_refused_at_once(void **state)
+{
+	struct fleet *f = make_fleet(2);
+	uint64_t lost;
+	int first;
+
+	warm_up(f);
+	lost = links_lost(f);
+	first = f->call_count;
+	f->nodes[ORIGIN].no_room = true;
+	for (int i = 0; i < CALLS; i++)
+		(void)fleet_call(f, ORIGIN, &open_request);
+	assert_answers(f, first, CALLS, IR_E_OVERLOAD);
+	f->nodes[ORIGIN].no_room = false;
+	assert_int_equal(
+	    fleet_call(f, ORIGIN, &write_request), first + CALLS);
+	fleet_run(f, NO_ROOM_US);
+	assert_answers(f, first + CALLS, 1, IR_OK);
+	assert_int_equal(links_lost(f), lost);
+	end_fleet(f);
+}
+
 int
 main(void)
 {
@@ -140,6 +182,8 @@
 		test_answers_without_room_are_sent_when_there_is_room),
 	    cmocka_unit_test(
 		test_refusals_without_room_are_sent_when_there_is_room),
+	    cmocka_unit_test(test_call_without_room_goes_to_the_own_gate),
+	    cmocka_unit_test(test_call_without_room_is_refused_at_once),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
