Peers: messages to hosts that have no room are sent later

Callers saw: calls that waited until their deadline or ended as unknown after the messages to the peers' thread had no room for a moment, and work that went on for callers who had left. Cause: STATUS, CANCEL, HANDOVER, HELLO, HEARTBEAT and the connecting itself counted as done whether or not they were taken. Fix, for each kind that this node starts: - STATUS: its attempt stays as it was; the peer is marked, and its attempts are looked at again at the next tick. - CANCEL, HANDOVER: kept in the peer's queue of 256, which is there for links that are being connected, and sent by the next tick that has room. - HEARTBEAT: asked for again by the next tick, starts no clock, and the link is not judged silent before the peer had time to answer one that was sent. - HELLO: sent by the next tick, while the greeting's time lasts. - GRANT_REQUEST: as to a host that cannot be reached: the rate limiter asks the next bucket, or again after 10 ms; grants reported as spent stay reported. - connect: the link stays down and is tried by the next tick; attempts wait. A tick looks at two flags more for each peer.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -181,8 +181,10 @@
 	m.ir_msg_u.status.attempt.incarnation = n->settings.incarnation;
 	m.ir_msg_u.status.attempt.sequence = a->sequence;
 	m.ir_msg_u.status.gate_incarnation = a->gate_incarnation;
-	a->state = ATTEMPT_STATUS_REQUESTED;
-	(void)peer_send(n, now, a->peer, &m);
+	if (peer_send(n, now, a->peer, &m) != 0)
+		a->state = ATTEMPT_STATUS_REQUESTED;
+	else
+		a->peer->status_due = true;
 }
 
 /* The gate has restarted, so the attempt's outcome cannot be known. */
@@ -259,7 +261,7 @@
 		m.ir_msg_u.cancel.attempt.incarnation = n->settings.incarnation;
 		m.ir_msg_u.cancel.attempt.sequence = a->sequence;
 		m.ir_msg_u.cancel.gate_incarnation = a->gate_incarnation;
-		(void)peer_send_or_queue(n, now, a->peer, &m);
+		(void)peer_send_or_keep(n, now, a->peer, &m);
 		ir_balancer_request_done(
 		    n->balancer, now, a->peer->name, a->call->account, NULL, 0);
 	}
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -374,7 +374,7 @@
 	struct peer *p = peer_get(n, to->name);
 
 	m.ir_msg_u.handover = *h;
-	if (p != NULL && peer_send_or_queue(n, n->now_us, p, &m))
+	if (p != NULL && peer_send_or_keep(n, n->now_us, p, &m))
 		node_log(n, IR_EVENT_BUCKET_HANDED,
 		    "account=%s bucket=%u to=%s", h->account, h->bucket,
 		    to->name);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -124,6 +124,8 @@
 	struct attempt *attempts;
 	struct pending_message *pending; /* oldest first */
 	uint32_t pending_count;
+	bool hello_due;	 /* on the current connection; had no room */
+	bool status_due; /* of some attempts; had no room */
 	uint32_t view_request_xid; /* of the unanswered VIEW_REQUEST, or 0 */
 	int64_t view_request_sent_us;
 	UT_hash_handle hh;
@@ -419,10 +421,14 @@
     struct ir_node *n, int64_t now, struct peer *p, const struct ir_msg *m);
 /*
  * Sends a message now, or queues it while the link is being connected. False
- * when the link stays down, the queue is full or memory is short.
+ * when the link stays down, there is no room, the queue is full or memory is
+ * short.
  */
 bool peer_send_or_queue(
     struct ir_node *n, int64_t now, struct peer *p, const struct ir_msg *m);
+/* The same, but also queues it when the link is up and there is no room. */
+bool peer_send_or_keep(
+    struct ir_node *n, int64_t now, struct peer *p, const struct ir_msg *m);
 /*
  * Replies on the connection that the request came on, if it still exists. False
  * when there is no room for the reply now.
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -65,16 +65,22 @@
 {
 	const struct ir_host *h = ir_view_host(node_view(n), p->name);
 	uint32_t id = n->next_conn;
+	struct conn *c;
 
 	if (h == NULL)
 		return;
 	n->next_conn += 2;
 	if (n->next_conn == SELF_CONN)
 		n->next_conn = 2;
-	if (conn_add(n, id, p) == NULL)
+	c = conn_add(n, id, p);
+	if (c == NULL)
+		return;
+	if (!n->ops.connect(n->ctx, id, h->address, h->peer_port)) {
+		conn_remove(n, c);
 		return;
+	}
+	p->hello_due = false;
 	ir_link_connect_started(&p->link, now, id);
-	n->ops.connect(n->ctx, id, h->address, h->peer_port);
 }
 
 bool
@@ -129,22 +135,12 @@
 	return xid;
 }
 
-bool
-peer_send_or_queue(
-    struct ir_node *n, int64_t now, struct peer *p, const struct ir_msg *m)
+static bool
+queue_message(struct peer *p, const struct ir_msg *m)
 {
 	struct pending_message *q;
 
-	/*
-	 * These messages keep no heartbeats going on the link: their senders
-	 * time out on their own or need no reply.
-	 */
-	if (peer_ensure_link_for_poll(n, now, p)) {
-		(void)peer_send(n, now, p, m);
-		return true;
-	}
-	if (p->link.state == IR_LINK_DOWN ||
-	    p->pending_count >= MAX_PENDING_MESSAGES)
+	if (p->pending_count >= MAX_PENDING_MESSAGES)
 		return false;
 	q = pending_message_new(p, 0, m);
 	if (q == NULL)
@@ -154,6 +150,28 @@
 	return true;
 }
 
+bool
+peer_send_or_queue(
+    struct ir_node *n, int64_t now, struct peer *p, const struct ir_msg *m)
+{
+	/*
+	 * These messages keep no heartbeats going on the link: their senders
+	 * time out on their own or need no reply.
+	 */
+	if (peer_ensure_link_for_poll(n, now, p))
+		return peer_send(n, now, p, m) != 0;
+	return p->link.state != IR_LINK_DOWN && queue_message(p, m);
+}
+
+bool
+peer_send_or_keep(
+    struct ir_node *n, int64_t now, struct peer *p, const struct ir_msg *m)
+{
+	if (peer_send_or_queue(n, now, p, m))
+		return true;
+	return p->link.state == IR_LINK_UP && queue_message(p, m);
+}
+
 bool
 peer_reply(
     struct ir_node *n, uint32_t conn, uint32_t xid, const struct ir_msg *m)
@@ -190,7 +208,7 @@
 	h->expected_host = p->name;
 	ir_node_revisions(
 	    n, (uint64_t *)&h->config_revision, (uint64_t *)&h->list_revision);
-	(void)peer_send(n, now, p, &m);
+	p->hello_due = peer_send(n, now, p, &m) == 0;
 }
 
 static void
@@ -199,7 +217,8 @@
 	struct ir_msg m = {.kind = IR_MSG_HEARTBEAT};
 
 	fill_heartbeat(n, now, &m.ir_msg_u.heartbeat);
-	(void)peer_send(n, now, p, &m);
+	if (peer_send(n, now, p, &m) == 0)
+		ir_link_heartbeat_unsent(&p->link, now);
 }
 
 static void
@@ -235,19 +254,22 @@
 static void
 send_pending(struct ir_node *n, int64_t now, struct peer *p)
 {
-	struct pending_message *q, *tmp, *head = p->pending;
+	struct pending_message *q;
 
-	p->pending = NULL;
-	p->pending_count = 0;
-	LL_FOREACH_SAFE (head, q, tmp) {
+	while ((q = p->pending) != NULL) {
 		struct ir_msg m;
 		const char *error;
 		uint32_t xid;
+		bool room = true;
 
 		if (ir_codec_decode(q->data, q->size_bytes, &xid, &m, &error) ==
 		    0)
-			(void)peer_send(n, now, p, &m);
+			room = peer_send(n, now, p, &m) != 0;
 		ir_codec_free(&m);
+		if (!room)
+			return;
+		LL_DELETE(p->pending, q);
+		p->pending_count--;
 		talloc_free(q);
 	}
 }
@@ -473,9 +495,26 @@
 	node_run_deferred(n, now);
 }
 
+/* Sends what had no room before. */
+static void
+send_due(struct ir_node *n, int64_t now, struct peer *p)
+{
+	if (p->link.state == IR_LINK_GREETING && p->hello_due)
+		send_hello(n, now, p);
+	if (p->link.state != IR_LINK_UP)
+		return;
+	if (p->status_due) {
+		p->status_due = false;
+		attempt_link_up(n, now, p);
+	}
+	if (p->pending != NULL)
+		send_pending(n, now, p);
+}
+
 static void
 tick_peer(struct ir_node *n, int64_t now, struct peer *p)
 {
+	send_due(n, now, p);
 	if (p->attempts != NULL)
 		(void)peer_ensure_link(n, now, p);
 	switch (ir_link_tick(&p->link, now)) {
--- a/src/link/link.c
+++ b/src/link/link.c
@@ -110,6 +110,15 @@
 		l->unanswered_us = now;
 }
 
+void
+ir_link_heartbeat_unsent(struct ir_link *l, int64_t now)
+{
+	if (l->unanswered_us == now)
+		l->unanswered_us = 0;
+	l->heartbeat_sent_us = 0;
+	l->grace_until_us = now + IR_LINK_TIMEOUT_US;
+}
+
 void
 ir_link_message_received(struct ir_link *l, int64_t now)
 {
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -76,6 +76,12 @@
  */
 bool ir_link_hello_reply(struct ir_link *l, int64_t now, const char *expected,
     const char *host, bool accepted, uint64_t incarnation);
+/*
+ * The heartbeat asked for by the last ir_link_tick(), at the same time now, was
+ * not sent. The link is then not lost before the peer had time to answer a
+ * later one.
+ */
+void ir_link_heartbeat_unsent(struct ir_link *l, int64_t now);
 void ir_link_message_sent(struct ir_link *l, int64_t now);
 void ir_link_message_received(struct ir_link *l, int64_t now);
 /* The connection was closed or could not be opened. */
--- a/test/test_send_room.c
+++ b/test/test_send_room.c
@@ -174,6 +174,136 @@
 	end_fleet(f);
 }
 
+/* The origin has no link to some of the gates yet. */
+static void
+test_calls_wait_for_a_connection_without_room(void **state)
+{
+	struct fleet *f = make_fleet(3);
+
+	f->nodes[ORIGIN].no_room = true;
+	for (int i = 0; i < CALLS; i++)
+		(void)fleet_call(f, ORIGIN, &open_request);
+	fleet_run(f, NO_ROOM_US);
+	assert_int_equal(f->calls[0].answers, 0);
+	f->nodes[ORIGIN].no_room = false;
+	fleet_run(f, NO_ROOM_US);
+	assert_answers(f, 0, CALLS, IR_OK);
+	end_fleet(f);
+}
+
+static void
+take_room_at_hello_reply(struct fleet *f, const struct fleet_step_event *ev)
+{
+	if (ev->step == STEP_RECEIVED && ev->kind == IR_MSG_HELLO_REPLY &&
+	    ev->node == ORIGIN)
+		f->nodes[ORIGIN].no_room = true;
+}
+
+static void
+test_status_without_room_is_requested_later(void **state)
+{
+	struct fleet *f = make_fleet(1);
+	int c;
+
+	warm_up(f);
+	f->nodes[GATE].run_duration_us = NO_ROOM_US;
+	c = fleet_call(f, ORIGIN, &write_request);
+	fleet_run(f, RUN_US);
+	fleet_close(f, ORIGIN, GATE);
+	f->hook = take_room_at_hello_reply;
+	fleet_run(f, 2 * NO_ROOM_US);
+	f->hook = NULL;
+	assert_true(f->nodes[ORIGIN].no_room);
+	assert_int_equal(f->calls[c].answers, 0);
+	f->nodes[ORIGIN].no_room = false;
+	fleet_run(f, NO_ROOM_US);
+	assert_answers(f, c, 1, IR_OK);
+	end_fleet(f);
+}
+
+static void
+test_cancel_without_room_is_sent_later(void **state)
+{
+	struct fleet *f = make_fleet(1);
+	struct ir_records *records;
+	int c;
+
+	warm_up(f);
+	records = f->nodes[GATE].node->records;
+	f->nodes[GATE].run_duration_us = 3 * IR_US_PER_S;
+	c = fleet_call(f, ORIGIN, &write_request);
+	fleet_run(f, RUN_US);
+	f->nodes[ORIGIN].no_room = true;
+	fleet_abandon_call(f, c);
+	fleet_run(f, NO_ROOM_US);
+	assert_int_equal(ir_records_open_count(records), 1);
+	f->nodes[ORIGIN].no_room = false;
+	fleet_run(f, NO_ROOM_US);
+	assert_int_equal(ir_records_open_count(records), 0);
+	end_fleet(f);
+}
+
+static void
+test_link_without_room_for_heartbeats_is_not_lost(void **state)
+{
+	struct fleet *f = make_fleet(1);
+	uint64_t lost;
+	int c;
+
+	warm_up(f);
+	lost = links_lost(f);
+	f->nodes[GATE].run_duration_us = 3 * IR_US_PER_S;
+	c = fleet_call(f, ORIGIN, &write_request);
+	fleet_run(f, RUN_US);
+	f->nodes[ORIGIN].no_room = true;
+	fleet_run(f, 2 * IR_US_PER_S);
+	f->nodes[ORIGIN].no_room = false;
+	fleet_run(f, 2 * IR_US_PER_S);
+	assert_answers(f, c, 1, IR_OK);
+	assert_int_equal(links_lost(f), lost);
+	end_fleet(f);
+}
+
+static int
+issuer_of_buckets(const struct fleet *f)
+{
+	for (int i = 0; i < f->node_count; i++) {
+		if (ir_issuer_bucket_count(f->nodes[i].node->issuer) > 0)
+			return i;
+	}
+	return -1;
+}
+
+static bool
+gave_buckets_up(struct fleet *f, void *ctx)
+{
+	const int *issuer = ctx;
+
+	return ir_issuer_bucket_count(f->nodes[*issuer].node->issuer) == 0;
+}
+
+/* Without the handover the new issuer waits for over 5 s. */
+static void
+test_handover_without_room_is_sent_later(void **state)
+{
+	struct fleet *f = make_fleet(3);
+	int issuer, c;
+
+	warm_up(f);
+	issuer = issuer_of_buckets(f);
+	f->nodes[issuer].no_room = true;
+	fleet_publish_host(f, issuer, "leaving");
+	assert_true(fleet_run_until(
+	    f, 4 * IR_US_PER_S, gave_buckets_up, &issuer));
+	fleet_run(f, NO_ROOM_US);
+	f->nodes[issuer].no_room = false;
+	fleet_run(f, 2 * IR_US_PER_S);
+	c = fleet_call(f, (issuer + 1) % f->node_count, &write_request);
+	fleet_run(f, IR_US_PER_S);
+	assert_answers(f, c, 1, IR_OK);
+	end_fleet(f);
+}
+
 int
 main(void)
 {
@@ -184,6 +314,11 @@
 		test_refusals_without_room_are_sent_when_there_is_room),
 	    cmocka_unit_test(test_call_without_room_goes_to_the_own_gate),
 	    cmocka_unit_test(test_call_without_room_is_refused_at_once),
+	    cmocka_unit_test(test_calls_wait_for_a_connection_without_room),
+	    cmocka_unit_test(test_status_without_room_is_requested_later),
+	    cmocka_unit_test(test_cancel_without_room_is_sent_later),
+	    cmocka_unit_test(test_link_without_room_for_heartbeats_is_not_lost),
+	    cmocka_unit_test(test_handover_without_room_is_sent_later),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
