Peers: replies without a record that have no room are kept

Callers saw: no answer until the deadline where a gate refused an attempt that got no record (its share of memory was full, or a key was used for another request) while the messages to the peers' thread had no room; and links that were taken for silent. Cause: ANSWER and STATUS_REPLY without a record, HELLO_REPLY, HEARTBEAT_REPLY, GRANT, HANDOVER_REPLY and VIEW were dropped when not taken. A reader whose VIEW_REQUEST got no reply never asked that peer again. Fix: each is kept, encoded, and sent by the next tick that has room; of a VIEW its request is kept and handled again, since a view may be large and its ages change. So a grant is made once and delivered late, or expires as any other. Of a closed connection they are dropped. They count in the share of records. From 1,024 on, messages of peers are to wait with the I/O side (ir_node_may_receive()); it makes room without the core's doing, so that none waits for another.

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -207,11 +207,16 @@
 void ir_node_tick(struct ir_node *n, int64_t now);
 
 /*
- * Sends replies that send() had no room for, oldest first. Returns whether all
- * were sent. To be called before further messages of peers are passed on, when
- * there may be room again; ir_node_tick() does the same.
+ * Sends answers that send() had no room for, oldest first. Returns whether no
+ * reply is left unsent. To be called when there may be room again, before
+ * further messages of peers are passed on; ir_node_tick() sends all replies.
  */
 bool ir_node_send_unsent(struct ir_node *n, int64_t now);
+/*
+ * Whether messages of peers may be passed on. False while too many replies are
+ * unsent; all other events may be reported then.
+ */
+bool ir_node_may_receive(const struct ir_node *n);
 
 /*
  * Starts a graceful shutdown. Refuses work from peers, finishes work in
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -206,6 +206,7 @@
     const char *from, const struct ir_view_request *request)
 {
 	struct ir_msg m = {.kind = IR_MSG_VIEW};
+	struct ir_msg again = {.kind = IR_MSG_VIEW_REQUEST};
 	struct ir_view_msg *v = &m.ir_msg_u.view;
 	struct ir_section *sections = NULL;
 	bool full = false;
@@ -220,7 +221,10 @@
 	v->sections.sections_len = (uint32_t)count;
 	ir_view_lease_fill_reply(
 	    n->view_lease, now, v->config_revision, v->list_revision, v);
-	peer_reply(n, conn, xid, &m);
+	if (!peer_reply(n, conn, xid, &m)) {
+		again.ir_msg_u.view_request = *request;
+		unsent_keep(n, conn, xid, &again);
+	}
 	talloc_free(sections);
 	if (ir_view_host(node_view(n), from) != NULL)
 		control_check_peer_revisions(n, now, peer_get(n, from),
@@ -295,7 +299,7 @@
 	    request, &m.ir_msg_u.grant);
 	ir_counters_add(
 	    &n->counters, IR_COUNTER_GRANTS_ISSUED, m.ir_msg_u.grant.count);
-	peer_reply(n, conn, xid, &m);
+	unsent_reply(n, conn, xid, &m);
 }
 
 static void
@@ -310,7 +314,7 @@
 	ir_issuer_handover(n->issuer, now, node_view(n), self, h);
 	node_log(n, IR_EVENT_BUCKET_TAKEN, "account=%s bucket=%u", h->account,
 	    h->bucket);
-	peer_reply(n, conn, xid, &m);
+	unsent_reply(n, conn, xid, &m);
 }
 
 void
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -180,6 +180,8 @@
 	struct conn *conns;
 	struct service_retry_budget *retry_budgets;
 	struct static_share *static_shares;
+	struct unsent_reply *unsent_replies; /* oldest first */
+	uint32_t unsent_reply_count;
 	struct pending_message *self_head; /* to this node, oldest first */
 	struct pending_message *self_tail;
 	int64_t now_us; /* time of the event being handled */
@@ -448,6 +450,23 @@
 void peer_handle_reply(struct ir_node *n, int64_t now, struct peer *p,
     uint32_t xid, const struct ir_msg *m);
 
+/* Handles a request that was kept again, if its connection still exists. */
+void peer_repeat_request(struct ir_node *n, int64_t now, uint32_t conn,
+    uint32_t xid, const struct ir_msg *m);
+
+/* unsent.c */
+/* Replies; when there is no room now, keeps the reply until it is sent. */
+void unsent_reply(
+    struct ir_node *n, uint32_t conn, uint32_t xid, const struct ir_msg *m);
+/*
+ * Keeps a message until there may be room: a reply to send, or a request to
+ * handle again. Dropped if out of memory.
+ */
+void unsent_keep(
+    struct ir_node *n, uint32_t conn, uint32_t xid, const struct ir_msg *m);
+/* Sends what is kept, oldest first. Returns whether nothing is left. */
+bool unsent_send(struct ir_node *n, int64_t now);
+
 /* self.c */
 /* Queues a message to this node; dropped if out of memory. */
 void self_send(struct ir_node *n, uint32_t xid, const struct ir_msg *m);
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -261,14 +261,14 @@
 ir_node_send_unsent(struct ir_node *n, int64_t now)
 {
 	n->now_us = now;
-	return serve_send_unsent(n, now);
+	return serve_send_unsent(n, now) && n->unsent_replies == NULL;
 }
 
 void
 ir_node_tick(struct ir_node *n, int64_t now)
 {
 	n->now_us = now;
-	(void)ir_node_send_unsent(n, now);
+	(void)(unsent_send(n, now) && serve_send_unsent(n, now));
 	control_update_lease(n, now);
 	call_tick(n, now);
 	serve_tick(n, now);
@@ -293,6 +293,7 @@
 {
 	return n->calls == NULL && ir_records_open_count(n->records) == 0 &&
 	       ir_records_first_unsent(n->records) == NULL &&
+	       n->unsent_replies == NULL &&
 	       n->self_head == NULL;
 }
 
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -332,8 +332,10 @@
 		node_log(n, IR_EVENT_LINK_REFUSED, "host=%s expected=%s",
 		    h->host, h->expected_host);
 	}
-	ir_counters_add(&n->counters, IR_COUNTER_MESSAGES_SENT, 1);
-	n->ops.send(n->ctx, conn, xid, &m);
+	if (r->accepted)
+		unsent_reply(n, conn, xid, &m);
+	else if (n->ops.send(n->ctx, conn, xid, &m))
+		ir_counters_add(&n->counters, IR_COUNTER_MESSAGES_SENT, 1);
 }
 
 static void
@@ -343,7 +345,7 @@
 	struct ir_msg m = {.kind = IR_MSG_HEARTBEAT_REPLY};
 
 	fill_heartbeat(n, now, &m.ir_msg_u.heartbeat_reply);
-	peer_reply(n, conn, xid, &m);
+	unsent_reply(n, conn, xid, &m);
 	if (ir_view_host(node_view(n), from) != NULL)
 		control_check_peer_revisions(n, now, peer_get(n, from),
 		    h->config_revision, h->list_revision);
@@ -408,6 +410,16 @@
 	}
 }
 
+void
+peer_repeat_request(struct ir_node *n, int64_t now, uint32_t conn, uint32_t xid,
+    const struct ir_msg *m)
+{
+	struct conn *c = conn_find(n, conn);
+
+	if (c != NULL && c->hello_host != NULL)
+		peer_handle_request(n, now, conn, xid, c->hello_host, m);
+}
+
 void
 peer_handle_reply(struct ir_node *n, int64_t now, struct peer *p, uint32_t xid,
     const struct ir_msg *m)
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -338,7 +338,7 @@
 	out->error = e;
 	out->tokens_left = f->retry_tokens;
 	out->load = node_load(n, now, f->account);
-	peer_reply(n, conn, xid, &m);
+	unsent_reply(n, conn, xid, &m);
 }
 
 /*
@@ -512,7 +512,7 @@
 	out->incarnation = n->settings.incarnation;
 	out->error = IR_E_ANSWER_DROPPED;
 	out->load = node_load(n, now, "");
-	peer_reply(n, conn, xid, &m);
+	unsent_reply(n, conn, xid, &m);
 }
 
 void
--- a/test/test_send_room.c
+++ b/test/test_send_room.c
@@ -79,6 +79,15 @@
 	}
 }
 
+static int
+call_and_wait(struct fleet *f, const struct fleet_request *r)
+{
+	int c = fleet_call(f, ORIGIN, r);
+
+	fleet_run(f, NO_ROOM_US);
+	return c;
+}
+
 /* Makes calls, and takes the gate's room before their runs end. */
 static int
 make_answers_without_room(struct fleet *f, const struct fleet_request *r)
@@ -304,6 +313,128 @@
 	end_fleet(f);
 }
 
+static void
+take_room_at_forward(struct fleet *f, const struct fleet_step_event *ev)
+{
+	if (ev->step == STEP_RECEIVED && ev->kind == IR_MSG_FORWARD)
+		f->nodes[GATE].no_room = true;
+}
+
+/* A key that is used again for another request gets no record. */
+static void
+test_refusal_without_record_and_room_is_sent_later(void **state)
+{
+	struct fleet *f = make_fleet(1);
+	struct fleet_request keyed = write_request;
+	int c;
+
+	warm_up(f);
+	keyed.idempotency_key = "key";
+	keyed.first_attempt = true;
+	assert_answers(f, call_and_wait(f, &keyed), 1, IR_OK);
+	c = fleet_call(f, ORIGIN, &keyed);
+	f->hook = take_room_at_forward;
+	fleet_run(f, NO_ROOM_US);
+	f->hook = NULL;
+	assert_int_equal(f->calls[c].answers, 0);
+	f->nodes[GATE].no_room = false;
+	fleet_run(f, NO_ROOM_US);
+	assert_answers(f, c, 1, IR_E_BAD_REQUEST);
+	end_fleet(f);
+}
+
+static void
+test_view_without_room_is_sent_later(void **state)
+{
+	struct fleet *f = make_fleet(3);
+	int asked = 0;
+
+	warm_up(f);
+	f->store_cut[ORIGIN] = true;
+	fleet_run(f, 2 * IR_US_PER_S);
+	for (int i = 0; i < f->node_count; i++)
+		f->nodes[i].no_room = i != ORIGIN;
+	fleet_run(f, 3 * IR_VIEW_POLL_US / 2);
+	for (struct peer *p = f->nodes[ORIGIN].node->peers; p != NULL;
+	     p = p->hh.next)
+		asked += p->view_request_xid != 0;
+	assert_true(asked > 0);
+	for (int i = 0; i < f->node_count; i++)
+		f->nodes[i].no_room = false;
+	fleet_run(f, RUN_US);
+	for (struct peer *p = f->nodes[ORIGIN].node->peers; p != NULL;
+	     p = p->hh.next)
+		assert_int_equal(p->view_request_xid, 0);
+	end_fleet(f);
+}
+
+static void
+take_room_at_hello(struct fleet *f, const struct fleet_step_event *ev)
+{
+	if (ev->step == STEP_RECEIVED && ev->kind == IR_MSG_HELLO &&
+	    ev->node == GATE)
+		f->nodes[GATE].no_room = true;
+}
+
+static void
+test_greeting_without_room_is_answered_later(void **state)
+{
+	struct fleet *f = make_fleet(1);
+	int c;
+
+	warm_up(f);
+	f->nodes[GATE].run_duration_us = NO_ROOM_US;
+	c = fleet_call(f, ORIGIN, &write_request);
+	fleet_run(f, RUN_US);
+	fleet_close(f, ORIGIN, GATE);
+	f->hook = take_room_at_hello;
+	fleet_run(f, 2 * NO_ROOM_US);
+	f->hook = NULL;
+	assert_true(f->nodes[GATE].no_room);
+	f->nodes[GATE].no_room = false;
+	fleet_run(f, 2 * RUN_US);
+	assert_answers(f, c, 1, IR_OK);
+	end_fleet(f);
+}
+
+/* The origin then takes the gate for lost, and asks once it is back. */
+static void
+test_answer_without_room_for_seconds_is_not_lost(void **state)
+{
+	struct fleet *f = make_fleet(1);
+	int c;
+
+	warm_up(f);
+	c = fleet_call(f, ORIGIN, &write_request);
+	fleet_run(f, RUN_US / 2);
+	f->nodes[GATE].no_room = true;
+	fleet_run(f, 2 * IR_US_PER_S);
+	f->nodes[GATE].no_room = false;
+	fleet_run(f, 2 * IR_US_PER_S);
+	assert_answers(f, c, 1, IR_OK);
+	end_fleet(f);
+}
+
+static void
+test_messages_of_peers_wait_while_many_replies_do(void **state)
+{
+	struct fleet *f = make_fleet(1);
+	struct ir_node *n = f->nodes[GATE].node;
+	struct ir_msg m = {.kind = IR_MSG_HANDOVER_REPLY};
+	uint64_t held = ir_memory_held(n->settings.memory, IR_MEMORY_RECORDS);
+
+	warm_up(f);
+	while (ir_node_may_receive(n))
+		unsent_keep(n, 0, 1, &m);
+	assert_true(
+	    ir_memory_held(n->settings.memory, IR_MEMORY_RECORDS) > held);
+	assert_false(ir_node_is_idle(n));
+	fleet_run(f, RUN_US);
+	assert_true(ir_node_may_receive(n));
+	assert_int_equal(n->unsent_reply_count, 0);
+	end_fleet(f);
+}
+
 int
 main(void)
 {
@@ -319,6 +450,13 @@
 	    cmocka_unit_test(test_cancel_without_room_is_sent_later),
 	    cmocka_unit_test(test_link_without_room_for_heartbeats_is_not_lost),
 	    cmocka_unit_test(test_handover_without_room_is_sent_later),
+	    cmocka_unit_test(
+		test_refusal_without_record_and_room_is_sent_later),
+	    cmocka_unit_test(test_view_without_room_is_sent_later),
+	    cmocka_unit_test(test_greeting_without_room_is_answered_later),
+	    cmocka_unit_test(test_answer_without_room_for_seconds_is_not_lost),
+	    cmocka_unit_test(
+		test_messages_of_peers_wait_while_many_replies_do),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
