Core's thread: a full ring to the peers' thread closes no connection

Callers saw: 1 to 19 of 400 requests beside answers of 1 MB ended as host-lost (unknown) on nodes of 48 MB. Cause: while the messages to the peers' thread had no room (16,384 of them, or the bytes of IR_MEMORY_RINGS), the connection that was to carry one more was closed, with all attempts of both hosts on it. When the peers' thread has taken all messages it may be sent one of any size: an answer of 4 MB is over the bound of a process of 48 MB, and others fill the rings too. Only a message that cannot be encoded still closes its connection.

--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -206,6 +206,8 @@
 		struct ir_to_core *m;
 		int i;
 
+		if (t == IR_THREAD_PEERS && !ir_node_may_receive(c->node))
+			continue;
 		for (i = 0; i < RING_BATCH; i++) {
 			m = ir_ring_pop(ring);
 			if (m == NULL)
@@ -231,7 +233,7 @@
 static bool
 flush_outboxes(struct core *c)
 {
-	bool all = true;
+	bool all = ir_node_send_unsent(c->node, ir_clock_now());
 
 	for (int t = 0; t < IR_THREAD_COUNT; t++)
 		all = ir_outbox_flush(&c->outboxes[t]) && all;
@@ -353,7 +355,7 @@
 	if (!flushed)
 		timeout_ms = OUTBOX_RETRY_MS;
 	ir_wakeup_arm(c->loop->wakeup);
-	if (all_rings_empty(c))
+	if (all_rings_empty(c) || !ir_node_may_receive(c->node))
 		poll(&p, 1, timeout_ms);
 	ir_wakeup_disarm(c->loop->wakeup);
 }
--- a/src/io/core/core_loop.h
+++ b/src/io/core/core_loop.h
@@ -4,9 +4,9 @@
  * calls the node's tick, and sends the node's actions to the other threads.
  *
  * Messages that a full ring does not take wait in an outbox. When too many
- * wait, a new run ends as not connected and a peer connection is closed, so
- * that no false outcome is reported. Answers to callers need no such limit: the
- * number of calls that the node holds bounds them.
+ * wait, a new run ends as not connected, and the node keeps or refuses what was
+ * to be sent to peers. Answers to callers need no such limit: the number of
+ * calls that the node holds bounds them.
  */
 #ifndef IR_IO_CORE_LOOP_H
 #define IR_IO_CORE_LOOP_H
--- a/src/io/core/core_out.c
+++ b/src/io/core/core_out.c
@@ -59,11 +59,45 @@
 	talloc_free(cc);
 }
 
+/*
+ * Whether the peers' thread may be sent this many more bytes. When it has taken
+ * all messages it may always be sent one: each then has room at some time,
+ * whatever its size and whoever fills the rings.
+ */
 static bool
-peer_outbox_is_full(const struct core *c)
+peers_have_room(const struct core *c, size_t size_bytes)
 {
-	return c->outboxes[IR_THREAD_PEERS].backlog_count >=
-	       MAX_PENDING_PEER_MESSAGES;
+	const struct ir_outbox *o = &c->outboxes[IR_THREAD_PEERS];
+
+	if (ir_outbox_is_empty(o))
+		return true;
+	return o->backlog_count < MAX_PENDING_PEER_MESSAGES &&
+	       ir_message_charge_has_room(c->loop->memory, size_bytes);
+}
+
+/* Reported once until a message is taken again, as messages are repeated. */
+static void
+report_peers_full(struct core *c, const char *what)
+{
+	if (!c->peers_full)
+		report_full(c, "peers", what);
+	c->peers_full = true;
+}
+
+/* At most the bytes of the encoded message. */
+static size_t
+body_bytes(const struct ir_msg *m)
+{
+	switch (m->kind) {
+	case IR_MSG_FORWARD:
+		return m->ir_msg_u.forward.body.body_len;
+	case IR_MSG_ANSWER:
+		return m->ir_msg_u.answer.body.body_len;
+	case IR_MSG_STATUS_REPLY:
+		return m->ir_msg_u.status_reply.body.body_len;
+	default:
+		return 0;
+	}
 }
 
 static void
@@ -80,14 +114,10 @@
 {
 	struct core *c = ctx;
 	struct ir_from_core *m;
-	struct ir_to_core *closed;
 
-	if (peer_outbox_is_full(c)) {
-		report_full(c, "peers", "connect");
-		closed = ir_to_core_new(IR_TO_CORE_PEER_CLOSED);
-		closed->conn = conn;
-		defer_event(c, closed);
-		return true;
+	if (!peers_have_room(c, 0)) {
+		report_peers_full(c, "connect");
+		return false;
 	}
 	m = ir_from_core_new(IR_FROM_CORE_PEER_CONNECT);
 	m->conn = conn;
@@ -106,6 +136,16 @@
 		send_close(c, conn);
 }
 
+/* A message that cannot be encoded would be repeated for ever. */
+static void
+close_unencodable(struct core *c, uint32_t conn, const struct ir_msg *m)
+{
+	ir_io_log_event(c->loop->log, IR_EVENT_MESSAGE_BAD, "encode",
+	    "conn=%u kind=%d", conn, (int)m->kind);
+	mark_closing(c, conn);
+	send_close(c, conn);
+}
+
 static bool
 on_send(void *ctx, uint32_t conn, uint32_t xid, const struct ir_msg *msg)
 {
@@ -114,29 +154,27 @@
 
 	if (is_closing(c, conn))
 		return true;
+	if (!peers_have_room(c, body_bytes(msg))) {
+		report_peers_full(c, "send");
+		return false;
+	}
 	m = ir_from_core_new(IR_FROM_CORE_PEER_SEND);
 	m->conn = conn;
 	m->u.send.size_bytes = ir_codec_encode(m, xid, msg, &m->u.send.data);
-	if (peer_outbox_is_full(c) ||
-	    !ir_message_charge_has_room(
-		c->loop->memory, m->u.send.size_bytes)) {
+	if (m->u.send.size_bytes == 0) {
 		talloc_free(m);
-		report_full(c, "peers", "send");
-		mark_closing(c, conn);
-		send_close(c, conn);
+		close_unencodable(c, conn, msg);
 		return true;
 	}
-	ir_message_charge_hold(
-	    &m->charge, c->loop->memory, m->u.send.size_bytes);
-	if (m->u.send.size_bytes == 0) {
+	if (!peers_have_room(c, m->u.send.size_bytes)) {
 		talloc_free(m);
-		ir_io_log_event(c->loop->log, IR_EVENT_MESSAGE_BAD, "encode",
-		    "conn=%u kind=%d", conn, (int)msg->kind);
-		mark_closing(c, conn);
-		send_close(c, conn);
-		return true;
+		report_peers_full(c, "send");
+		return false;
 	}
+	ir_message_charge_hold(
+	    &m->charge, c->loop->memory, m->u.send.size_bytes);
 	ir_outbox_push(&c->outboxes[IR_THREAD_PEERS], m);
+	c->peers_full = false;
 	return true;
 }
 
--- a/src/io/core/core_out.h
+++ b/src/io/core/core_out.h
@@ -7,7 +7,7 @@
 
 /*
  * A peer connection for which PEER_CLOSE was sent because a message to it could
- * not be sent. Nothing more is sent to it.
+ * not be encoded. Nothing more is sent to it.
  */
 struct closing_conn {
 	uint32_t conn;
@@ -29,6 +29,8 @@
 	struct ir_node *node;
 	struct ir_outbox outboxes[IR_THREAD_COUNT];
 	struct closing_conn *closing_conns; /* hashed by conn */
+	/* The last message to the peers' thread had no room. */
+	bool peers_full;
 	struct deferred_event *deferred_events;
 	int64_t next_tick_us;
 	int64_t next_memory_measure_us;
--- a/src/io/ring.c
+++ b/src/io/ring.c
@@ -203,6 +203,15 @@
 	return true;
 }
 
+bool
+ir_outbox_is_empty(const struct ir_outbox *o)
+{
+	const struct ir_ring *r = o->ring;
+
+	return o->backlog == NULL &&
+	       __atomic_load_n(&r->popped, __ATOMIC_ACQUIRE) == r->pushed;
+}
+
 void
 ir_outbox_clear(struct ir_outbox *o)
 {
--- a/src/io/ring.h
+++ b/src/io/ring.h
@@ -61,6 +61,8 @@
 void ir_outbox_push(struct ir_outbox *o, void *message);
 /* Moves the backlog into the ring; true if none is left. */
 bool ir_outbox_flush(struct ir_outbox *o);
+/* Whether the consumer has taken all messages. */
+bool ir_outbox_is_empty(const struct ir_outbox *o);
 /* Frees the messages of the backlog. */
 void ir_outbox_clear(struct ir_outbox *o);
 
