--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -104,11 +104,15 @@
 	/*
 	 * Peers. The I/O side reports the end of each connection, also of one
 	 * that could not be established, by ir_node_conn_closed().
+	 *
+	 * connect() and send() return false when there is no room for the
+	 * message now. Nothing was done then, and no close will be reported. A
+	 * message on a connection that is being closed needs no room.
 	 */
-	void (*connect)(
+	bool (*connect)(
 	    void *ctx, uint32_t conn, const char *address, uint16_t port);
 	void (*close)(void *ctx, uint32_t conn);
-	void (*send)(
+	bool (*send)(
 	    void *ctx, uint32_t conn, uint32_t xid, const struct ir_msg *m);
 	/*
 	 * The local upstream. The I/O side reports the end of each run that is
@@ -206,6 +210,18 @@
 /* Call at least every 10 ms while work is in progress, else every 100 ms. */
 void ir_node_tick(struct ir_node *n, int64_t now);
 
+/*
+ * Sends answers that send() had no room for, oldest first. Returns whether no
+ * reply is left unsent. To be called when there may be room again, before
+ * further messages of peers are passed on; ir_node_tick() sends all replies.
+ */
+bool ir_node_send_unsent(struct ir_node *n, int64_t now);
+/*
+ * Whether messages of peers may be passed on. False while too many replies are
+ * unsent; all other events may be reported then.
+ */
+bool ir_node_may_receive(const struct ir_node *n);
+
 /*
  * Starts a graceful shutdown. Refuses work from peers, finishes work in
  * progress and hands token buckets over. New calls of callers are refused from
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -124,6 +124,8 @@
 	struct attempt *attempts;
 	struct pending_message *pending; /* oldest first */
 	uint32_t pending_count;
+	bool hello_due;	 /* on the current connection; had no room */
+	bool status_due; /* of some attempts; had no room */
 	uint32_t view_request_xid; /* of the unanswered VIEW_REQUEST, or 0 */
 	int64_t view_request_sent_us;
 	UT_hash_handle hh;
@@ -178,6 +180,8 @@
 	struct conn *conns;
 	struct service_retry_budget *retry_budgets;
 	struct static_share *static_shares;
+	struct unsent_reply *unsent_replies; /* oldest first */
+	uint32_t unsent_reply_count;
 	struct pending_message *self_head; /* to this node, oldest first */
 	struct pending_message *self_tail;
 	int64_t now_us; /* time of the event being handled */
@@ -330,7 +334,10 @@
     struct ir_node *n, int64_t now, const char *account);
 
 /* attempt.c */
-/* Begins an attempt at h; sends it at once, or when the link comes up. */
+/*
+ * Begins an attempt at h; sends it at once, or when the link comes up. If there
+ * is no room for it then, the call is retried elsewhere or fails as overload.
+ */
 void attempt_start(
     struct ir_node *n, int64_t now, struct call *c, const struct ir_host *h);
 /*
@@ -386,6 +393,10 @@
 /* Ends a record with e, aborts its child calls and sends its answer. */
 void serve_finish_record(struct ir_node *n, int64_t now, struct ir_record *r,
     enum ir_error e, uint32_t retry_after_ms);
+/*
+ * Sends answers that had no room, oldest first. Returns whether all were sent.
+ */
+bool serve_send_unsent(struct ir_node *n, int64_t now);
 void serve_tick(struct ir_node *n, int64_t now);
 
 /* run.c */
@@ -405,17 +416,27 @@
  * silent peer: the link sends no heartbeats for them.
  */
 bool peer_ensure_link_for_poll(struct ir_node *n, int64_t now, struct peer *p);
-/* Sends a message on a link that is up. Returns its xid, never 0. */
+/*
+ * Sends a message on a link that is up. Returns its xid; 0 when there is no
+ * room for it now, and then the link does not count as used.
+ */
 uint32_t peer_send(
     struct ir_node *n, int64_t now, struct peer *p, const struct ir_msg *m);
 /*
  * Sends a message now, or queues it while the link is being connected. False
- * when the link stays down, the queue is full or memory is short.
+ * when the link stays down, there is no room, the queue is full or memory is
+ * short.
  */
 bool peer_send_or_queue(
     struct ir_node *n, int64_t now, struct peer *p, const struct ir_msg *m);
-/* Replies on the connection that the request came on, if it still exists. */
-void peer_reply(
+/* The same, but also queues it when the link is up and there is no room. */
+bool peer_send_or_keep(
+    struct ir_node *n, int64_t now, struct peer *p, const struct ir_msg *m);
+/*
+ * Replies on the connection that the request came on, if it still exists. False
+ * when there is no room for the reply now.
+ */
+bool peer_reply(
     struct ir_node *n, uint32_t conn, uint32_t xid, const struct ir_msg *m);
 void peer_tick(struct ir_node *n, int64_t now);
 bool peer_is_self(struct ir_node *n, const struct peer *p);
@@ -430,6 +451,23 @@
 void peer_handle_reply(struct ir_node *n, int64_t now, struct peer *p,
     uint32_t xid, const struct ir_msg *m);
 
+/* Handles a request that was kept again, if its connection still exists. */
+void peer_repeat_request(struct ir_node *n, int64_t now, uint32_t conn,
+    uint32_t xid, const struct ir_msg *m);
+
+/* unsent.c */
+/* Replies; when there is no room now, keeps the reply until it is sent. */
+void unsent_reply(
+    struct ir_node *n, uint32_t conn, uint32_t xid, const struct ir_msg *m);
+/*
+ * Keeps a message until there may be room: a reply to send, or a request to
+ * handle again. Dropped if out of memory.
+ */
+void unsent_keep(
+    struct ir_node *n, uint32_t conn, uint32_t xid, const struct ir_msg *m);
+/* Sends what is kept, oldest first. Returns whether nothing is left. */
+bool unsent_send(struct ir_node *n, int64_t now);
+
 /* self.c */
 /* Queues a message to this node; dropped if out of memory. */
 void self_send(struct ir_node *n, uint32_t xid, const struct ir_msg *m);
