Peers: a link on which bytes of a large message move isn't silent

No machine or path was impaired.

A link counted as silent when no whole message came for 700 ms while one was unanswered. A VIEW of several hundred KB takes longer than that on a shared slow path, so the link was closed while its bytes arrived, the attempts on it were lost and the view was asked for again from its first byte.

The peers' thread now reports that bytes of an incomplete message were received or that queued bytes were sent, at most each 50 ms; the link's timeout counts from the last of them. They answer nothing and hide no peer that stops: the timeout begins again at the last byte. No change of the wire.

test_link_is_not_lost_while_bytes_of_an_answer_move fails with the one line of ir_link_bytes_moved() taken out.

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -167,6 +167,8 @@
 /* Peers. */
 void ir_node_conn_established(struct ir_node *n, int64_t now, uint32_t conn);
 void ir_node_conn_closed(struct ir_node *n, int64_t now, uint32_t conn);
+/* Bytes of a large message moved, in either direction; see link.h. */
+void ir_node_conn_progress(struct ir_node *n, int64_t now, uint32_t conn);
 void ir_node_message_received(struct ir_node *n, int64_t now, uint32_t conn,
     uint32_t xid, const struct ir_msg *m);
 
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -470,6 +470,16 @@
 	node_run_deferred(n, now);
 }
 
+void
+ir_node_conn_progress(struct ir_node *n, int64_t now, uint32_t conn)
+{
+	struct conn *c = conn_find(n, conn);
+
+	n->now_us = now;
+	if (c != NULL && c->peer != NULL && c->peer->link.conn == conn)
+		ir_link_bytes_moved(&c->peer->link, now);
+}
+
 static void
 tick_peer(struct ir_node *n, int64_t now, struct peer *p)
 {
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -154,6 +154,9 @@
 		ir_core_conn_closed(c, m->conn);
 		ir_node_conn_closed(c->node, now, m->conn);
 		break;
+	case IR_TO_CORE_PEER_PROGRESS:
+		ir_node_conn_progress(c->node, now, m->conn);
+		break;
 	case IR_TO_CORE_PEER_MESSAGE:
 		ir_node_message_received(
 		    c->node, now, m->conn, m->xid, &m->u.msg);
--- a/src/io/peers/peer_conn.c
+++ b/src/io/peers/peer_conn.c
@@ -270,7 +270,11 @@
 		return false;
 	}
 	c->last_receive_us = ir_clock_now();
-	return process_bytes(c, data, (size_t)n);
+	if (!process_bytes(c, data, (size_t)n))
+		return false;
+	if (c->input != NULL)
+		c->ops->progressed(c->ctx, c);
+	return true;
 }
 
 static void
@@ -307,8 +311,12 @@
 static void
 on_writable(struct ir_peer_conn *c)
 {
+	size_t before = c->unsent_bytes;
+
 	if (send_queued(c))
 		TEVENT_FD_NOT_WRITEABLE(c->fd_event);
+	if (!c->failing && c->unsent_bytes < before)
+		c->ops->progressed(c->ctx, c);
 }
 
 static void
@@ -352,6 +360,7 @@
 	c->number = number;
 	c->connecting = connecting;
 	c->last_receive_us = ir_clock_now();
+	c->progress_reported_us = c->last_receive_us;
 	c->ops = ops;
 	c->ctx = ctx;
 	talloc_set_destructor(c, free_conn);
--- a/src/io/peers/peer_conn.h
+++ b/src/io/peers/peer_conn.h
@@ -28,6 +28,8 @@
 	 */
 	bool (*record)(void *ctx, struct ir_peer_conn *c, const uint8_t *data,
 	    size_t size_bytes);
+	/* Bytes of a message moved that isn't received or sent in full. */
+	void (*progressed)(void *ctx, struct ir_peer_conn *c);
 	/* c holds more memory; may call ir_peer_conn_fail() on any of them. */
 	void (*memory_grew)(void *ctx, struct ir_peer_conn *c);
 	/* The connection can no longer be used; reason is for the log. */
@@ -46,8 +48,9 @@
 struct ir_peer_conn {
 	uint32_t number;
 	bool connecting;
-	bool failing;		 /* failed() was called */
-	int64_t last_receive_us; /* or time of creation */
+	bool failing;		      /* failed() was called */
+	int64_t last_receive_us;      /* or time of creation */
+	int64_t progress_reported_us; /* for the owner */
 	int fd;
 	const struct ir_peer_conn_ops *ops;
 	void *ctx;
--- a/src/io/peers/peers.c
+++ b/src/io/peers/peers.c
@@ -17,6 +17,8 @@
 #define BACKLOG_RETRY_US 1000
 /* Time to send queued messages when the thread is stopped. */
 #define FLUSH_TIMEOUT_US (500 * IR_US_PER_MS)
+/* Least interval between two reports of progress on a connection. */
+#define PROGRESS_PERIOD_US (50 * IR_US_PER_MS)
 #define ACCEPT_BATCH 32
 #define ACCEPT_RETRY_US (100 * IR_US_PER_MS)
 /* Twice the time after which peers close unused links. */
@@ -83,6 +85,20 @@
 	notify_core(ctx, IR_TO_CORE_PEER_CONNECTED, c->number);
 }
 
+/* Dropped while messages wait for the core: those come first. */
+static void
+on_progressed(void *ctx, struct ir_peer_conn *c)
+{
+	struct ir_peers *p = ctx;
+	int64_t now = ir_clock_now();
+
+	if (now - c->progress_reported_us < PROGRESS_PERIOD_US ||
+	    p->outbox.backlog_count != 0)
+		return;
+	c->progress_reported_us = now;
+	notify_core(p, IR_TO_CORE_PEER_PROGRESS, c->number);
+}
+
 static void
 report_bad_message(
     struct ir_peers *p, const struct ir_peer_conn *c, const char *error)
@@ -221,6 +237,7 @@
     .connected = on_conn_connected,
     .may_receive = on_may_receive,
     .record = on_record,
+    .progressed = on_progressed,
     .memory_grew = on_memory_grew,
     .failed = on_failed,
 };
--- a/src/link/link.c
+++ b/src/link/link.c
@@ -117,6 +117,12 @@
 	l->unanswered_us = 0;
 }
 
+void
+ir_link_bytes_moved(struct ir_link *l, int64_t now)
+{
+	l->moved_us = now;
+}
+
 void
 ir_link_connection_closed(struct ir_link *l, int64_t now)
 {
@@ -136,18 +142,19 @@
 	l->last_tick_us = now;
 }
 
+static int64_t
+max_time(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
 static bool
 is_silent(const struct ir_link *l, int64_t now)
 {
 	if (l->unanswered_us == 0 || now < l->grace_until_us)
 		return false;
-	return now - l->unanswered_us >= IR_LINK_TIMEOUT_US;
-}
-
-static int64_t
-max_time(int64_t a, int64_t b)
-{
-	return a > b ? a : b;
+	return now - max_time(l->unanswered_us, l->moved_us) >=
+	       IR_LINK_TIMEOUT_US;
 }
 
 static bool
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -9,7 +9,7 @@
  * was sent. A received message shows that the peer is alive; an unanswered
  * message is itself subject to the timeout.
  *
- * A link is lost when the peer sends nothing for IR_LINK_TIMEOUT_US while a
+ * A link is lost when no bytes move on it for IR_LINK_TIMEOUT_US while a
  * message is unanswered: the outcome of attempts in flight is then unknown. A
  * link that was up may be connected again at once. A peer whose HELLO_REPLY
  * names another host, or expects another host, is refused.
@@ -44,6 +44,7 @@
 	int64_t received_us;  /* last message, or start of the connection */
 	/* First message sent after the last one received; 0: none. */
 	int64_t unanswered_us;
+	int64_t moved_us;	   /* last ir_link_bytes_moved() */
 	int64_t heartbeat_sent_us; /* last heartbeat */
 	int64_t reconnect_us;	   /* earliest time of the next connect */
 	int64_t last_used_us;	   /* last ir_link_use() */
@@ -78,6 +79,11 @@
     const char *host, bool accepted, uint64_t incarnation);
 void ir_link_message_sent(struct ir_link *l, int64_t now);
 void ir_link_message_received(struct ir_link *l, int64_t now);
+/*
+ * Bytes of a message that is still incomplete were received, or queued bytes
+ * were sent: the peer isn't silent. Unlike a whole message they answer nothing.
+ */
+void ir_link_bytes_moved(struct ir_link *l, int64_t now);
 /* The connection was closed or could not be opened. */
 void ir_link_connection_closed(struct ir_link *l, int64_t now);
 /* To be called regularly; handles heartbeats, timeouts and idle links. */
--- a/test/test_link.c
+++ b/test/test_link.c
@@ -201,6 +201,27 @@
 	assert_int_equal(lost - now, IR_LINK_TIMEOUT_US);
 }
 
+static void
+test_link_is_not_lost_while_bytes_of_an_answer_move(void **state)
+{
+	struct ir_link l;
+	enum ir_link_action a;
+	int heartbeats = 0;
+	int64_t now = 1000 * MS, lost;
+
+	set_up(&l, now);
+	ir_link_message_sent(&l, now);
+	for (int i = 0; i < 20; i++, now += IR_LINK_TIMEOUT_US / 2) {
+		tick_until(
+		    &l, now, now + IR_LINK_TIMEOUT_US / 2, &a, &heartbeats);
+		assert_int_equal(l.state, IR_LINK_UP);
+		ir_link_bytes_moved(&l, now + IR_LINK_TIMEOUT_US / 2);
+	}
+	lost = tick_until(&l, now, now + 2000 * MS, &a, &heartbeats);
+	assert_int_equal(a, IR_LINK_LOST);
+	assert_int_equal(lost - now, IR_LINK_TIMEOUT_US);
+}
+
 static void
 test_wrong_host_is_refused(void **state)
 {
@@ -270,6 +291,8 @@
 	    cmocka_unit_test(
 		test_heartbeats_are_sent_only_without_other_messages),
 	    cmocka_unit_test(test_polled_link_sends_no_heartbeats),
+	    cmocka_unit_test(
+		test_link_is_not_lost_while_bytes_of_an_answer_move),
 	    cmocka_unit_test(test_wrong_host_is_refused),
 	    cmocka_unit_test(test_backoff_doubles_up_to_its_bound),
 	    cmocka_unit_test(test_unused_link_stops_heartbeats_then_closes),
--- a/test/test_peer_conn.c
+++ b/test/test_peer_conn.c
@@ -111,13 +111,25 @@
 	return left_bytes == 0 ? 0 : -1;
 }
 
+/* NULL: none. When bytes of large records move depends on the scheduler. */
+static struct ir_to_core *
+pop_message(struct fixture *f)
+{
+	struct ir_to_core *m;
+
+	while ((m = ir_ring_pop(f->channel->to_core)) != NULL &&
+	       m->kind == IR_TO_CORE_PEER_PROGRESS)
+		talloc_free(m);
+	return m;
+}
+
 static struct ir_to_core *
 next_message(struct fixture *f)
 {
 	struct pollfd p = {.fd = ir_wakeup_fd(f->core), .events = POLLIN};
 	struct ir_to_core *m;
 
-	while ((m = ir_ring_pop(f->channel->to_core)) == NULL) {
+	while ((m = pop_message(f)) == NULL) {
 		ir_wakeup_arm(f->core);
 		if (ir_ring_empty(f->channel->to_core))
 			poll(&p, 1, -1);
@@ -356,6 +368,43 @@
 	return n;
 }
 
+static bool
+pop_progress(struct fixture *f, uint32_t conn)
+{
+	struct ir_to_core *m = ir_ring_pop(f->channel->to_core);
+	bool found =
+	    m != NULL && m->kind == IR_TO_CORE_PEER_PROGRESS && m->conn == conn;
+
+	talloc_free(m);
+	return found;
+}
+
+static void
+test_bytes_of_an_incomplete_record_are_reported(void **state)
+{
+	const uint8_t mark[] = {0x80, 0x70, 0, 0};
+	struct fixture *f = *state;
+	int fd = connect_local(f->port);
+
+	assert_int_equal(send(fd, mark, sizeof(mark), 0), sizeof(mark));
+	while (!pop_progress(f, 1))
+		assert_int_equal(send(fd, mark, 1, 0), 1);
+	close(fd);
+}
+
+static void
+test_sent_bytes_of_a_queued_record_are_reported(void **state)
+{
+	struct fixture *f = *state;
+	int fd = connect_and_send_record(f, 1);
+	uint8_t byte;
+
+	push_send(f, 1, 16 * MESSAGE_BYTES);
+	while (!pop_progress(f, 1))
+		assert_int_equal(recv(fd, &byte, 1, 0), 1);
+	close(fd);
+}
+
 static void
 test_idle_connections_keep_no_read_buffer(void **state)
 {
@@ -406,12 +455,12 @@
 	assert_int_equal(
 	    recv(fds[1], all, sizeof(all), MSG_WAITALL), sizeof(all));
 	stop_thread(f);
-	m = ir_ring_pop(f->channel->to_core);
+	m = pop_message(f);
 	assert_non_null(m);
 	assert_int_equal(m->kind, IR_TO_CORE_PEER_CLOSED);
 	assert_int_equal(m->conn, 1);
 	talloc_free(m);
-	assert_true(ir_ring_empty(f->channel->to_core));
+	assert_null(pop_message(f));
 	assert_int_equal(logged_link_losses(f, "memory"), 1);
 	close_all(fds, 2);
 }
@@ -446,7 +495,7 @@
 	for (int i = 0; i < PEER_COUNT; i++)
 		push_send(f, 2, MESSAGE_BYTES);
 	stop_thread(f);
-	m = ir_ring_pop(f->channel->to_core);
+	m = pop_message(f);
 	assert_non_null(m);
 	assert_int_equal(m->kind, IR_TO_CORE_PEER_CLOSED);
 	assert_int_equal(m->conn, 2);
@@ -529,6 +578,8 @@
 	    WITH_PEERS(test_connect_and_close),
 	    WITH_PEERS(test_connect_refused),
 	    WITH_PEERS(test_unsent_bytes_are_bounded),
+	    WITH_PEERS(test_bytes_of_an_incomplete_record_are_reported),
+	    WITH_PEERS(test_sent_bytes_of_a_queued_record_are_reported),
 	    WITH_PEERS(test_idle_connections_keep_no_read_buffer),
 	    WITH_BOUND(test_peers_that_do_not_read_stay_within_the_bound),
 	    WITH_BOUND(test_only_connection_with_most_memory_is_closed),
