Peers: answers and heartbeats go ahead of large views on a connection

A connection had one queue in order of arrival. Now VIEW messages of more than 16 KB wait in a queue of their own until the other one is empty, or until four times their size was sent meanwhile, so that answers do not starve them either. The system takes 32 KB beyond what it can send (TCP_NOTSENT_LOWAT), since what it holds cannot be overtaken. No order between a VIEW and other messages is relied on: replies are matched by transaction id, and HELLO_REPLY is sent before a view is asked for. No change of the wire.

test_answers_do_not_wait_for_views fails with one queue (ir_codec_is_large_view() false), test_views_are_sent_between_many_answers where views always come last.

--- a/src/io/peers/peer_conn.c
+++ b/src/io/peers/peer_conn.c
@@ -15,6 +15,10 @@
 #include "link/codec.h"
 
 #define READ_BYTES 65536
+/* Views get at least 1 / (1 + VIEW_WAIT_FACTOR) of the bytes sent. */
+#define VIEW_WAIT_FACTOR 4
+/* Bytes that the system takes before it can send them; nothing overtakes. */
+#define MAX_BYTES_IN_SYSTEM 32768
 
 static void
 account_memory(struct ir_peer_conn *c, size_t bytes)
@@ -39,12 +43,28 @@
 	c->input_bytes = 0;
 }
 
-static void
-free_first_unsent(struct ir_peer_conn *c)
+/* The message to send from now, or NULL. */
+static struct ir_unsent_message *
+next_unsent(const struct ir_peer_conn *c)
 {
-	struct ir_unsent_message *u = c->unsent;
+	if (c->unsent != NULL && c->unsent->sent_bytes != 0)
+		return c->unsent;
+	if (c->unsent_views == NULL)
+		return c->unsent;
+	if (c->unsent == NULL || c->unsent_views->sent_bytes != 0 ||
+	    c->bytes_before_views / VIEW_WAIT_FACTOR >=
+		c->unsent_views->size_bytes)
+		return c->unsent_views;
+	return c->unsent;
+}
 
-	DL_DELETE(c->unsent, u);
+static void
+free_unsent(struct ir_peer_conn *c, struct ir_unsent_message *u)
+{
+	if (u == c->unsent)
+		DL_DELETE(c->unsent, u);
+	else
+		DL_DELETE(c->unsent_views, u);
 	c->unsent_bytes -= u->size_bytes - u->sent_bytes;
 	release_memory(c, ir_memory_tree_bytes(u));
 	talloc_free(u);
@@ -55,7 +75,9 @@
 {
 	free_input(c);
 	while (c->unsent != NULL)
-		free_first_unsent(c);
+		free_unsent(c, c->unsent);
+	while (c->unsent_views != NULL)
+		free_unsent(c, c->unsent_views);
 }
 
 void
@@ -69,13 +91,26 @@
 	c->ops->failed(c->ctx, c, reason);
 }
 
-/* Returns true when the queue is empty. */
+static void
+count_sent(struct ir_peer_conn *c, struct ir_unsent_message *u, size_t bytes)
+{
+	u->sent_bytes += bytes;
+	c->unsent_bytes -= bytes;
+	if (u == c->unsent_views || c->unsent_views == NULL)
+		c->bytes_before_views = 0;
+	else
+		c->bytes_before_views += bytes;
+	if (u->sent_bytes == u->size_bytes)
+		free_unsent(c, u);
+}
+
+/* Returns true when the queues are empty. */
 static bool
 send_queued(struct ir_peer_conn *c)
 {
 	struct ir_unsent_message *u;
 
-	while ((u = c->unsent) != NULL) {
+	while ((u = next_unsent(c)) != NULL) {
 		size_t left = u->size_bytes - u->sent_bytes;
 		ssize_t n =
 		    send(c->fd, u->data + u->sent_bytes, left, MSG_NOSIGNAL);
@@ -88,10 +123,7 @@
 			ir_peer_conn_fail(c, "send");
 			return false;
 		}
-		u->sent_bytes += (size_t)n;
-		c->unsent_bytes -= (size_t)n;
-		if (u->sent_bytes == u->size_bytes)
-			free_first_unsent(c);
+		count_sent(c, u, (size_t)n);
 	}
 	return true;
 }
@@ -105,7 +137,10 @@
 		abort();
 	u->data = talloc_steal(u, data);
 	u->size_bytes = size_bytes;
-	DL_APPEND(c->unsent, u);
+	if (ir_codec_is_large_view(data, size_bytes))
+		DL_APPEND(c->unsent_views, u);
+	else
+		DL_APPEND(c->unsent, u);
 	c->unsent_bytes += size_bytes;
 	account_memory(c, ir_memory_tree_bytes(u));
 }
@@ -113,7 +148,7 @@
 void
 ir_peer_conn_send(struct ir_peer_conn *c, uint8_t *data, size_t size_bytes)
 {
-	bool idle = c->unsent == NULL && !c->connecting;
+	bool idle = next_unsent(c) == NULL && !c->connecting;
 
 	if (c->failing) {
 		talloc_free(data);
@@ -349,7 +384,7 @@
 {
 	struct ir_peer_conn *c = talloc_zero(mem, struct ir_peer_conn);
 	uint16_t flags = TEVENT_FD_READ;
-	int on = 1;
+	int on = 1, max_bytes = MAX_BYTES_IN_SYSTEM;
 
 	if (c == NULL) {
 		close(fd);
@@ -365,6 +400,8 @@
 	c->ctx = ctx;
 	talloc_set_destructor(c, free_conn);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max_bytes, sizeof(max_bytes));
 	/* tevent reports errors only with TEVENT_FD_READ set. */
 	if (connecting)
 		flags |= TEVENT_FD_WRITE;
--- a/src/io/peers/peer_conn.h
+++ b/src/io/peers/peer_conn.h
@@ -2,6 +2,9 @@
  * A TCP connection to a peer: received bytes are split into records, and
  * messages that the socket does not take are queued.
  *
+ * Large VIEW messages wait until nothing else is queued, or until other
+ * messages of VIEW_WAIT_FACTOR times their size were sent meanwhile.
+ *
  * Received bytes are buffered only while a record is incomplete or the owner
  * cannot take more. Buffered bytes and queued messages are charged to
  * IR_MEMORY_PEERS until they are freed, at the latest on failure.
@@ -59,9 +62,12 @@
 	size_t charged_bytes; /* to memory, IR_MEMORY_PEERS */
 	uint8_t *input;	      /* received, not handed over; or NULL */
 	size_t input_bytes;
-	struct ir_unsent_message *unsent; /* queue */
-	size_t unsent_bytes;
-	UT_hash_handle hh; /* in the owner's table, by number */
+	/* Queues; a message of which bytes were sent stays first. */
+	struct ir_unsent_message *unsent;
+	struct ir_unsent_message *unsent_views;
+	size_t unsent_bytes;	   /* of both */
+	size_t bytes_before_views; /* sent while the first view waited */
+	UT_hash_handle hh;	   /* in the owner's table, by number */
 };
 
 /*
--- a/src/io/peers/peers.c
+++ b/src/io/peers/peers.c
@@ -381,7 +381,7 @@
 	const struct ir_peer_conn *c;
 
 	for (c = p->conns; c != NULL; c = c->hh.next) {
-		if (c->unsent != NULL && !c->connecting && !c->failing)
+		if (c->unsent_bytes != 0 && !c->connecting && !c->failing)
 			return false;
 	}
 	return true;
--- a/src/link/codec.c
+++ b/src/link/codec.c
@@ -8,6 +8,7 @@
 #define LAST_FRAGMENT 0x80000000U
 #define CALL_HEADER_BYTES 40
 #define REPLY_HEADER_BYTES 24
+#define DIRECTION_OFFSET 4
 
 bool
 ir_msg_is_call(const struct ir_msg *m)
@@ -112,6 +113,24 @@
 	return MARK_BYTES + size;
 }
 
+static uint32_t
+word_at(const uint8_t *data, size_t offset)
+{
+	uint32_t word;
+
+	memcpy(&word, data + offset, sizeof(word));
+	return ntohl(word);
+}
+
+bool
+ir_codec_is_large_view(const uint8_t *data, size_t size_bytes)
+{
+	if (size_bytes <= IR_MAX_SMALL_VIEW_BYTES)
+		return false;
+	return word_at(data, MARK_BYTES + DIRECTION_OFFSET) == REPLY &&
+	       word_at(data, MARK_BYTES + REPLY_HEADER_BYTES) == IR_MSG_VIEW;
+}
+
 static bool
 is_auth_none(const struct opaque_auth *a)
 {
@@ -171,10 +190,9 @@
 {
 	uint32_t direction;
 
-	if (size_bytes < 8)
+	if (size_bytes < DIRECTION_OFFSET + sizeof(direction))
 		return "record too short";
-	memcpy(&direction, data + 4, sizeof(direction));
-	direction = ntohl(direction);
+	direction = word_at(data, DIRECTION_OFFSET);
 	*call = direction == CALL;
 	if (direction == CALL)
 		return decode_call(x, xid, procedure);
--- a/src/link/codec.h
+++ b/src/link/codec.h
@@ -35,6 +35,13 @@
  */
 size_t ir_codec_record_size(const uint8_t *data, size_t size_bytes);
 
+/*
+ * Whether the record is a VIEW of more than IR_MAX_SMALL_VIEW_BYTES: one that
+ * carries a configuration or a host list, not only a confirmation.
+ */
+#define IR_MAX_SMALL_VIEW_BYTES (16 * 1024)
+bool ir_codec_is_large_view(const uint8_t *data, size_t size_bytes);
+
 /*
  * Decodes one complete RPC record with its mark. Returns 0, or -1 with *error
  * set to a constant string. The caller must call ir_codec_free(), also after an
--- a/test/test_peer_conn.c
+++ b/test/test_peer_conn.c
@@ -405,6 +405,118 @@
 	close(fd);
 }
 
+static void
+push_record(struct fixture *f, uint32_t conn, uint32_t xid, struct ir_msg *m)
+{
+	struct ir_from_core *out = ir_from_core_new(IR_FROM_CORE_PEER_SEND);
+
+	out->conn = conn;
+	out->u.send.size_bytes =
+	    ir_codec_encode(out, xid, m, &out->u.send.data);
+	assert_int_not_equal(out->u.send.size_bytes, 0);
+	push_message(f, out);
+}
+
+/* A VIEW whose one section has a text of this many bytes. */
+static void
+push_view(struct fixture *f, uint32_t conn, uint32_t xid, size_t text_bytes)
+{
+	char name[] = "routes";
+	struct ir_section s = {name, 1, 1, talloc_zero_size(NULL, text_bytes)};
+	struct ir_msg m = {.kind = IR_MSG_VIEW};
+
+	memset(s.text, 'x', text_bytes - 1);
+	m.ir_msg_u.view.sections.sections_len = 1;
+	m.ir_msg_u.view.sections.sections_val = &s;
+	push_record(f, conn, xid, &m);
+	talloc_free(s.text);
+}
+
+static void
+push_answer(struct fixture *f, uint32_t conn, uint32_t xid, size_t body_bytes)
+{
+	struct ir_msg m = {.kind = IR_MSG_ANSWER};
+
+	m.ir_msg_u.answer.body.body_len = (u_int)body_bytes;
+	m.ir_msg_u.answer.body.body_val = talloc_zero_size(NULL, body_bytes);
+	push_record(f, conn, xid, &m);
+	talloc_free(m.ir_msg_u.answer.body.body_val);
+}
+
+/* The transaction id of the next record on the socket. */
+static uint32_t
+receive_xid(int fd)
+{
+	uint32_t head[2];
+	size_t left;
+	uint8_t *rest;
+
+	assert_int_equal(
+	    recv(fd, head, sizeof(head), MSG_WAITALL), sizeof(head));
+	left = (ntohl(head[0]) & 0x7fffffff) - sizeof(head[1]);
+	rest = talloc_size(NULL, left);
+	assert_int_equal(recv(fd, rest, left, MSG_WAITALL), left);
+	talloc_free(rest);
+	return ntohl(head[1]);
+}
+
+/* Returns when the thread has queued all that was pushed before. */
+static void
+wait_for_thread(struct fixture *f)
+{
+	int fd = connect_local(f->port);
+	uint8_t *data;
+	size_t size = encode_record(NULL, 1, &data);
+
+	assert_int_equal(send(fd, data, size, 0), size);
+	talloc_free(data);
+	expect_message(f, IR_TO_CORE_PEER_MESSAGE, 3);
+	push_send(f, 3, 1);
+	assert_int_equal(recv(fd, &size, 1, 0), 1);
+	close(fd);
+}
+
+static void
+test_answers_do_not_wait_for_views(void **state)
+{
+	struct fixture *f = *state;
+	int fd = connect_and_send_record(f, 1);
+
+	push_answer(f, 1, 10, 2 * MESSAGE_BYTES);
+	push_view(f, 1, 11, MESSAGE_BYTES);
+	push_view(f, 1, 12, MESSAGE_BYTES);
+	push_answer(f, 1, 13, 1);
+	push_view(f, 1, 14, 100);
+	wait_for_thread(f);
+	assert_int_equal(receive_xid(fd), 10);
+	assert_int_equal(receive_xid(fd), 13);
+	assert_int_equal(receive_xid(fd), 14);
+	assert_int_equal(receive_xid(fd), 11);
+	assert_int_equal(receive_xid(fd), 12);
+	close(fd);
+}
+
+static void
+test_views_are_sent_between_many_answers(void **state)
+{
+	struct fixture *f = *state;
+	int fd = connect_and_send_record(f, 1);
+	int first_view = 0;
+
+	push_answer(f, 1, 10, 16 * MESSAGE_BYTES);
+	push_view(f, 1, 11, MESSAGE_BYTES);
+	for (uint32_t i = 0; i < 8; i++)
+		push_answer(f, 1, 20 + i, MESSAGE_BYTES);
+	wait_for_thread(f);
+	for (int i = 0; i < 10; i++) {
+		if (receive_xid(fd) == 11)
+			first_view = i;
+	}
+	/* The first answer is large enough. */
+	assert_int_equal(first_view, 1);
+	close(fd);
+}
+
 static void
 test_idle_connections_keep_no_read_buffer(void **state)
 {
@@ -580,6 +692,8 @@
 	    WITH_PEERS(test_unsent_bytes_are_bounded),
 	    WITH_PEERS(test_bytes_of_an_incomplete_record_are_reported),
 	    WITH_PEERS(test_sent_bytes_of_a_queued_record_are_reported),
+	    WITH_PEERS(test_answers_do_not_wait_for_views),
+	    WITH_PEERS(test_views_are_sent_between_many_answers),
 	    WITH_PEERS(test_idle_connections_keep_no_read_buffer),
 	    WITH_BOUND(test_peers_that_do_not_read_stay_within_the_bound),
 	    WITH_BOUND(test_only_connection_with_most_memory_is_closed),
