View: sections are requested from one host at a time, and not across regions by each host

A host asked each peer whose heartbeat showed a newer revision, and a reader whose view was overdue asked the readers of all regions, each for the same whole configuration. What did not arrive in 700 ms was asked for again from its first byte, so the path stayed full and nothing arrived.

Now a host has one request for sections open and repeats it only when no byte came for a poll interval. Sections come from the own region; from another one only when the view is overdue, by one reader of the region after the other. Reports as evidence of an outage are asked for without sections; their effect on the evaluation is unchanged. The counters ibisrail_view_sections_sent_total and ibisrail_view_bytes_sent_total show what views cost.

--- a/include/ibisrail/counter.h
+++ b/include/ibisrail/counter.h
@@ -26,15 +26,17 @@
 	IR_COUNTER_GRANT_REQUESTS,   /* sent to other nodes */
 	IR_COUNTER_GRANTS_ISSUED,    /* grants of rate tokens issued */
 	IR_COUNTER_RATE_REFUSED,     /* client account over its rate */
-	IR_COUNTER_MESSAGES_RECEIVED, /* from other nodes */
-	IR_COUNTER_MESSAGES_SENT,     /* to other nodes */
-	IR_COUNTER_MESSAGES_REJECTED, /* invalid or unexpected */
-	IR_COUNTER_LINKS_LOST,	      /* links to other nodes lost */
-	IR_COUNTER_VIEW_REQUESTS,     /* sent to other nodes */
-	IR_COUNTER_STORE_READS,	      /* reads of the configuration service */
-	IR_COUNTER_SECTIONS_APPLIED,  /* view sections that came into force */
-	IR_COUNTER_SECTIONS_REFUSED,  /* view sections refused as invalid */
-	IR_COUNTER_RING_FULL,	      /* items refused, ring full */
+	IR_COUNTER_MESSAGES_RECEIVED,  /* from other nodes */
+	IR_COUNTER_MESSAGES_SENT,      /* to other nodes */
+	IR_COUNTER_MESSAGES_REJECTED,  /* invalid or unexpected */
+	IR_COUNTER_LINKS_LOST,	       /* links to other nodes lost */
+	IR_COUNTER_VIEW_REQUESTS,      /* sent to other nodes */
+	IR_COUNTER_VIEW_SECTIONS_SENT, /* in views sent to other nodes */
+	IR_COUNTER_VIEW_BYTES_SENT,    /* texts of these sections */
+	IR_COUNTER_STORE_READS,	       /* reads of the configuration service */
+	IR_COUNTER_SECTIONS_APPLIED,   /* view sections that came into force */
+	IR_COUNTER_SECTIONS_REFUSED,   /* view sections refused as invalid */
+	IR_COUNTER_RING_FULL,	       /* items refused, ring full */
 	IR_COUNTER_COUNT
 };
 
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -6,6 +6,14 @@
 
 #include "core/internal.h"
 
+/*
+ * In a VIEW_REQUEST, a revision that is above all: the reply carries no
+ * sections.
+ */
+#define REPORT_ONLY UINT64_MAX
+/* Between the readers of a region that request sections from another one. */
+#define FETCH_STAGGER_US (200 * IR_US_PER_MS)
+
 /*
  * Age from which the confirmation of the view is overdue, two read periods:
  * readers then request the views of each other, and other hosts read the store
@@ -168,24 +176,90 @@
 }
 
 static void
-send_view_request(struct ir_node *n, int64_t now, struct peer *p)
+send_view_request(struct ir_node *n, int64_t now, struct peer *p,
+    uint64_t config_revision, uint64_t list_revision)
 {
 	struct ir_msg m = {.kind = IR_MSG_VIEW_REQUEST};
 
-	if (!peer_ensure_link_for_poll(n, now, p) || peer_is_self(n, p) ||
-	    p->view_request_xid != 0)
+	m.ir_msg_u.view_request.config_revision = config_revision;
+	m.ir_msg_u.view_request.list_revision = list_revision;
+	p->view_request_sent_us = now;
+	p->view_request_xid = peer_send(n, now, p, &m);
+	ir_counters_add(&n->counters, IR_COUNTER_VIEW_REQUESTS, 1);
+}
+
+/* Forgets a request whose reply neither came nor is arriving. */
+static void
+expire_view_request(struct peer *p, int64_t now)
+{
+	if (now - p->view_request_sent_us > IR_LINK_TIMEOUT_US &&
+	    now - p->link.moved_us > IR_LINK_TIMEOUT_US)
+		p->view_request_xid = 0;
+}
+
+static bool
+can_request_view(struct ir_node *n, int64_t now, struct peer *p)
+{
+	expire_view_request(p, now);
+	return !peer_is_self(n, p) && peer_ensure_link_for_poll(n, now, p) &&
+	       p->view_request_xid == 0;
+}
+
+/*
+ * Whether sections were requested in the last poll interval, or are arriving.
+ * Another request would load the network with the same sections again.
+ */
+static bool
+is_fetching_sections(const struct ir_node *n, int64_t now)
+{
+	const struct peer *p;
+
+	if (now - n->sections_requested_us < IR_VIEW_POLL_US)
+		return true;
+	if (n->sections_source == NULL)
+		return false;
+	HASH_FIND_STR(n->peers, n->sections_source, p);
+	return p != NULL && p->view_request_xid != 0 &&
+	       now - p->link.moved_us < IR_VIEW_POLL_US;
+}
+
+/* Requests the sections that are newer than those held. */
+static void
+fetch_sections(struct ir_node *n, int64_t now, struct peer *p)
+{
+	uint64_t config = 0, list = 0;
+
+	if (is_fetching_sections(n, now) || !can_request_view(n, now, p))
 		return;
 	/*
 	 * A new process requests the view from revision 0: the store may have
 	 * older revisions than a peer.
 	 */
 	if (n->view_received)
-		ir_node_revisions(n,
-		    (uint64_t *)&m.ir_msg_u.view_request.config_revision,
-		    (uint64_t *)&m.ir_msg_u.view_request.list_revision);
-	p->view_request_sent_us = now;
-	p->view_request_xid = peer_send(n, now, p, &m);
-	ir_counters_add(&n->counters, IR_COUNTER_VIEW_REQUESTS, 1);
+		ir_node_revisions(n, &config, &list);
+	p->view_report_only = false;
+	n->sections_requested_us = now;
+	talloc_free(n->sections_source);
+	n->sections_source = talloc_strdup(n, p->name);
+	send_view_request(n, now, p, config, list);
+}
+
+/*
+ * Sections come from the host's own region. From another one a host requests
+ * them only when its view is overdue, the store readers of a region one after
+ * the other, so that they cross the path between regions once.
+ */
+static bool
+may_fetch_from(struct ir_node *n, int64_t now, const char *host)
+{
+	const struct ir_view *v = node_view(n);
+	const struct ir_host *self = node_self(n), *h = ir_view_host(v, host);
+	int64_t wait_us = view_overdue_us(n);
+
+	if (self == NULL || h == NULL || strcmp(self->region, h->region) == 0)
+		return true;
+	wait_us += (int64_t)ir_store_reader_rank(v, self) * FETCH_STAGGER_US;
+	return ir_view_lease_age_us(n->view_lease, now) >= wait_us;
 }
 
 void
@@ -195,8 +269,21 @@
 	uint64_t own_config, own_list;
 
 	ir_node_revisions(n, &own_config, &own_list);
-	if (config > own_config || list > own_list)
-		send_view_request(n, now, p);
+	if ((config > own_config || list > own_list) &&
+	    may_fetch_from(n, now, p->name))
+		fetch_sections(n, now, p);
+}
+
+static void
+count_sections_sent(
+    struct ir_node *n, const struct ir_section *sections, size_t count)
+{
+	uint64_t bytes = 0;
+
+	for (size_t i = 0; i < count; i++)
+		bytes += strlen(sections[i].text);
+	ir_counters_add(&n->counters, IR_COUNTER_VIEW_SECTIONS_SENT, count);
+	ir_counters_add(&n->counters, IR_COUNTER_VIEW_BYTES_SENT, bytes);
 }
 
 static void
@@ -218,9 +305,11 @@
 	v->sections.sections_len = (uint32_t)count;
 	ir_view_lease_fill_reply(
 	    n->view_lease, now, v->config_revision, v->list_revision, v);
+	count_sections_sent(n, sections, count);
 	peer_reply(n, conn, xid, &m);
 	talloc_free(sections);
-	if (ir_view_host(node_view(n), from) != NULL)
+	if (ir_view_host(node_view(n), from) != NULL &&
+	    request->config_revision != REPORT_ONLY)
 		control_check_peer_revisions(n, now, peer_get(n, from),
 		    request->config_revision, request->list_revision);
 }
@@ -249,17 +338,10 @@
 }
 
 static void
-handle_view(struct ir_node *n, int64_t now, struct peer *p, uint32_t xid,
-    const struct ir_view_msg *m)
+apply_view(struct ir_node *n, const struct ir_view_msg *m)
 {
 	uint64_t config, list;
 
-	if (p->view_request_xid != xid)
-		return;
-	p->view_request_xid = 0;
-	n->view_source_tries = 0;
-	n->view_received = true;
-	control_update_lease(n, now);
 	ir_node_revisions(n, &config, &list);
 	for (uint32_t i = 0; i < m->sections.sections_len; i++)
 		apply_section(n, &m->sections.sections_val[i]);
@@ -271,8 +353,45 @@
 		    m->sections.sections_val, m->sections.sections_len);
 	ir_sections_raise_revisions(
 	    n->sections, m->config_revision, m->list_revision);
-	ir_view_lease_peer_answered(n->view_lease, p->view_request_sent_us,
-	    p->name, is_reader(n, p->name), m);
+}
+
+/* A reply without sections, from a host that has newer ones. */
+static bool
+lacks_sections(
+    struct ir_node *n, const struct peer *p, const struct ir_view_msg *m)
+{
+	uint64_t config, list;
+
+	ir_node_revisions(n, &config, &list);
+	return p->view_report_only &&
+	       (m->config_revision > config || m->list_revision > list);
+}
+
+static void
+handle_view(struct ir_node *n, int64_t now, struct peer *p, uint32_t xid,
+    const struct ir_view_msg *m)
+{
+	bool lacking;
+
+	if (p->view_request_xid != xid)
+		return;
+	p->view_request_xid = 0;
+	control_update_lease(n, now);
+	lacking = lacks_sections(n, p, m);
+	if (!p->view_report_only) {
+		n->view_source_tries = 0;
+		n->view_received = true;
+		apply_view(n, m);
+	}
+	if (lacking && is_reader(n, p->name))
+		ir_view_lease_reader_reported(
+		    n->view_lease, p->view_request_sent_us, p->name, m);
+	else if (!lacking)
+		ir_view_lease_peer_answered(n->view_lease,
+		    p->view_request_sent_us, p->name, is_reader(n, p->name), m);
+	if (lacking)
+		control_check_peer_revisions(
+		    n, now, p, m->config_revision, m->list_revision);
 	/* Not delayed to the next poll: relays wait for the outage evidence. */
 	if (is_reader(n, n->settings.host) &&
 	    ir_view_lease_age_us(n->view_lease, now) >= view_overdue_us(n))
@@ -434,8 +553,8 @@
 }
 
 /*
- * Requests the views of all readers: their reports are evidence of a store
- * outage.
+ * Requests the reports of all readers, as evidence of a store outage, without
+ * their sections.
  */
 static void
 request_reader_views(struct ir_node *n, int64_t now, const struct ir_view *v)
@@ -446,8 +565,10 @@
 	for (size_t i = 0; i < count; i++) {
 		struct peer *p = peer_get(n, readers[i].name);
 
-		if (p != NULL && !peer_is_self(n, p))
-			send_view_request(n, now, p);
+		if (p == NULL || !can_request_view(n, now, p))
+			continue;
+		p->view_report_only = true;
+		send_view_request(n, now, p, REPORT_ONLY, REPORT_ONLY);
 	}
 	talloc_free(readers);
 	update_outage(n, now);
@@ -460,6 +581,8 @@
 	const struct ir_host *h = ir_view_source(v, self, n->view_source_tries);
 	struct peer *p = h != NULL ? peer_get(n, h->name) : NULL;
 
+	if (is_fetching_sections(n, now))
+		return;
 	/* A new process gives each source one poll for its link to come up. */
 	if (p != NULL && !n->view_received && !n->view_source_waited &&
 	    !peer_ensure_link_for_poll(n, now, p)) {
@@ -471,10 +594,7 @@
 	n->view_source_waited = false;
 	if (p == NULL)
 		return;
-	if (p->view_request_xid != 0 &&
-	    now - p->view_request_sent_us > IR_LINK_TIMEOUT_US)
-		p->view_request_xid = 0;
-	send_view_request(n, now, p);
+	fetch_sections(n, now, p);
 }
 
 static void
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -126,6 +126,7 @@
 	uint32_t pending_count;
 	uint32_t view_request_xid; /* of the unanswered VIEW_REQUEST, or 0 */
 	int64_t view_request_sent_us;
+	bool view_report_only; /* it asked for no sections */
 	UT_hash_handle hh;
 };
 
@@ -183,7 +184,9 @@
 	int64_t now_us; /* time of the event being handled */
 	int64_t start_us;
 	int64_t last_view_poll_us;
-	uint32_t view_source_tries; /* polls since the last VIEW reply */
+	int64_t sections_requested_us; /* last time */
+	char *sections_source;	       /* host that they were requested from */
+	uint32_t view_source_tries;    /* polls since the last VIEW reply */
 	/* A poll was skipped to let the link to its source come up. */
 	bool view_source_waited;
 	int64_t hosts_changed_us; /* last change to the hosts of this service */
--- a/src/host/view_lease.c
+++ b/src/host/view_lease.c
@@ -243,6 +243,13 @@
 		save_report(l, sent_us, peer, m);
 }
 
+void
+ir_view_lease_reader_reported(struct ir_view_lease *l, int64_t sent_us,
+    const char *peer, const struct ir_view_msg *m)
+{
+	save_report(l, sent_us, peer, m);
+}
+
 /* How the report of one reader counts towards outage evidence. */
 enum vote {
 	VOTE_NONE,
--- a/src/host/view_lease.h
+++ b/src/host/view_lease.h
@@ -58,6 +58,14 @@
 void ir_view_lease_peer_answered(struct ir_view_lease *l, int64_t sent_us,
     const char *peer, bool reader, const struct ir_view_msg *m);
 
+/*
+ * Like ir_view_lease_peer_answered() for a reader that has newer revisions than
+ * this node and whose reply was without their sections: it counts in the
+ * evaluation of an outage, and confirms nothing.
+ */
+void ir_view_lease_reader_reported(struct ir_view_lease *l, int64_t sent_us,
+    const char *peer, const struct ir_view_msg *m);
+
 /*
  * For store readers only: derives outage evidence for the current revisions
  * from the node's own reads and the reports of the other readers. readers are
--- a/src/zone/placement.c
+++ b/src/zone/placement.c
@@ -126,6 +126,33 @@
 	return v->store_region != NULL && strcmp(region, v->store_region) == 0;
 }
 
+static size_t
+live_reader_count(const struct ir_zone *z)
+{
+	size_t n = 0;
+
+	while (n < IR_STORE_READERS_PER_ZONE && live_host_at(z, n) != NULL)
+		n++;
+	return n;
+}
+
+size_t
+ir_store_reader_rank(const struct ir_view *v, const struct ir_host *h)
+{
+	size_t rank = 0;
+
+	for (size_t i = 0; i < v->zone_count; i++) {
+		const struct ir_zone *z = &v->zones[i];
+
+		if (strcmp(z->region, h->region) != 0)
+			continue;
+		if (strcmp(z->name, h->zone) == 0 && ir_is_store_reader(v, h))
+			return rank + live_index(z, h);
+		rank += live_reader_count(z);
+	}
+	return rank;
+}
+
 size_t
 ir_store_readers(
     const struct ir_view *v, TALLOC_CTX *mem, struct ir_store_reader **readers)
--- a/src/zone/placement.h
+++ b/src/zone/placement.h
@@ -15,6 +15,12 @@
 /* Whether the host is one of the store readers of its zone. */
 bool ir_is_store_reader(const struct ir_view *v, const struct ir_host *h);
 
+/*
+ * Rank of the host among the store readers of its region, from 0; the number of
+ * them if it is none.
+ */
+size_t ir_store_reader_rank(const struct ir_view *v, const struct ir_host *h);
+
 /* The store readers of all zones, as an array under mem; returns its size. */
 size_t ir_store_readers(
     const struct ir_view *v, TALLOC_CTX *mem, struct ir_store_reader **readers);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -467,6 +467,42 @@
 	end_fleet(f);
 }
 
+/* Sections that the nodes of region r1 have sent to others. */
+static uint64_t
+sections_sent_by_r1(struct fleet *f)
+{
+	uint64_t sum = 0;
+
+	for (int i = 0; i < f->node_count; i++) {
+		if (strcmp(f->nodes[i].region, "r1") == 0)
+			sum += ir_node_counter(
+			    f->nodes[i].node, IR_COUNTER_VIEW_SECTIONS_SENT);
+	}
+	return sum;
+}
+
+/* Region r2 doesn't reach the store, and reads changes from region r1. */
+static void
+test_change_is_not_sent_repeatedly_between_regions(void **state)
+{
+	struct fleet *f = make_fleet(16);
+	uint64_t before;
+
+	settle(f);
+	for (int i = 0; i < f->node_count; i++)
+		f->store_cut[i] = strcmp(f->nodes[i].region, "r2") == 0;
+	fleet_run(f, 4 * IR_US_PER_S);
+	before = sections_sent_by_r1(f);
+	for (uint64_t i = 0; i < 10; i++) {
+		fleet_publish_rate(f, 100 + i, 1000 + i, 1000, true);
+		fleet_run(f, 3 * IR_US_PER_S);
+	}
+	fleet_check_converged(f);
+	/* At most once to each of the four hosts of r2. */
+	assert_in_range(sections_sent_by_r1(f) - before, 10, 10 * 4);
+	end_fleet(f);
+}
+
 int
 main(void)
 {
@@ -486,6 +522,8 @@
 	    cmocka_unit_test(
 		test_requests_whose_callee_has_no_host_are_refused),
 	    cmocka_unit_test(test_new_process_requests_full_view_from_one_host),
+	    cmocka_unit_test(
+		test_change_is_not_sent_repeatedly_between_regions),
 	    cmocka_unit_test(test_open_flag_of_forward_is_checked),
 	};
 
