--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -523,6 +523,16 @@
 		send_pending(n, now, p);
 }
 
+void
+ir_node_conn_progress(struct ir_node *n, int64_t now, uint32_t conn)
+{
+	struct conn *c = conn_find(n, conn);
+
+	n->now_us = now;
+	if (c != NULL && c->peer != NULL && c->peer->link.conn == conn)
+		ir_link_bytes_moved(&c->peer->link, now);
+}
+
 static void
 tick_peer(struct ir_node *n, int64_t now, struct peer *p)
 {
