Log: the stages of a stop

A process that is still there at the end of its grace time left only "stopping" in its log, and perhaps "stopped": whether the drain, a thread's flush or the clean-up took the time could not be told. The event stop-stage gives the end of the drain (all done, or the deadline, with what was left) and the end of each thread, in milliseconds since the signal.

--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -70,9 +70,14 @@
 	pthread_t threads[THREAD_COUNT];
 	size_t thread_count;
 	bool stopping;
+	int64_t stop_us; /* when the signal was taken */
 	bool drained;
 };
 
+/* Names in the log, by enum thread. */
+static const char *const thread_names[THREAD_COUNT] = {
+    "core", "callers", "upstream", "peers", "platform"};
+
 static int
 open_listener(struct ir_process *p, enum listener which, const char *name,
     const struct ir_endpoint *e)
@@ -351,6 +356,7 @@
 	if (p->stopping)
 		return;
 	p->stopping = true;
+	p->stop_us = ir_clock_now();
 	send_to_core(p, IR_TO_CORE_DRAIN);
 }
 
@@ -421,15 +427,38 @@
 	}
 }
 
+static int64_t
+stop_duration_ms(const struct ir_process *p)
+{
+	return (ir_clock_now() - p->stop_us) / IR_US_PER_MS;
+}
+
+static void
+log_thread_end(struct ir_process *p, const char *thread)
+{
+	ir_io_log_event(p->log, IR_EVENT_STOP_STAGE, NULL,
+	    "stage=thread-ended ms=%" PRId64 " thread=%s", stop_duration_ms(p),
+	    thread);
+}
+
+static void
+join_thread(struct ir_process *p, enum thread which)
+{
+	pthread_join(p->threads[which], NULL);
+	log_thread_end(p, thread_names[which]);
+}
+
 /* Stops the core last, since the other threads still send to it. */
 void
 ir_process_stop(struct ir_process *p)
 {
 	for (size_t i = THREAD_CORE + 1; i < p->thread_count; i++)
-		pthread_join(p->threads[i], NULL);
+		join_thread(p, i);
 	ir_admin_stop(p->admin);
+	log_thread_end(p, "admin");
 	send_to_core(p, IR_TO_CORE_EXIT);
-	pthread_join(p->threads[THREAD_CORE], NULL);
-	ir_io_log_event(p->log, IR_EVENT_STOPPED, NULL, "%s", "");
+	join_thread(p, THREAD_CORE);
+	ir_io_log_event(
+	    p->log, IR_EVENT_STOPPED, NULL, "ms=%" PRId64, stop_duration_ms(p));
 	talloc_free(p);
 }
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -285,12 +285,29 @@
 	return now - c->idle_since_us >= STOP_LINGER_US;
 }
 
+static void
+log_drain_end(struct core *c, int64_t now)
+{
+	struct ir_node_gauges g;
+	int64_t begin_us =
+	    c->drain_deadline_us - c->loop->settings->drain_ms * IR_US_PER_MS;
+
+	ir_node_gauges(c->node, now, &g);
+	ir_io_log_event(c->loop->log, IR_EVENT_STOP_STAGE, NULL,
+	    "stage=%s ms=%" PRId64 " calls=%" PRId64 " running=%" PRId64
+	    " queued=%" PRId64,
+	    now >= c->drain_deadline_us ? "deadline" : "drained",
+	    (now - begin_us) / IR_US_PER_MS, g.calls, g.gate_running,
+	    g.gate_queued);
+}
+
 static void
 stop_threads_when_drained(struct core *c, int64_t now)
 {
 	if (c->stop_sent || c->drain_deadline_us == 0 || !is_drained(c, now))
 		return;
 	c->stop_sent = true;
+	log_drain_end(c, now);
 	for (int t = 0; t < IR_THREAD_COUNT; t++)
 		ir_outbox_push(
 		    &c->outboxes[t], ir_from_core_new(IR_FROM_CORE_STOP));
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -18,7 +18,7 @@
 	"A graceful shutdown began: new callers are refused, requests in "
 	"progress are finished, and token buckets are handed over.",
 	"Wait for \"stopped\"."},
-    {IR_EVENT_STOPPED, "", "The process exits.",
+    {IR_EVENT_STOPPED, "ms: since the signal", "The process exits.",
 	"Nothing after a planned stop. Otherwise look at the log line before "
 	"it."},
     {IR_EVENT_SETTINGS_BAD, "error: file, key and expected value",
@@ -63,6 +63,15 @@
 	"add up to it, views or the allocator hold the rest. If the event "
 	"recurs, raise memory_mb together with the limit of the service, or "
 	"add hosts."},
+    {IR_EVENT_STOP_STAGE,
+	"stage: drained, deadline or thread-ended; ms: since the signal; "
+	"calls, running, queued: unfinished work; thread: the one that ended",
+	"A stage of a graceful shutdown was reached. drained: no request was "
+	"in progress any more. deadline: drain_ms had passed, and the "
+	"remaining requests are answered with an unknown outcome. "
+	"thread-ended: the thread sent what it had to send, and ended.",
+	"Nothing. If a stop takes too long, the gap between two lines shows "
+	"which stage takes the time."},
     {IR_EVENT_VIEW_CHANGED,
 	"config, list: the revisions of configuration and host list; hosts: "
 	"the number in the list",
