Callers: answers of pipelined requests are not announced as the last

While a node stopped, each answer said Connection: close, also the answers of requests with others behind them that had been passed on. A request that came behind an answer which already said close, but waited for an earlier one, was passed on too.

Only the last request of a connection now announces the end, and nothing is read behind it from when its answer is made. The order of what a connection holds decides, so a refusal between two answers does not cut them either.

Whether callers of a fleet saw it was not traced.

--- a/src/io/callers/caller_conn.h
+++ b/src/io/callers/caller_conn.h
@@ -49,7 +49,7 @@
 	struct ir_refusal refusal;
 	bool is_head_method;   /* the answer has no body */
 	bool continue_pending; /* 100 Continue is expected and not yet sent */
-	bool close_after;      /* close the connection after the answer */
+	bool close_after;      /* the connection ends with this answer */
 	uint8_t *answer;       /* formatted message, talloc array */
 	size_t charged_bytes;  /* to IR_MEMORY_CALLERS */
 	struct request *prev;  /* of the connection, oldest first */
--- a/src/io/callers/caller_request.c
+++ b/src/io/callers/caller_request.c
@@ -47,6 +47,21 @@
 		    r->refusal.reason, "error=%s", i->name);
 }
 
+/*
+ * Only the last request of a connection may announce its end: a caller reads
+ * nothing after an answer with "Connection: close".
+ */
+static void
+decide_close(struct request *r)
+{
+	if (r->next != NULL)
+		r->close_after = false;
+	else if (r->conn->listener->callers->close_after_answers)
+		r->close_after = true;
+	if (r->close_after)
+		r->conn->no_more_requests = true;
+}
+
 static struct ir_answer_format
 answer_format(struct request *r)
 {
@@ -56,8 +71,7 @@
 	    .head_only = r->is_head_method,
 	};
 
-	if (c->close_after_answers)
-		r->close_after = true;
+	decide_close(r);
 	format.close = r->close_after;
 	return format;
 }
--- a/test/test_caller_conn.c
+++ b/test/test_caller_conn.c
@@ -390,6 +390,63 @@
 	close(fd);
 }
 
+/* A caller reads nothing after an answer that says Connection: close. */
+static void
+test_leaving_loses_no_answer_of_pipelined_requests(void **state)
+{
+	struct fixture *f = *state;
+	char text[RAW_ANSWER_BYTES];
+	int fd = raw_send_request(f->port, GET("1") GET("2") GET("3"));
+	struct ir_to_core *m[3];
+
+	for (int i = 0; i < 3; i++)
+		m[i] = next_message(f);
+	ir_ring_push(
+	    f->channel->from_core, ir_from_core_new(IR_FROM_CORE_LEAVING));
+	send_answer(f, m[1]->u.call.id, IR_E_STOPPING, "");
+	send_answer(f, m[0]->u.call.id, IR_OK, "first");
+	raw_read_answer(fd, text);
+	assert_non_null(strstr(text, "\r\n\r\nfirst"));
+	assert_null(strstr(text, "Connection: close\r\n"));
+	raw_read_answer(fd, text);
+	assert_memory_equal(text, "HTTP/1.1 503", 12);
+	assert_null(strstr(text, "Connection: close\r\n"));
+	send_answer(f, m[2]->u.call.id, IR_OK, "third");
+	raw_read_all(fd, text, sizeof(text));
+	assert_non_null(strstr(text, "Connection: close\r\n"));
+	assert_non_null(strstr(text, "\r\n\r\nthird"));
+	for (int i = 0; i < 3; i++)
+		talloc_free(m[i]);
+	close(fd);
+}
+
+/* The last answer is ready, says close, and waits for an earlier one. */
+static void
+test_nothing_is_run_behind_an_answer_that_closes(void **state)
+{
+	struct fixture *f = *state;
+	char text[RAW_ANSWER_BYTES];
+	int fd = raw_send_request(f->port, GET("1") GET("2"));
+	struct ir_to_core *m[2];
+
+	for (int i = 0; i < 2; i++)
+		m[i] = next_message(f);
+	ir_ring_push(
+	    f->channel->from_core, ir_from_core_new(IR_FROM_CORE_LEAVING));
+	send_answer(f, m[1]->u.call.id, IR_OK, "second");
+	/* An answer on another connection shows that both were handled. */
+	expect_400(f, "GET /a/ HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n");
+	raw_send(fd, GET("3"), sizeof(GET("3")) - 1);
+	expect_400(f, "GET /a/ HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n");
+	send_answer(f, m[0]->u.call.id, IR_OK, "first");
+	raw_read_all(fd, text, sizeof(text));
+	assert_non_null(strstr(text, "\r\n\r\nsecond"));
+	assert_true(ir_ring_empty(f->channel->to_core));
+	for (int i = 0; i < 2; i++)
+		talloc_free(m[i]);
+	close(fd);
+}
+
 #define WITH_CALLERS(t) cmocka_unit_test_setup_teardown(t, set_up, tear_down)
 
 int
@@ -408,6 +465,8 @@
 	    WITH_CALLERS(test_slow_reader_does_not_delay_others),
 	    WITH_CALLERS(test_request_sent_byte_by_byte),
 	    WITH_CALLERS(test_leaving_closes_connections_after_answers),
+	    WITH_CALLERS(test_leaving_loses_no_answer_of_pipelined_requests),
+	    WITH_CALLERS(test_nothing_is_run_behind_an_answer_that_closes),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
