Core: a request that crosses the stop is refused, not run with an unknown outcome

A node that has been idle for some time tells its threads to end. It went on to admit calls, and until the callers' thread had read that message, calls came: they were answered with an unknown outcome at once and run all the same. A stop that begins before leave_ms has passed (readiness was asked twice) takes this way each time; so does one at the drain deadline, for calls that wait in the ring.

The message to the callers' thread now names the last call that the core took. Calls after it are refused by the core as stopping, not run; what was not refused when the flush ends is answered as unknown, as before.

--- a/src/io/callers/callers.c
+++ b/src/io/callers/callers.c
@@ -41,17 +41,17 @@
 }
 
 /*
- * Answers the requests that the core left unanswered when it stopped. Their
- * outcome is unknown, because they may have run.
+ * Answers submitted requests up to last_call. Their outcome is unknown, because
+ * they may have run.
  */
 static void
-begin_flush(struct ir_callers *c)
+answer_as_unknown(struct ir_callers *c, uint64_t last_call)
 {
 	struct request *r, *next;
 
-	c->flush_end_us = ir_clock_now() + FLUSH_TIMEOUT_US;
-	c->close_after_answers = true;
 	HASH_ITER (hh, c->submitted, r, next) {
+		if (r->id > last_call)
+			continue;
 		HASH_DEL(c->submitted, r);
 		r->refusal =
 		    ir_refusal_make(IR_E_HOST_LOST, "drain-ended", NULL);
@@ -60,6 +60,18 @@
 	}
 }
 
+/*
+ * Answers the requests that the core left unanswered when it stopped. Those
+ * that it had not taken by then, it refuses.
+ */
+static void
+begin_flush(struct ir_callers *c, uint64_t last_call)
+{
+	c->flush_end_us = ir_clock_now() + FLUSH_TIMEOUT_US;
+	c->close_after_answers = true;
+	answer_as_unknown(c, last_call);
+}
+
 void
 ir_callers_handle_core_messages(struct ir_callers *c)
 {
@@ -71,7 +83,7 @@
 		if (m->kind == IR_FROM_CORE_LEAVING)
 			c->close_after_answers = true;
 		if (m->kind == IR_FROM_CORE_STOP)
-			begin_flush(c);
+			begin_flush(c, m->id);
 		talloc_free(m);
 	}
 }
@@ -165,12 +177,18 @@
 	return true;
 }
 
+/* At the end of the flush, answers what the core did not refuse. */
 static bool
-is_finished(const struct ir_callers *c)
+is_finished(struct ir_callers *c)
 {
 	if (c->flush_end_us == 0)
 		return false;
-	return is_flushed(c) || ir_clock_now() >= c->flush_end_us;
+	if (is_flushed(c))
+		return true;
+	if (ir_clock_now() < c->flush_end_us)
+		return false;
+	answer_as_unknown(c, UINT64_MAX);
+	return true;
 }
 
 void *
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -126,9 +126,17 @@
 	ir_outbox_push(&c->outboxes[IR_THREAD_PLATFORM], m);
 }
 
+/* After IR_FROM_CORE_STOP nobody waits for the outcome of a call. */
 static void
 handle_call(struct core *c, int64_t now, struct ir_to_core *m)
 {
+	const struct ir_answer refusal = {.error = IR_E_STOPPING};
+
+	if (c->stop_sent) {
+		ir_core_ops.answer(c, m->u.call.id, &refusal);
+		return;
+	}
+	c->last_call = m->u.call.id;
 	ir_node_call(c->node, now, &m->u.call);
 }
 
@@ -308,9 +316,12 @@
 		return;
 	c->stop_sent = true;
 	log_drain_end(c, now);
-	for (int t = 0; t < IR_THREAD_COUNT; t++)
-		ir_outbox_push(
-		    &c->outboxes[t], ir_from_core_new(IR_FROM_CORE_STOP));
+	for (int t = 0; t < IR_THREAD_COUNT; t++) {
+		struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_STOP);
+
+		m->id = c->last_call;
+		ir_outbox_push(&c->outboxes[t], m);
+	}
 }
 
 static void
--- a/src/io/core/core_out.h
+++ b/src/io/core/core_out.h
@@ -40,8 +40,9 @@
 	bool store_wanted;
 	uint64_t config_revision;
 	uint64_t list_revision;
-	bool stop_sent; /* to the other threads */
-	bool ended;	/* IR_TO_CORE_EXIT was received */
+	uint64_t last_call; /* the last call that the node got */
+	bool stop_sent;	    /* to the other threads */
+	bool ended;	    /* IR_TO_CORE_EXIT was received */
 };
 
 /*
--- a/src/io/message.h
+++ b/src/io/message.h
@@ -77,7 +77,10 @@
 struct ir_from_core {
 	enum ir_from_core_kind kind;
 	struct ir_message_charge charge;
-	/* ANSWER: of the call; CANCEL_RUN: of the run; REPORT */
+	/*
+	 * ANSWER: of the call; CANCEL_RUN: of the run; REPORT; STOP: of the
+	 * last call that the node got
+	 */
 	uint64_t id;
 	uint32_t conn; /* PEER_* */
 	union {
--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -53,11 +53,20 @@
 	return pthread_create(&f->thread, NULL, ir_callers_run, f->callers);
 }
 
+/* last_call: the last one that the core has taken. */
+static void
+send_stop(struct fixture *f, uint64_t last_call)
+{
+	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_STOP);
+
+	m->id = last_call;
+	ir_ring_push(f->channel->from_core, m);
+}
+
 static void
 stop(struct fixture *f)
 {
-	ir_ring_push(
-	    f->channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
+	send_stop(f, 0);
 	pthread_join(f->thread, NULL);
 }
 
@@ -374,6 +383,35 @@
 	free_all(f);
 }
 
+/* The second request reaches the core after it has stopped: it will not run. */
+static void
+test_requests_that_cross_the_stop_are_not_answered_as_unknown(void **state)
+{
+	const char *request = "GET /s/ HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct fixture *f;
+	char text[RAW_ANSWER_BYTES];
+	struct ir_to_core *m[2];
+	int fds[2];
+
+	assert_int_equal(set_up((void **)&f), 0);
+	for (int i = 0; i < 2; i++) {
+		fds[i] = raw_send_request(f->port, request);
+		m[i] = next_message(f);
+	}
+	send_stop(f, m[0]->u.call.id);
+	send_answer(f, m[1]->u.call.id, IR_E_STOPPING);
+	raw_read_answer(fds[0], text);
+	assert_non_null(strstr(text, "Ibisrail-Outcome: unknown\r\n"));
+	raw_read_answer(fds[1], text);
+	assert_non_null(strstr(text, "Ibisrail-Outcome: not-run\r\n"));
+	pthread_join(f->thread, NULL);
+	for (int i = 0; i < 2; i++) {
+		talloc_free(m[i]);
+		close(fds[i]);
+	}
+	free_all(f);
+}
+
 #define WITH_CALLERS(t) cmocka_unit_test_setup_teardown(t, set_up, tear_down)
 
 int
@@ -391,6 +429,8 @@
 	    WITH_CALLERS(test_disconnect_of_a_caller_is_reported),
 	    WITH_CALLERS(test_full_ring_refuses),
 	    cmocka_unit_test(test_stop_answers_pending_requests),
+	    cmocka_unit_test(
+		test_requests_that_cross_the_stop_are_not_answered_as_unknown),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
