--- a/test/fakes/lib/history.c
+++ b/test/fakes/lib/history.c
@@ -21,6 +21,7 @@
 	struct section *sections;
 	int64_t *changed_us; /* of revision i + 1 */
 	uint64_t revision;
+	uint64_t era;
 };
 
 static int
@@ -35,6 +36,7 @@
 {
 	struct fake_history *h = talloc_zero(mem, struct fake_history);
 
+	h->era = 1;
 	talloc_set_destructor(h, history_destroy);
 	return h;
 }
@@ -97,6 +99,31 @@
 	return r;
 }
 
+uint64_t
+fake_history_era(const struct fake_history *h)
+{
+	return h->era;
+}
+
+void
+fake_history_restore(struct fake_history *h, int64_t now, int64_t at_us,
+    struct fake_rewrites *lost)
+{
+	struct section *s;
+
+	h->revision = fake_history_revision_at(h, at_us);
+	h->era++;
+	for (s = h->sections; s != NULL; s = s->hh.next) {
+		while (s->count > 0 &&
+		       s->versions[s->count - 1].revision > h->revision) {
+			const char *text = s->versions[--s->count].text;
+
+			fake_rewrites_add(
+			    lost, now, s->name, text, strlen(text));
+		}
+	}
+}
+
 static const struct version *
 version_at(const struct section *s, uint64_t as_of)
 {
@@ -139,6 +166,8 @@
 	}
 	json_object_object_add(
 	    obj, "revision", json_object_new_int64((int64_t)as_of));
+	json_object_object_add(
+	    obj, "era", json_object_new_int64((int64_t)h->era));
 	json_object_object_add(
 	    obj, "whole", json_object_new_boolean(after == 0));
 	json_object_object_add(obj, "sections", list);
--- a/test/fakes/lib/history.h
+++ b/test/fakes/lib/history.h
@@ -9,6 +9,8 @@
 #include <stdint.h>
 #include <talloc.h>
 
+#include "fakes/lib/rewrites.h"
+
 #define FAKE_MAX_CHANGES 200000
 #define FAKE_MAX_TEXT_BYTES (1024 * 1024)
 
@@ -25,6 +27,14 @@
 uint64_t fake_history_revision(const struct fake_history *h);
 /* Returns the newest revision that existed at a time. */
 uint64_t fake_history_revision_at(const struct fake_history *h, int64_t at_us);
+/* How often the history went back, from 1. */
+uint64_t fake_history_era(const struct fake_history *h);
+/*
+ * Goes back to the state at a time: later revisions are given out again, and
+ * the era rises by one. What was published since is added to lost.
+ */
+void fake_history_restore(struct fake_history *h, int64_t now, int64_t at_us,
+    struct fake_rewrites *lost);
 /*
  * Returns the JSON answer to a read, under mem: the sections changed after a
  * revision, as of another one. If after is 0, all sections that exist.
