Soak: the store comes back from an older copy

A key whose withdrawal was lost counts from when its publisher has repeated it, 2 s after the return at the latest.

--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -19,6 +19,12 @@
 #define BURST_SPAN_MS 3500
 #define MAX_SLOW_CLIENTS 16
 #define STORE_SLOW_MS 400
+#define MIN_RESTORE_MS 500
+#define RESTORE_SPAN_MS 8000
+/* Longest pause of a writer before it repeats what a restore lost. */
+#define REWRITE_PAUSE_US (2 * IR_US_PER_S)
+#define MAX_OTHER_WRITES 200
+#define ONE_IN_RESTORES 16 /* of the steps, if they are to be frequent */
 #define LARGE_ANSWER_BYTES (256 * 1024)
 #define LARGE_ANSWER_HOSTS 3 /* changed at a time */
 
@@ -101,6 +107,36 @@
 	    soak_random_below(s, 2) == 0 ? "true" : "false");
 }
 
+/*
+ * The store comes back from an older copy. In half of all cases its revisions
+ * have passed those that nodes have read before they ask again.
+ */
+static void
+restore_store(struct soak *s)
+{
+	/* All was published before the load began. */
+	int64_t load_ms = (ir_clock_now() - s->load_start_us) / IR_US_PER_MS;
+	uint32_t age_ms =
+	    MIN_RESTORE_MS + soak_random_below(s, RESTORE_SPAN_MS);
+	uint32_t other_writes = soak_random_below(s, 2) == 0
+				    ? 0
+				    : soak_random_below(s, MAX_OTHER_WRITES);
+	int64_t now = ir_clock_now();
+
+	if (age_ms > load_ms)
+		age_ms = (uint32_t)load_ms;
+	procs->store_restored = true;
+	s->restore_count++;
+	pr_set_faults(procs,
+	    talloc_asprintf(procs, "{\"restore_ms\":%u,\"other_writes\":%u}",
+		age_ms, other_writes));
+	/* A withdrawal that was lost counts from when it is repeated. */
+	for (size_t k = 0; k < PR_KEYS; k++) {
+		if (s->withdrawn_us[k] > now - age_ms * IR_US_PER_MS)
+			s->withdrawn_us[k] = now + REWRITE_PAUSE_US;
+	}
+}
+
 static void
 apply_store_faults(struct soak *s)
 {
@@ -115,6 +151,8 @@
 store_fault(struct soak *s)
 {
 	if (s->store_down || s->store_stale) {
+		if (s->store_down && soak_random_below(s, 2) == 0)
+			restore_store(s);
 		s->store_down = false;
 		s->store_stale = false;
 	} else if (soak_random_below(s, 2) == 0) {
@@ -277,6 +315,8 @@
 soak_next_fault(struct soak *s)
 {
 	s->fault_count++;
+	if (s->often_restored && soak_random_below(s, ONE_IN_RESTORES) == 0)
+		restore_store(s);
 	if (s->series_left > 0) {
 		series_fault(s);
 	} else if (soak_random_below(s, 8) == 0) {
--- a/test/soak/load.c
+++ b/test/soak/load.c
@@ -154,6 +154,7 @@
 void
 soak_load_init(struct soak *s)
 {
+	s->load_start_us = ir_clock_now();
 	s->first_id = procs->next_id + 1;
 	procs->next_id += SOAK_MAX_REQUESTS;
 }
@@ -208,6 +209,41 @@
 	}
 }
 
+static bool
+serves_key(size_t i, uint32_t key)
+{
+	struct pr_request r = {.port = procs->hosts[i].callers_port,
+	    .path = "/s/run",
+	    .key = procs->keys[key]};
+	struct pr_answer a = pr_fetch(procs, &r);
+
+	return pr_is_served(&a);
+}
+
+void
+soak_check_new_config(struct soak *s)
+{
+	int64_t end_us = ir_clock_now() + KEY_WITHDRAWAL_LIMIT_US;
+	uint32_t key = 1;
+
+	while (key < PR_KEYS && s->withdrawn_us[key] != 0)
+		key++;
+	if (key == PR_KEYS)
+		return;
+	pr_withdraw_key(procs, key);
+	for (size_t i = 0; i < procs->host_count; i++) {
+		while (serves_key(i, key) && ir_clock_now() < end_us)
+			soak_check_memory(s);
+	}
+	for (size_t i = 0; i < procs->host_count; i++) {
+		if (serves_key(i, key))
+			soak_note_failure(s,
+			    "%s serves a key that was withdrawn after the "
+			    "faults",
+			    procs->hosts[i].name);
+	}
+}
+
 /* A running node must answer every request that it has forwarded. */
 void
 soak_check_closed(struct soak *s)
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -63,6 +63,10 @@
 	struct slow_clients *slow_clients;
 	bool store_down;
 	bool store_stale;
+	bool often_restored; /* the store, on top of the other faults */
+	uint32_t restore_count;
+	int64_t recovery_us; /* from the end of all faults until all serve */
+	int64_t load_start_us;
 	int64_t store_fault_end_us; /* INT64_MAX / 2 during a fault */
 	int64_t withdrawn_us[PR_KEYS];
 	struct sent_request *sent;
@@ -110,6 +114,11 @@
 void soak_load_drain(struct soak *s);
 /* Checks that requests ran at most once, and not after an answer not-run. */
 void soak_check_run_counts(struct soak *s);
+/*
+ * Checks that a key withdrawn now is refused everywhere in time: without
+ * faults, all nodes take a new configuration.
+ */
+void soak_check_new_config(struct soak *s);
 /* Checks that the requests of soak_note_closed() were not forwarded. */
 void soak_check_closed(struct soak *s);
 
--- a/test/support/processes.h
+++ b/test/support/processes.h
@@ -76,6 +76,8 @@
 	const char *keys[PR_KEYS];
 	bool withdrawn[PR_KEYS];
 	uint32_t generation; /* of the accounts, last published */
+	/* Hosts may hold higher revisions than the store now has. */
+	bool store_restored;
 	uint64_t next_id;
 };
 
@@ -162,6 +164,8 @@
 void pr_wait_until(const char *what, bool (*holds)(void *ctx), void *ctx);
 /* Returns whether the answer is complete and an upstream served it. */
 bool pr_is_served(const struct pr_answer *a);
+/* Returns whether all nodes are ready, up to date and serve both services. */
+bool pr_all_serving(struct processes *p);
 /* Waits until all nodes are ready, up to date and serve both services. */
 void pr_wait_serving(struct processes *p);
 
