Store client: notice a store that was restored from an older copy

What callers saw: after the store came back from an older copy, a configuration that was published below the revision last read by a watch was not taken until the next one.

Cause: a watch continues from a revision. If the store's new revisions have passed it before the watch asks again, there is no 410, and what was written again below it is missed. Nothing but the era in the answer shows it.

When it rises, the client drops its positions, those of sections too, and reads all again within 300 ms, spread at random, as it does after 410; what the copy lacks is removed after the usual 2 s. Once an era is known, an answer without a valid one, or with a lower one, counts as a failed read and is logged once.

test_store_client: both new tests failed before, with "m->u.store.complete" (the read was taken as an unchanged one) and "0x1 != 0" (an answer without era was used).

--- a/include/ibisrail/dialect.h
+++ b/include/ibisrail/dialect.h
@@ -57,6 +57,12 @@
 	bool full;
 	char *next_key;	   /* after_key of the next page; NULL: the last page */
 	uint64_t revision; /* of the store */
+	/*
+	 * Era of the store's history. It rises when the store is restored from
+	 * an older copy; its revisions may then stand for other contents.
+	 */
+	uint64_t era;
+	bool has_era; /* false: the answer has none, or one that is invalid */
 	struct ir_store_item *items;
 	size_t item_count;
 	/* hosts_include_config: all of a changed configuration, or NULL. */
@@ -81,6 +87,8 @@
 	    TALLOC_CTX *mem, const struct ir_store_query *query,
 	    uint16_t status, const char *text, size_t size_bytes,
 	    struct ir_store_page *page, const char **error);
+	/* Header of all answers with the era; NULL: parse_answer() sets it. */
+	const char *era_header;
 	/* Items may change without a change of a section: see host_items.h. */
 	bool uses_host_items;
 	/* Changes of the host list come with those of the configuration. */
--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -186,6 +186,8 @@
 	 * these sections. 0: same as revision.
 	 */
 	uint64_t reached_revision;
+	uint64_t era; /* of the answer, if has_era: see ir_store_page */
+	bool has_era;
 	const struct ir_section *sections;
 	size_t section_count;
 };
--- a/src/io/native_dialect.c
+++ b/src/io/native_dialect.c
@@ -31,6 +31,8 @@
 		return IR_STORE_FAILED;
 	if (ir_store_answer_parse(mem, text, size_bytes, &r, error) != 0)
 		return IR_STORE_FAILED;
+	page->era = r.era;
+	page->has_era = r.has_era;
 	page->full = r.complete;
 	page->revision = r.revision;
 	page->items =
--- a/src/io/store/store_answer.c
+++ b/src/io/store/store_answer.c
@@ -110,6 +110,7 @@
 	    !json_object_is_type(whole, json_type_boolean))
 		return "whole missing or not a boolean";
 	r->complete = json_object_get_boolean(whole);
+	r->has_era = get_uint(json, "era", &r->era);
 	return parse_sections(mem, json, r);
 }
 
--- a/src/io/store/store_client.c
+++ b/src/io/store/store_client.c
@@ -3,6 +3,9 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
+
+#include "core/random.h"
 
 #include "io/admin/io_log.h"
 #include "io/clock.h"
@@ -15,7 +18,11 @@
 #define ANSWER_TIMEOUT_MS 350
 #define BACKOFF_MIN_US (200 * IR_US_PER_MS)
 #define BACKOFF_MAX_US (1000 * IR_US_PER_MS)
+/* Full reads that all hosts start for one reason are spread over this time. */
+#define FULL_READ_SPREAD_MS 300
+#define MAX_ERA_BYTES 24
 #define POLL_MS 1000
+#define DECIMAL 10
 /* Interval between attempts to push messages into a full ring. */
 #define BACKLOG_RETRY_MS 1
 
@@ -30,6 +37,7 @@
 	uint64_t section_revision;	  /* highest delivered to the core */
 	char *reported_error;		  /* logged since the last success */
 	bool failed;			  /* the last read failed */
+	bool full_read_due;		  /* whatever the core holds */
 	int64_t removal_due_us;		  /* of delayed removals; 0: none */
 	CURL *easy;			  /* NULL: no read in flight */
 	int64_t started_us;
@@ -38,6 +46,7 @@
 	struct ir_to_core *message; /* of the read; owns body */
 	char *body;
 	size_t body_bytes;
+	char era[MAX_ERA_BYTES]; /* value of the header; "": none */
 };
 
 struct ir_store_client {
@@ -49,6 +58,9 @@
 	const struct ir_store_dialect *dialect;
 	struct watch config;
 	struct watch hosts;
+	uint64_t era; /* of the last valid answer */
+	bool has_era;
+	uint64_t random;
 	bool polling;
 	bool stopping;
 };
@@ -76,6 +88,23 @@
 	return bytes;
 }
 
+static size_t
+on_header(char *data, size_t size, size_t count, void *ctx)
+{
+	struct watch *w = ctx;
+	const char *name = w->client->dialect->era_header;
+	size_t n = strlen(name), bytes = size * count, length = 0;
+
+	if (bytes <= n || strncasecmp(data, name, n) != 0 || data[n] != ':')
+		return bytes;
+	for (size_t i = n + 1; i < bytes && length < MAX_ERA_BYTES - 1; i++) {
+		if (strchr(" \t\r\n", data[i]) == NULL)
+			w->era[length++] = data[i];
+	}
+	w->era[length] = '\0';
+	return bytes;
+}
+
 static void
 end_read(struct watch *w)
 {
@@ -131,6 +160,11 @@
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body_data);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, w);
 	curl_easy_setopt(e, CURLOPT_PRIVATE, w);
+	w->era[0] = '\0';
+	if (c->dialect->era_header != NULL) {
+		curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+		curl_easy_setopt(e, CURLOPT_HEADERDATA, w);
+	}
 	talloc_free(path);
 }
 
@@ -253,6 +287,7 @@
 
 	r->request_sent_us = w->started_us;
 	r->is_host_list = w->hosts;
+	w->full_read_due = false;
 	if (reached > w->revision)
 		w->revision = reached;
 	TALLOC_FREE(w->body);
@@ -340,10 +375,75 @@
 static void
 restart_full_read(struct watch *w, int64_t now)
 {
+	uint32_t delay_ms =
+	    ir_random_below(&w->client->random, FULL_READ_SPREAD_MS);
+
 	end_read(w);
 	TALLOC_FREE(w->next_key);
 	w->revision = 0;
-	w->next_read_us = now;
+	w->full_read_due = true;
+	w->next_read_us = now + delay_ms * IR_US_PER_MS;
+}
+
+static void
+set_page_era(const struct watch *w, struct ir_store_page *page)
+{
+	char *end;
+
+	if (w->client->dialect->era_header == NULL)
+		return;
+	page->era = strtoull(w->era, &end, DECIMAL);
+	page->has_era = w->era[0] >= '0' && w->era[0] <= '9' && *end == '\0';
+}
+
+/*
+ * Returns an error if the answer cannot be used since its era is older than
+ * the last or missing, NULL if it can. A store that never sends an era is not
+ * expected to.
+ */
+static const char *
+check_era(const struct ir_store_client *c, const struct ir_store_page *page)
+{
+	if (!c->has_era)
+		return NULL;
+	if (!page->has_era)
+		return "era of the store missing or not a number";
+	return page->era < c->era ? "era of the store went back" : NULL;
+}
+
+/* The store was restored: forgets the positions in its former history. */
+static void
+begin_era(
+    struct ir_store_client *c, int64_t now, const struct ir_store_page *page)
+{
+	ir_io_log_event(c->channel->log, IR_EVENT_STORE_RESTORED, NULL,
+	    "era=%" PRIu64 " revision=%" PRIu64 " old_era=%" PRIu64
+	    " config=%" PRIu64 " hosts=%" PRIu64,
+	    page->era, page->revision, c->era, c->config.revision,
+	    c->hosts.revision);
+	restart_full_read(&c->config, now);
+	restart_full_read(&c->hosts, now);
+	c->config.section_revision = 0;
+	c->hosts.section_revision = 0;
+	/* What the copy lacks is written again, as after a failure. */
+	c->hosts.failed = true;
+}
+
+/* Returns whether a new era began, so that the answer is of no use. */
+static bool
+note_era(
+    struct ir_store_client *c, int64_t now, const struct ir_store_page *page)
+{
+	bool began;
+
+	if (!page->has_era || (c->has_era && page->era <= c->era))
+		return false;
+	began = c->config.revision != 0 || c->hosts.revision != 0;
+	if (began)
+		begin_era(c, now, page);
+	c->era = page->era;
+	c->has_era = true;
+	return began;
 }
 
 static void
@@ -362,6 +462,14 @@
 		result = c->dialect->parse_answer(c->settings, w->message,
 		    &query, (uint16_t)status, w->body, w->body_bytes, &page,
 		    &error);
+	if (code == CURLE_OK)
+		set_page_era(w, &page);
+	if (note_era(c, now, &page))
+		return;
+	if (result == IR_STORE_OK && check_era(c, &page) != NULL) {
+		result = IR_STORE_FAILED;
+		error = check_era(c, &page);
+	}
 	if (result == IR_STORE_OK) {
 		handle_page(w, now, &page);
 		return;
@@ -390,7 +498,7 @@
 static void
 raise_revision(struct watch *w, uint64_t revision)
 {
-	if (revision > w->revision)
+	if (revision > w->revision && !w->full_read_due)
 		w->revision = revision;
 }
 
@@ -548,6 +656,7 @@
 		return NULL;
 	talloc_set_destructor(c, free_client);
 	c->channel = channel;
+	c->random = (uint64_t)ir_clock_now();
 	c->settings = settings;
 	c->dialect = dialect;
 	ir_outbox_init(&c->outbox, channel->to_core);
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -94,6 +94,13 @@
 	"The configuration service answered with an older revision than the "
 	"one held here. The answer is ignored.",
 	"Look for a replica of the configuration service that lags."},
+    {IR_EVENT_STORE_RESTORED,
+	"era, revision: of its answer; old_era: before; config, hosts: "
+	"revisions read before",
+	"The configuration service was restored from an older copy: revisions "
+	"are given out again. Positions in its history are dropped, and all "
+	"is read again.",
+	"Check that the configuration published last is in force."},
     {IR_EVENT_LINK_UP, "host: the other end",
 	"A link to another host is in use.", "Nothing."},
     {IR_EVENT_LINK_LOST,
--- a/test/test_store_client.c
+++ b/test/test_store_client.c
@@ -38,6 +38,8 @@
 	pthread_t thread;
 	int config_reads;
 	bool bad_query;
+	const char *const *script; /* answers about the configuration */
+	const char *next_full_answer;
 };
 
 /* A full read, an error, an invalid document, a truncated one, no change. */
@@ -66,11 +68,28 @@
 	}
 }
 
+/* Answers by the script; its last answer is repeated. Full reads wait. */
+static void
+answer_by_script(struct fixture *f, struct fake_request *r)
+{
+	if (strstr(r->uri, "after=0&") != NULL) {
+		fake_answer_json(r, 200, f->next_full_answer);
+		return;
+	}
+	fake_answer_json(r, 200, *f->script);
+	if (f->script[1] != NULL)
+		f->script++;
+}
+
 /* Requests for the host list get no answer. */
 static void
 on_request(void *ctx, struct fake_request *r)
 {
-	if (strcmp(r->path, "/v1/config") == 0)
+	struct fixture *f = ctx;
+
+	if (f->script != NULL && strcmp(r->path, "/v1/config") == 0)
+		answer_by_script(f, r);
+	else if (strcmp(r->path, "/v1/config") == 0)
 		answer_config(ctx, r);
 }
 
@@ -192,6 +211,81 @@
 	close(fd);
 }
 
+#define ANSWER(revision, era, whole, sections)               \
+	"{\"revision\":" revision "," era "\"whole\":" whole \
+	",\"sections\":[" sections "]}"
+#define FLEET(revision, text) \
+	"{\"name\":\"fleet\",\"revision\":" revision ",\"text\":\"" text "\"}"
+#define ERA(n) "\"era\":" n ","
+
+/* Returns the next read that succeeded. */
+static struct ir_to_core *
+next_read(struct fixture *f, int *failures)
+{
+	struct ir_to_core *m;
+
+	while ((m = next_message(f))->kind == IR_TO_CORE_STORE_FAILED) {
+		(*failures)++;
+		talloc_free(m);
+	}
+	assert_int_equal(m->kind, IR_TO_CORE_STORE_READ);
+	return m;
+}
+
+static void
+expect_fleet(struct fixture *f, const char *text)
+{
+	int failures = 0;
+	struct ir_to_core *m = next_read(f, &failures);
+
+	assert_true(m->u.store.complete);
+	assert_int_equal(m->u.store.section_count, 1);
+	assert_string_equal(m->u.store.sections[0].text, text);
+	talloc_free(m);
+}
+
+static void
+test_restore_is_noticed_when_new_revisions_passed_the_old(void **state)
+{
+	static const char *const script[] = {
+	    ANSWER("7", ERA("2"), "false", ""), NULL};
+	struct fixture *f = *state;
+
+	f->script = script;
+	f->next_full_answer =
+	    ANSWER("5", ERA("1"), "true", FLEET("5", "before"));
+	start_polling(f);
+	expect_fleet(f, "before");
+	fake_server_lock(f->server);
+	f->next_full_answer =
+	    ANSWER("7", ERA("2"), "true", FLEET("4", "restored"));
+	fake_server_unlock(f->server);
+	expect_fleet(f, "restored");
+}
+
+static void
+test_answers_without_a_valid_era_are_not_used(void **state)
+{
+	static const char *const script[] = {
+	    ANSWER("6", "", "false", FLEET("6", "none")),
+	    ANSWER("7", ERA("\"x\""), "false", FLEET("7", "text")),
+	    ANSWER("8", ERA("-1"), "false", FLEET("8", "negative")),
+	    ANSWER("9", ERA("1"), "false", FLEET("9", "falling")),
+	    ANSWER("5", ERA("2"), "false", ""), NULL};
+	struct fixture *f = *state;
+	struct ir_to_core *m;
+	int failures = 0;
+
+	f->script = script;
+	f->next_full_answer = ANSWER("5", ERA("2"), "true", FLEET("5", "good"));
+	start_polling(f);
+	expect_fleet(f, "good");
+	m = next_read(f, &failures);
+	assert_int_equal(m->u.store.section_count, 0);
+	assert_true(failures >= 4);
+	talloc_free(m);
+}
+
 static void
 expect_rejected(const char *text)
 {
@@ -227,6 +321,12 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
 		test_reads_and_failures, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_restore_is_noticed_when_new_revisions_passed_the_old,
+		set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_answers_without_a_valid_era_are_not_used, set_up,
+		tear_down),
 	    cmocka_unit_test(test_stopped_thread_starts_no_read),
 	    cmocka_unit_test(test_invalid_documents),
 	};
