Calls: a read that cannot be retried elsewhere waits for its status

Callers saw: reads that ended as host-lost (unknown) at the moment their link was lost, although the host was alive and answered 20 ms later. Cause: when a link is lost, an idempotent call with retry tokens gave its attempt up before it was known whether it may be retried; without another host or retry budget it failed. The same call without tokens waited for the status.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -223,20 +223,26 @@
 
 /*
  * A sent attempt waits until the link is up again and its status can be
- * requested. An idempotent call with retry tokens is retried elsewhere at once.
+ * requested. An idempotent call is retried elsewhere at once if it may be.
  */
 static void
 sent_link_lost(struct ir_node *n, int64_t now, struct attempt *a)
 {
 	struct call *c = a->call;
+	const struct ir_host *h;
 
 	a->state = ATTEMPT_LINK_LOST;
 	if (!c->idempotent || c->retry_quota->tokens == 0)
 		return;
 	c->upstream_attempts++;
+	h = call_take_retry(n, now, c);
+	if (h == NULL) {
+		c->upstream_attempts--;
+		return;
+	}
 	c->may_have_run = true;
 	attempt_cancel(n, now, a);
-	call_retry(n, now, c, IR_E_HOST_LOST, 0);
+	attempt_start(n, now, c, h);
 }
 
 void
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -413,24 +413,29 @@
 	return ok;
 }
 
+const struct ir_host *
+call_take_retry(struct ir_node *n, int64_t now, struct call *c)
+{
+	const struct ir_host *h;
+	enum ir_error e; /* the caller has its own */
+	uint32_t retry_ms;
+
+	if (now >= c->deadline_us || c->tried_count >= MAX_TRIED_HOSTS)
+		return NULL;
+	h = choose_host(n, now, c, &e, &retry_ms);
+	return h != NULL && may_retry(n, now, c) ? h : NULL;
+}
+
 void
 call_retry(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
     uint32_t retry_after_ms)
 {
-	const struct ir_host *h;
-	enum ir_error choice_error; /* e is reported instead */
-	uint32_t retry_ms;
+	const struct ir_host *h = call_take_retry(n, now, c);
 
-	if (now >= c->deadline_us || c->tried_count >= MAX_TRIED_HOSTS) {
-		call_fail(n, now, c, e, retry_after_ms);
-		return;
-	}
-	h = choose_host(n, now, c, &choice_error, &retry_ms);
-	if (h == NULL || !may_retry(n, now, c)) {
+	if (h != NULL)
+		attempt_start(n, now, c, h);
+	else
 		call_fail(n, now, c, e, retry_after_ms);
-		return;
-	}
-	attempt_start(n, now, c, h);
 }
 
 void
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -324,6 +324,12 @@
  */
 void call_retry(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
     uint32_t retry_after_ms);
+/*
+ * Takes what a retry costs and returns the host to retry at. NULL if there is
+ * none, or no time, retry token or retry budget of the service left.
+ */
+const struct ir_host *call_take_retry(
+    struct ir_node *n, int64_t now, struct call *c);
 /* Ends the call without an answer: the caller has disconnected. */
 void call_abandon(struct ir_node *n, int64_t now, struct call *c);
 /* Aborts the calls whose deadline has passed. */
@@ -347,7 +353,7 @@
 void attempt_link_up(struct ir_node *n, int64_t now, struct peer *p);
 /*
  * The link to p was lost: retries attempts that were not sent, and idempotent
- * ones that have retry tokens. Others wait for attempt_link_up().
+ * ones that may be retried elsewhere. Others wait for attempt_link_up().
  */
 void attempt_link_lost(struct ir_node *n, int64_t now, struct peer *p);
 /*
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -467,6 +467,33 @@
 	end_fleet(f);
 }
 
+/* With one host of the service, the call cannot be retried elsewhere. */
+static void
+test_read_without_another_host_is_not_lost_with_its_link(void **state)
+{
+	struct fleet *f = fleet_create(NULL, 1);
+	struct fleet_request r = read_request;
+	int c;
+
+	(void)fleet_add_node(f, "s", "r1", "z1");
+	(void)fleet_add_node(f, "t", "r1", "z1");
+	fleet_publish_defaults(f);
+	for (int i = 0; i < f->node_count; i++)
+		fleet_start(f, i);
+	settle(f);
+	f->nodes[1].run_duration_us = IR_US_PER_S / 2;
+	r.service = "t";
+	c = fleet_call(f, 0, &r);
+	fleet_run(f, IR_US_PER_S / 4);
+	assert_int_equal(f->calls[c].runs, 1);
+	fleet_close(f, 0, 1);
+	fleet_run(f, IR_US_PER_S);
+	assert_int_equal(f->calls[c].answers, 1);
+	assert_int_equal(f->calls[c].answer.error, IR_OK);
+	assert_int_equal(f->calls[c].runs, 1);
+	end_fleet(f);
+}
+
 int
 main(void)
 {
@@ -487,6 +514,8 @@
 		test_requests_whose_callee_has_no_host_are_refused),
 	    cmocka_unit_test(test_new_process_requests_full_view_from_one_host),
 	    cmocka_unit_test(test_open_flag_of_forward_is_checked),
+	    cmocka_unit_test(
+		test_read_without_another_host_is_not_lost_with_its_link),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
