Gate: a run without room in this process is no failure of the upstream

Callers saw: 503 upstream-shed from hosts whose upstream had refused nothing, and a gate that then let in less. Cause: a run for which there is no memory on the way to the upstream ended as not connected, which counts as a failure: the limit is cut down to a quarter of the slots, and the answer says that the upstream refused. Fix: its own end, IR_RUN_NO_ROOM: answered as overload, not run, and counted in no window of the limit. Both places that find no room use it: the ring to the upstream's thread, and the share of the upstream.

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -88,6 +88,7 @@
 	IR_RUN_ANSWERED,      /* complete answer */
 	IR_RUN_SHED,	      /* refused by the upstream, not run */
 	IR_RUN_NOT_CONNECTED, /* no connection: not run */
+	IR_RUN_NO_ROOM,	      /* no memory in this process: not run */
 	IR_RUN_BROKEN	      /* connection broke, or answer incomplete */
 };
 
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -145,6 +145,8 @@
 	case IR_RUN_SHED:
 	case IR_RUN_NOT_CONNECTED:
 		return IR_E_UPSTREAM_SHED;
+	case IR_RUN_NO_ROOM:
+		return IR_E_OVERLOAD;
 	default:
 		return IR_E_UPSTREAM_FAILED;
 	}
@@ -164,11 +166,19 @@
 		return IR_SAMPLE_OK;
 	case IR_RUN_SHED:
 		return IR_SAMPLE_SHED;
+	case IR_RUN_NO_ROOM:
+		return IR_SAMPLE_IGNORED;
 	default:
 		return IR_SAMPLE_FAILED;
 	}
 }
 
+static bool
+may_retry_later(enum ir_error e)
+{
+	return e == IR_E_UPSTREAM_SHED || e == IR_E_OVERLOAD;
+}
+
 void
 ir_node_run_ended(struct ir_node *n, int64_t now, uint64_t run,
     const struct ir_run_result *res)
@@ -190,6 +200,6 @@
 	    now - r->work.started_us);
 	ir_gate_done(n->gate, now, &r->work, sample_of_run(r, res));
 	serve_finish_record(
-	    n, now, r, e, e == IR_E_UPSTREAM_SHED ? node_jitter_ms(n, 100) : 0);
+	    n, now, r, e, may_retry_later(e) ? node_jitter_ms(n, 100) : 0);
 	node_run_deferred(n, now);
 }
--- a/src/io/core/core_loop.h
+++ b/src/io/core/core_loop.h
@@ -4,7 +4,7 @@
  * calls the node's tick, and sends the node's actions to the other threads.
  *
  * Messages that a full ring does not take wait in an outbox. When too many
- * wait, a new run ends as not connected, and the node keeps or refuses what was
+ * wait, a new run ends without room, and the node keeps or refuses what was
  * to be sent to peers. Answers to callers need no such limit: the number of
  * calls that the node holds bounds them.
  */
--- a/src/io/core/core_out.c
+++ b/src/io/core/core_out.c
@@ -209,7 +209,7 @@
 		report_full(c, "upstream", "run");
 		ended = ir_to_core_new(IR_TO_CORE_RUN_ENDED);
 		ended->id = r->id;
-		ended->u.result.end = IR_RUN_NOT_CONNECTED;
+		ended->u.result.end = IR_RUN_NO_ROOM;
 		defer_event(c, ended);
 		return;
 	}
--- a/src/io/upstream/upstream.c
+++ b/src/io/upstream/upstream.c
@@ -49,6 +49,14 @@
 	ir_upstream_answer_reset(&t->answer);
 }
 
+static enum ir_run_end
+end_of_failed(const struct transfer *t)
+{
+	if (t->send_started)
+		return IR_RUN_BROKEN;
+	return t->memory.reserve_failed ? IR_RUN_NO_ROOM : IR_RUN_NOT_CONNECTED;
+}
+
 void
 ir_upstream_finish(struct transfer *t, const char *reason)
 {
@@ -57,8 +65,9 @@
 	struct ir_run_result *r = &m->u.result;
 
 	if (reason != NULL)
-		r->end = t->send_started ? IR_RUN_BROKEN : IR_RUN_NOT_CONNECTED;
-	if (r->end == IR_RUN_BROKEN || r->end == IR_RUN_NOT_CONNECTED)
+		r->end = end_of_failed(t);
+	if (r->end == IR_RUN_BROKEN || r->end == IR_RUN_NOT_CONNECTED ||
+	    r->end == IR_RUN_NO_ROOM)
 		discard_answer(t, reason);
 	t->answer.message = NULL;
 	m->id = t->id;
--- a/test/test_node_memory.c
+++ b/test/test_node_memory.c
@@ -243,6 +243,17 @@
 	forward_to(g, "stock", remaining_ms, body_bytes);
 }
 
+static void
+end_runs_as(struct gate_fixture *g, enum ir_run_end end)
+{
+	struct ir_run_result r = {.end = end};
+	uint32_t count = g->running_count;
+
+	g->running_count = 0;
+	for (uint32_t i = 0; i < count; i++)
+		ir_node_run_ended(g->node, g->now, g->running[i], &r);
+}
+
 static void
 end_runs(struct gate_fixture *g, size_t answer_bytes)
 {
@@ -472,6 +483,31 @@
 	assert_int_equal(g->last, IR_E_ANSWER_DROPPED);
 }
 
+/* The upstream never saw these runs. */
+static void
+test_runs_without_room_do_not_lower_the_limit(void **state)
+{
+	struct gate_fixture *g = *state;
+	struct ir_node_gauges before, after;
+
+	for (int t = 0; t < 5 * 100; t++) {
+		for (int i = 0; i < MAX_RUNNING; i++)
+			forward(g, 800, 0);
+		tick(g);
+		end_runs(g, 10);
+	}
+	ir_node_gauges(g->node, g->now, &before);
+	for (int t = 0; t < 5 * 100; t++) {
+		for (int i = 0; i < 100; i++)
+			forward(g, 800, 0);
+		tick(g);
+		end_runs_as(g, IR_RUN_NO_ROOM);
+		assert_int_equal(g->last, IR_E_OVERLOAD);
+	}
+	ir_node_gauges(g->node, g->now, &after);
+	assert_in_range(after.gate_limit, before.gate_limit, 100000);
+}
+
 static void
 test_refused_attempts_do_not_displace_served_ones(void **state)
 {
@@ -584,6 +620,7 @@
 	    T(test_long_deadlines_cause_no_refusals),
 	    T(test_attempt_with_evicted_record_is_not_reported_as_not_run),
 	    T(test_refused_attempts_do_not_displace_served_ones),
+	    T(test_runs_without_room_do_not_lower_the_limit),
 	    T(test_memory_counts_return_to_zero),
 	};
 
