--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -114,8 +114,7 @@
 
 /* An attempt that was not sent does not count towards FREE_REFUSALS. */
 static void
-retry_unsent(
-    struct ir_node *n, int64_t now, struct attempt *a, enum ir_error e)
+retry_unsent(struct ir_node *n, int64_t now, struct attempt *a, enum ir_error e)
 {
 	struct call *c = a->call;
 
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -124,8 +124,8 @@
 	struct attempt *attempts;
 	struct pending_message *pending; /* oldest first */
 	uint32_t pending_count;
-	bool hello_due;	 /* on the current connection; had no room */
-	bool status_due; /* of some attempts; had no room */
+	bool hello_due;		   /* on the current connection; had no room */
+	bool status_due;	   /* of some attempts; had no room */
 	uint32_t view_request_xid; /* of the unanswered VIEW_REQUEST, or 0 */
 	int64_t view_request_sent_us;
 	UT_hash_handle hh;
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -293,8 +293,7 @@
 {
 	return n->calls == NULL && ir_records_open_count(n->records) == 0 &&
 	       ir_records_first_unsent(n->records) == NULL &&
-	       n->unsent_replies == NULL &&
-	       n->self_head == NULL;
+	       n->unsent_replies == NULL && n->self_head == NULL;
 }
 
 bool
--- a/test/support/matrix.h
+++ b/test/support/matrix.h
@@ -49,6 +49,8 @@
 	FAULT_STOP_GATE,
 	FAULT_REGION_CUT,
 	FAULT_SURGE,
+	FAULT_NO_ROOM_ORIGIN,
+	FAULT_NO_ROOM_GATE,
 	FAULT_COUNT
 };
 
@@ -82,7 +84,8 @@
 	TASK_CROSS,
 	TASK_SURGE,
 	TASK_ABANDON_CALL,
-	TASK_PUBLISH_OLD
+	TASK_PUBLISH_OLD,
+	TASK_MAKE_ROOM
 };
 
 /* Work that must not run within a callback of a node. */
--- a/test/support/matrix_fault.c
+++ b/test/support/matrix_fault.c
@@ -8,6 +8,8 @@
 #define RESTART_US (100 * IR_US_PER_MS)
 #define PAUSE_US (3 * IR_US_PER_S)
 #define DELAY_US (2 * IR_US_PER_S)
+/* How long a host has no room for messages to peers. */
+#define NO_ROOM_US (300 * IR_US_PER_MS)
 #define ANSWER_DELIVERY_US (20 * IR_US_PER_MS)
 #define SURGE_CALLS 60
 
@@ -42,6 +44,8 @@
     [FAULT_STOP_GATE] = "gate stopped",
     [FAULT_REGION_CUT] = "regions cut",
     [FAULT_SURGE] = "demand surge",
+    [FAULT_NO_ROOM_ORIGIN] = "origin has no room",
+    [FAULT_NO_ROOM_GATE] = "gate has no room",
 };
 
 const char *
@@ -82,6 +86,13 @@
 	matrix_schedule_task(m, TASK_START, node, RESTART_US);
 }
 
+static void
+take_room(struct matrix *m, int node)
+{
+	m->f->nodes[node].no_room = true;
+	matrix_schedule_task(m, TASK_MAKE_ROOM, node, NO_ROOM_US);
+}
+
 static void
 publish_change(struct matrix *m, enum matrix_fault fault)
 {
@@ -149,6 +160,12 @@
 	case FAULT_HOST_LEAVES:
 		fleet_publish_host(f, gate, "leaving");
 		break;
+	case FAULT_NO_ROOM_ORIGIN:
+		take_room(m, origin);
+		break;
+	case FAULT_NO_ROOM_GATE:
+		take_room(m, gate);
+		break;
 	case FAULT_STOP_ORIGIN:
 		matrix_schedule_task(m, TASK_STOP, origin, 0);
 		break;
@@ -312,6 +329,9 @@
 		if (f->nodes[t->node].alive)
 			fleet_abandon_call(f, m->call);
 		break;
+	case TASK_MAKE_ROOM:
+		f->nodes[t->node].no_room = false;
+		break;
 	case TASK_PUBLISH_OLD:
 		fleet_publish_rate(f, f->config_revision + 1, RATE_PER_S / 4,
 		    BURST, f->key_published);
@@ -344,6 +364,7 @@
 			f->cut[a][b] = false;
 		f->store_cut[a] = false;
 		f->nodes[a].upstream_mode = UPSTREAM_OK;
+		f->nodes[a].no_room = false;
 	}
 	fleet_set_store_down(f, false);
 	fleet_set_store_stale(f, false);
--- a/test/test_core_out.c
+++ b/test/test_core_out.c
@@ -149,8 +149,8 @@
 	assert_true(f->memory.held_bytes[IR_MEMORY_RINGS] <= bound);
 	assert_true(f->memory.held_bytes[IR_MEMORY_RINGS] > bound / 2);
 	assert_non_null(f->core.deferred_events);
-	assert_int_equal(f->core.deferred_events->message->u.result.end,
-	    IR_RUN_NO_ROOM);
+	assert_int_equal(
+	    f->core.deferred_events->message->u.result.end, IR_RUN_NO_ROOM);
 	assert_true(taken > 0 && taken < 100);
 }
 
--- a/test/test_send_room.c
+++ b/test/test_send_room.c
@@ -64,8 +64,8 @@
 	uint64_t lost = 0;
 
 	for (int i = 0; i < f->node_count; i++)
-		lost += ir_node_counter(
-		    f->nodes[i].node, IR_COUNTER_LINKS_LOST);
+		lost +=
+		    ir_node_counter(f->nodes[i].node, IR_COUNTER_LINKS_LOST);
 	return lost;
 }
 
@@ -74,7 +74,8 @@
 {
 	for (int i = first; i < first + count; i++) {
 		assert_int_equal(f->calls[i].answers, 1);
-		assert_string_equal(ir_error_info(f->calls[i].answer.error)->name,
+		assert_string_equal(
+		    ir_error_info(f->calls[i].answer.error)->name,
 		    ir_error_info(e)->name);
 	}
 }
@@ -175,8 +176,7 @@
 		(void)fleet_call(f, ORIGIN, &open_request);
 	assert_answers(f, first, CALLS, IR_E_OVERLOAD);
 	f->nodes[ORIGIN].no_room = false;
-	assert_int_equal(
-	    fleet_call(f, ORIGIN, &write_request), first + CALLS);
+	assert_int_equal(fleet_call(f, ORIGIN, &write_request), first + CALLS);
 	fleet_run(f, NO_ROOM_US);
 	assert_answers(f, first + CALLS, 1, IR_OK);
 	assert_int_equal(links_lost(f), lost);
@@ -302,8 +302,8 @@
 	issuer = issuer_of_buckets(f);
 	f->nodes[issuer].no_room = true;
 	fleet_publish_host(f, issuer, "leaving");
-	assert_true(fleet_run_until(
-	    f, 4 * IR_US_PER_S, gave_buckets_up, &issuer));
+	assert_true(
+	    fleet_run_until(f, 4 * IR_US_PER_S, gave_buckets_up, &issuer));
 	fleet_run(f, NO_ROOM_US);
 	f->nodes[issuer].no_room = false;
 	fleet_run(f, 2 * IR_US_PER_S);
@@ -455,8 +455,7 @@
 	    cmocka_unit_test(test_view_without_room_is_sent_later),
 	    cmocka_unit_test(test_greeting_without_room_is_answered_later),
 	    cmocka_unit_test(test_answer_without_room_for_seconds_is_not_lost),
-	    cmocka_unit_test(
-		test_messages_of_peers_wait_while_many_replies_do),
+	    cmocka_unit_test(test_messages_of_peers_wait_while_many_replies_do),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
