--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -124,8 +124,8 @@
 	struct attempt *attempts;
 	struct pending_message *pending; /* oldest first */
 	uint32_t pending_count;
-	bool hello_due;	 /* on the current connection; had no room */
-	bool status_due; /* of some attempts; had no room */
+	bool hello_due;		   /* on the current connection; had no room */
+	bool status_due;	   /* of some attempts; had no room */
 	uint32_t view_request_xid; /* of the unanswered VIEW_REQUEST, or 0 */
 	int64_t view_request_sent_us;
 	bool view_report_only; /* it asked for no sections */
@@ -327,6 +327,12 @@
  */
 void call_retry(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
     uint32_t retry_after_ms);
+/*
+ * Takes what a retry costs and returns the host to retry at. NULL if there is
+ * none, or no time, retry token or retry budget of the service left.
+ */
+const struct ir_host *call_take_retry(
+    struct ir_node *n, int64_t now, struct call *c);
 /* Ends the call without an answer: the caller has disconnected. */
 void call_abandon(
     struct ir_node *n, int64_t now, struct call *c, const char *reason);
@@ -351,7 +357,7 @@
 void attempt_link_up(struct ir_node *n, int64_t now, struct peer *p);
 /*
  * The link to p was lost: retries attempts that were not sent, and idempotent
- * ones that have retry tokens. Others wait for attempt_link_up().
+ * ones that may be retried elsewhere. Others wait for attempt_link_up().
  */
 void attempt_link_lost(struct ir_node *n, int64_t now, struct peer *p);
 /*
