Peers: queued views are dropped before a connection is closed for want of memory

An attempt whose connection is closed by the other end is in doubt, and a caller may get 502 or 504 for it. When a process's share for peers was used up, the connection that held most was closed, also when most of that were views which can be asked for again at any time.

Views of which no byte was sent are dropped first, counted in ibisrail_views_dropped_total; then the former rule applies. The asker gets no reply and asks again, or another host, after a poll interval without a byte. No change of the wire.

test_views_are_dropped_before_a_connection_is_closed fails without the drop.

--- a/include/ibisrail/counter.h
+++ b/include/ibisrail/counter.h
@@ -33,6 +33,7 @@
 	IR_COUNTER_VIEW_REQUESTS,      /* sent to other nodes */
 	IR_COUNTER_VIEW_SECTIONS_SENT, /* in views sent to other nodes */
 	IR_COUNTER_VIEW_BYTES_SENT,    /* texts of these sections */
+	IR_COUNTER_VIEWS_DROPPED,      /* for want of memory, per connection */
 	IR_COUNTER_STORE_READS,	       /* reads of the configuration service */
 	IR_COUNTER_SECTIONS_APPLIED,   /* view sections that came into force */
 	IR_COUNTER_SECTIONS_REFUSED,   /* view sections refused as invalid */
--- a/src/io/peers/peer_conn.c
+++ b/src/io/peers/peer_conn.c
@@ -138,9 +138,9 @@
 	return true;
 }
 
-static void
-queue_message(
-    struct ir_peer_conn *c, uint8_t *data, size_t size_bytes, bool view)
+static struct ir_unsent_message *
+queue_message(struct ir_peer_conn *c, struct ir_unsent_message **queue,
+    uint8_t *data, size_t size_bytes)
 {
 	struct ir_unsent_message *u = talloc_zero(c, struct ir_unsent_message);
 
@@ -148,12 +148,10 @@
 		abort();
 	u->data = talloc_steal(u, data);
 	u->size_bytes = size_bytes;
-	if (view)
-		DL_APPEND(c->unsent_views, u);
-	else
-		DL_APPEND(c->unsent, u);
+	DL_APPEND(*queue, u);
 	c->unsent_bytes += size_bytes;
 	account_memory(c, ir_memory_tree_bytes(u));
+	return u;
 }
 
 static void
@@ -174,11 +172,26 @@
 		size = ir_codec_encode(c, 0, &m, &data);
 		if (size == 0)
 			abort();
-		queue_message(c, data, size, true);
+		queue_message(c, &c->unsent_views, data, size)->starts_view =
+		    sent == 0;
 	}
 	talloc_free(record);
 }
 
+bool
+ir_peer_conn_drop_views(struct ir_peer_conn *c)
+{
+	struct ir_unsent_message *u, *next;
+	bool drop = false;
+
+	DL_FOREACH_SAFE (c->unsent_views, u, next) {
+		drop = drop || (u->starts_view && u->sent_bytes == 0);
+		if (drop)
+			free_unsent(c, u);
+	}
+	return drop;
+}
+
 void
 ir_peer_conn_send(struct ir_peer_conn *c, uint8_t *data, size_t size_bytes)
 {
@@ -188,11 +201,13 @@
 		talloc_free(data);
 		return;
 	}
-	if (c->takes_parts && ir_codec_is_large_view(data, size_bytes))
+	if (!ir_codec_is_large_view(data, size_bytes))
+		queue_message(c, &c->unsent, data, size_bytes);
+	else if (c->takes_parts)
 		queue_parts(c, data, size_bytes);
 	else
-		queue_message(c, data, size_bytes,
-		    ir_codec_is_large_view(data, size_bytes));
+		queue_message(c, &c->unsent_views, data, size_bytes)
+		    ->starts_view = true;
 	if (idle && send_queued(c))
 		return;
 	if (!c->failing)
--- a/src/io/peers/peer_conn.h
+++ b/src/io/peers/peer_conn.h
@@ -45,6 +45,7 @@
 	uint8_t *data;
 	size_t size_bytes;
 	size_t sent_bytes;
+	bool starts_view; /* a view or its first part */
 	struct ir_unsent_message *prev;
 	struct ir_unsent_message *next;
 };
@@ -99,6 +100,12 @@
 bool ir_peer_conn_add_part(struct ir_peer_conn *c, const struct ir_part *part);
 void ir_peer_conn_free_parts(struct ir_peer_conn *c);
 
+/*
+ * Drops the queued views of which no byte was sent; the peer asks again, or
+ * another host. Returns whether there were any.
+ */
+bool ir_peer_conn_drop_views(struct ir_peer_conn *c);
+
 /* Ends all transfer, frees the buffers and calls failed(), once only. */
 void ir_peer_conn_fail(struct ir_peer_conn *c, const char *reason);
 
--- a/src/io/peers/peers.c
+++ b/src/io/peers/peers.c
@@ -288,14 +288,39 @@
 	return bound < IR_MAX_UNSENT_BYTES ? bound : IR_MAX_UNSENT_BYTES;
 }
 
+static bool
+drop_views(struct ir_peers *p, struct ir_peer_conn *c)
+{
+	if (!ir_peer_conn_drop_views(c))
+		return false;
+	ir_counters_add(&p->channel->counters, IR_COUNTER_VIEWS_DROPPED, 1);
+	return true;
+}
+
+/* A peer asks again for a view; attempts on a closed link are in doubt. */
+static void
+drop_views_over_limit(struct ir_peers *p)
+{
+	struct ir_peer_conn *c;
+
+	for (c = p->conns; c != NULL; c = c->hh.next) {
+		if (ir_memory_has_room(p->memory, IR_MEMORY_PEERS, 0))
+			return;
+		(void)drop_views(p, c);
+	}
+}
+
 static void
 on_memory_grew(void *ctx, struct ir_peer_conn *c)
 {
 	struct ir_peers *p = ctx;
 	struct ir_peer_conn *largest;
 
+	if (c->unsent_bytes > max_unsent_bytes(p))
+		(void)drop_views(p, c);
 	if (c->unsent_bytes > max_unsent_bytes(p))
 		close_over_limit(p, c, "unsent-bytes");
+	drop_views_over_limit(p);
 	while (!ir_memory_has_room(p->memory, IR_MEMORY_PEERS, 0) &&
 	       (largest = largest_conn(p)) != NULL)
 		close_over_limit(p, largest, "memory");
--- a/src/metric/counter.c
+++ b/src/metric/counter.c
@@ -56,6 +56,8 @@
 	"Sections of the view sent to other nodes."},
     [IR_COUNTER_VIEW_BYTES_SENT] = {"ibisrail_view_bytes_sent_total",
 	"Bytes of the sections sent to other nodes."},
+    [IR_COUNTER_VIEWS_DROPPED] = {"ibisrail_views_dropped_total",
+	"Times that queued views to a node were dropped to free memory."},
     [IR_COUNTER_STORE_READS] = {"ibisrail_store_reads_total",
 	"Reads of the configuration service."},
     [IR_COUNTER_SECTIONS_APPLIED] = {"ibisrail_sections_taken_total",
--- a/test/test_peer_conn.c
+++ b/test/test_peer_conn.c
@@ -693,6 +693,30 @@
 	close_all(fds, 2);
 }
 
+/* 3 views to the first and 2 answers to the second, with a bound of 4. */
+static void
+test_views_are_dropped_before_a_connection_is_closed(void **state)
+{
+	struct fixture *f = *state;
+	int fds[2] = {
+	    connect_and_send_record(f, 1), connect_and_send_record(f, 3)};
+
+	for (uint32_t xid = 11; xid < 14; xid++)
+		push_view(f, 1, xid, MESSAGE_BYTES);
+	push_answer(f, 3, 21, MESSAGE_BYTES);
+	push_answer(f, 3, 22, MESSAGE_BYTES);
+	push_answer(f, 1, 14, 1);
+	assert_int_equal(receive_xid(fds[1]), 21);
+	assert_int_equal(receive_xid(fds[1]), 22);
+	/* The first view was begun, so it is sent whole. */
+	assert_int_equal(receive_xid(fds[0]), 11);
+	assert_int_equal(receive_xid(fds[0]), 14);
+	stop_thread(f);
+	assert_null(pop_message(f));
+	assert_int_equal(logged_link_losses(f, "memory"), 0);
+	close_all(fds, 2);
+}
+
 /* Connections to a listener with a full backlog stay in progress. */
 static int
 open_full_listener(int *filling, uint16_t *port)
@@ -816,6 +840,7 @@
 	    WITH_PEERS(test_parts_of_two_records_close_the_connection),
 	    WITH_PEERS(test_idle_connections_keep_no_read_buffer),
 	    WITH_BOUND(test_peers_that_do_not_read_stay_within_the_bound),
+	    WITH_BOUND(test_views_are_dropped_before_a_connection_is_closed),
 	    WITH_BOUND(test_only_connection_with_most_memory_is_closed),
 	    WITH_BOUND(test_messages_queued_before_the_connect_are_bounded),
 	    WITH_BOUND(test_incomplete_records_stay_within_the_bound),
