--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -64,6 +64,24 @@
 	talloc_free(v);
 }
 
+static void
+test_readers_of_a_region_have_different_ranks(void **state)
+{
+	struct ir_view *v = contract_view_new(NULL, 7, 443);
+	struct ir_store_reader *readers;
+	size_t count = ir_store_readers(v, v, &readers);
+
+	for (size_t i = 0, rank = 0; i < count; i++, rank++) {
+		if (i > 0 &&
+		    strcmp(readers[i].region, readers[i - 1].region) != 0)
+			rank = 0;
+		assert_int_equal(
+		    ir_store_reader_rank(v, ir_view_host(v, readers[i].name)),
+		    rank);
+	}
+	talloc_free(v);
+}
+
 static unsigned
 depth_of(const struct ir_view *v, const struct ir_host *h)
 {
@@ -237,6 +255,7 @@
 	    cmocka_unit_test(test_each_zone_has_store_readers),
 	    cmocka_unit_test(test_store_readers_without_store_region),
 	    cmocka_unit_test(test_leaving_host_is_no_store_reader),
+	    cmocka_unit_test(test_readers_of_a_region_have_different_ranks),
 	    cmocka_unit_test(test_first_view_sources_form_a_shallow_tree),
 	    cmocka_unit_test(test_attempts_reach_other_zones_and_wrap),
 	    cmocka_unit_test(test_readers_poll_the_store_region_first),
--- a/test/test_view_lease.c
+++ b/test/test_view_lease.c
@@ -234,6 +234,32 @@
 	talloc_free(l);
 }
 
+/* The report's newer revisions are not known here yet. */
+static void
+test_report_of_newer_revisions_counts_but_confirms_nothing(void **state)
+{
+	struct ir_view_lease *l = ir_view_lease_new(NULL);
+	struct ir_view_msg failed = failed_report(5, 7, 0);
+	struct ir_view_msg answered = failed_report(6, 7, 0);
+
+	ir_view_lease_store_answered(l, T0, false, 5);
+	ir_view_lease_store_answered(l, T0, true, 7);
+	answered.store_reachable = true;
+	answered.confirm_age_us = 0;
+	ir_view_lease_reader_reported(l, T0 + 5, "n2", &answered);
+	assert_int_equal(ir_view_lease_age_us(l, T0 + 5), 5);
+	assert_int_equal(
+	    ir_view_lease_state(l, T0 + 5, 5, 7), IR_VIEW_CONFIRMED);
+	assert_int_equal(
+	    ir_view_lease_state(l, T0 + LEASE + 1, 5, 7), IR_VIEW_UNCONFIRMED);
+	ir_view_lease_store_failed(l, T0 + 6);
+	ir_view_lease_peer_answered(l, T0 + 6, "n1", true, &failed);
+	ir_view_lease_evaluate_outage(l, T0 + 9, "n0", readers, 3, 5, 7);
+	assert_int_equal(
+	    ir_view_lease_state(l, T0 + LEASE + 1, 5, 7), IR_VIEW_UNCONFIRMED);
+	talloc_free(l);
+}
+
 /* Evidence that is older or of lower revisions, or none, is ignored. */
 static void
 test_latest_evidence_is_retained(void **state)
@@ -317,6 +343,8 @@
 	    cmocka_unit_test(test_outage_needs_a_majority),
 	    cmocka_unit_test(test_sole_reader_is_its_own_majority),
 	    cmocka_unit_test(test_reports_out_of_order),
+	    cmocka_unit_test(
+		test_report_of_newer_revisions_counts_but_confirms_nothing),
 	    cmocka_unit_test(test_latest_evidence_is_retained),
 	    cmocka_unit_test(test_evidence_is_relayed),
 	    cmocka_unit_test(test_reachable_needs_both_reads),
