Callers: a stop does not crash on a pipelining caller that has gone

At the end of a drain the callers' thread went through its submitted requests and wrote each answer at once. If the write failed, the connection was closed and its other requests were freed, and the loop went on with one of them: the process ended by SIGSEGV and took the answers of all its other callers along. It needs a caller that is gone without the thread knowing: one with 64 requests in flight (its socket is not read), or a reset that arrives with the stop.

All answers are made first, then connections are written one by one; closing one does not touch the next.

test_stop_survives_a_reset_of_pipelined_requests ended with the process before (status 255; under AddressSanitizer heap-use-after-free in answer_as_unknown); it passes, plain and under AddressSanitizer, with the other 14.

--- a/src/io/callers/callers.c
+++ b/src/io/callers/callers.c
@@ -47,6 +47,7 @@
 static void
 answer_as_unknown(struct ir_callers *c, uint64_t last_call)
 {
+	struct caller_conn *conn, *next_conn;
 	struct request *r, *next;
 
 	HASH_ITER (hh, c->submitted, r, next) {
@@ -56,8 +57,10 @@
 		r->refusal =
 		    ir_refusal_make(IR_E_HOST_LOST, "drain-ended", NULL);
 		ir_request_refuse(r);
-		ir_caller_conn_write(r->conn);
 	}
+	/* A failed write frees all requests of its connection. */
+	DL_FOREACH_SAFE (c->conns, conn, next_conn)
+		ir_caller_conn_write(conn);
 }
 
 /*
--- a/test/test_caller_conn.c
+++ b/test/test_caller_conn.c
@@ -27,6 +27,8 @@
 #include "support/raw_http.h"
 
 #define RING_SLOTS 128
+/* Unanswered requests with which a connection is not read. */
+#define PIPELINE_LIMIT 64
 #define PIPELINED 100
 #define GET(id)                                              \
 	"GET /a/b?q=1 HTTP/1.1\r\nHost: Shop.Example:80\r\n" \
@@ -58,17 +60,24 @@
 	return pthread_create(&f->thread, NULL, ir_callers_run, f->callers);
 }
 
-static int
-tear_down(void **state)
+/* last_call: the last one that the core has taken. */
+static void
+stop(struct fixture *f, uint64_t last_call)
 {
-	struct fixture *f = *state;
+	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_STOP);
 
-	ir_ring_push(
-	    f->channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
+	m->id = last_call;
+	ir_ring_push(f->channel->from_core, m);
 	pthread_join(f->thread, NULL);
 	talloc_free(f->callers);
 	talloc_free(f->core);
 	talloc_free(f);
+}
+
+static int
+tear_down(void **state)
+{
+	stop(*state, 0);
 	return 0;
 }
 
@@ -447,6 +456,35 @@
 	close(fd);
 }
 
+/* With this many requests the connection is not read, so nobody sees a reset.
+ */
+static void
+test_stop_survives_a_reset_of_pipelined_requests(void **state)
+{
+	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+	const char *request = "GET /a/ HTTP/1.1\r\nHost: x\r\n\r\n";
+	char *all = talloc_strdup(NULL, "");
+	struct fixture *f;
+	uint64_t last = 0;
+	int fd;
+
+	assert_int_equal(set_up((void **)&f), 0);
+	for (int i = 0; i < PIPELINE_LIMIT; i++)
+		all = talloc_strdup_append(all, request);
+	fd = raw_send_request(f->port, all);
+	for (int i = 0; i < PIPELINE_LIMIT; i++) {
+		struct ir_to_core *m = next_message(f);
+
+		last = m->u.call.id;
+		talloc_free(m);
+	}
+	assert_int_equal(
+	    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)), 0);
+	close(fd);
+	stop(f, last);
+	talloc_free(all);
+}
+
 #define WITH_CALLERS(t) cmocka_unit_test_setup_teardown(t, set_up, tear_down)
 
 int
@@ -467,6 +505,7 @@
 	    WITH_CALLERS(test_leaving_closes_connections_after_answers),
 	    WITH_CALLERS(test_leaving_loses_no_answer_of_pipelined_requests),
 	    WITH_CALLERS(test_nothing_is_run_behind_an_answer_that_closes),
+	    cmocka_unit_test(test_stop_survives_a_reset_of_pipelined_requests),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
