Daemon: a stop ends at a fixed time, whatever a thread waits for

The end of a process depended on each of its threads, on a reader of its log and on the time that freeing everything takes. A process whose main thread writes a state dump to a standard error that nobody reads never ended; one whose log is read a little at a time waits up to 200 ms for each 4 KB of the 512 KB that it may hold. It is then killed at the end of its grace time.

Requests were answered before, at drain_ms, and flushed for at most 500 ms.

--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include "daemon/process.h"
+#include "daemon/stop_limit.h"
 #include "ibisrail/version.h"
 #include "io/admin/admin.h"
 #include "io/admin/io_log.h"
@@ -29,6 +30,8 @@
 #define RING_SLOTS 4096
 #define BYTES_PER_MB (UINT64_C(1024) * 1024)
 #define DRAIN_POLL_MS 100
+/* From the end of the drain to the end of the process, at most. */
+#define STOP_AFTER_DRAIN_MS 600
 /* How often the settings file is checked for a change. */
 #define SETTINGS_CHECK_MS 1000
 
@@ -338,6 +341,19 @@
 	reload_settings(p, "change");
 }
 
+static void
+begin_stop(struct ir_process *p)
+{
+	int64_t limit_ms = p->settings->drain_ms + STOP_AFTER_DRAIN_MS;
+
+	p->stopping = true;
+	p->stop_us = ir_clock_now();
+	if (!ir_stop_limit_start(p->stop_us + limit_ms * IR_US_PER_MS))
+		ir_io_log_event(p->log, IR_EVENT_STOP_STAGE, NULL, "%s",
+		    "stage=no-limit ms=0");
+	send_to_core(p, IR_TO_CORE_DRAIN);
+}
+
 static void
 handle_signal(struct ir_process *p, int signal_fd)
 {
@@ -353,11 +369,8 @@
 		reload_settings(p, "signal");
 		return;
 	}
-	if (p->stopping)
-		return;
-	p->stopping = true;
-	p->stop_us = ir_clock_now();
-	send_to_core(p, IR_TO_CORE_DRAIN);
+	if (!p->stopping)
+		begin_stop(p);
 }
 
 static void
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -64,14 +64,17 @@
 	"recurs, raise memory_mb together with the limit of the service, or "
 	"add hosts."},
     {IR_EVENT_STOP_STAGE,
-	"stage: drained, deadline or thread-ended; ms: since the signal; "
+	"stage: drained, deadline, thread-ended or no-limit; ms: since the "
+	"signal; "
 	"calls, running, queued: unfinished work; thread: the one that ended",
 	"A stage of a graceful shutdown was reached. drained: no request was "
 	"in progress any more. deadline: drain_ms had passed, and the "
 	"remaining requests are answered with an unknown outcome. "
-	"thread-ended: the thread sent what it had to send, and ended.",
+	"thread-ended: the thread sent what it had to send, and ended. "
+	"no-limit: the stop has no time limit, for lack of memory.",
 	"Nothing. If a stop takes too long, the gap between two lines shows "
-	"which stage takes the time."},
+	"which stage takes the time. A process that does not log \"stopped\" "
+	"was ended 600 ms after drain_ms."},
     {IR_EVENT_VIEW_CHANGED,
 	"config, list: the revisions of configuration and host list; hosts: "
 	"the number in the list",
--- a/test/run.sh
+++ b/test/run.sh
@@ -8,8 +8,8 @@
 # TSAN=1 runs only the programs that have threads. SANITIZED=1 runs the matrix
 # with single faults only, as pairs of faults take minutes with a sanitizer.
 build=${BUILD:-build}
-threaded='caller_conn|callers|core_out|counter|ctl|fakes|log|peer_conn'
-threaded="$threaded|process|ring|store_client|upstream_conn"
+threaded='caller_conn|callers|core_loop|core_out|counter|ctl|fakes|log|peer_conn'
+threaded="$threaded|process|ring|stop|store_client|upstream_conn"
 threaded="^test_($threaded|upstream_run)\$"
 passed=0 failed=0 known_red=0
 for t in "$build"/test/test_*; do
