Daemon: a stop counts from when the signal may have come

A process that stood still while SIGTERM was sent began its drain when it went on, and drained for the whole drain_ms. Its supervisor had counted all the while and killed it in the middle: all its callers lost their answers.

The main thread looks for signals at least once a second. If it finds one after more than 1.5 s without a look, the drain, the refusal of new calls and the limit of the stop count from the last look. The core counts its two times from that of the message.

test_drain_counts_from_the_signal never ended before and passes.

--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -34,6 +34,8 @@
 #define STOP_AFTER_DRAIN_MS 600
 /* How often the settings file is checked for a change. */
 #define SETTINGS_CHECK_MS 1000
+/* The main thread is awake at least once in this time, unless it is held up. */
+#define AWAKE_PERIOD_US ((SETTINGS_CHECK_MS + 500) * IR_US_PER_MS)
 
 /* Threads started here. The admin server starts its own. */
 enum thread {
@@ -73,7 +75,8 @@
 	pthread_t threads[THREAD_COUNT];
 	size_t thread_count;
 	bool stopping;
-	int64_t stop_us; /* when the signal was taken */
+	int64_t awake_us; /* when signals were last looked for */
+	int64_t stop_us;  /* when the signal may have come */
 	bool drained;
 };
 
@@ -293,14 +296,20 @@
 	return NULL;
 }
 
+static void
+push_to_core(struct ir_process *p, struct ir_to_core *m)
+{
+	if (!ir_ring_push(p->loop.channels[IR_THREAD_MAIN]->to_core, m))
+		talloc_free(m);
+}
+
 static void
 send_to_core(struct ir_process *p, enum ir_to_core_kind kind)
 {
 	struct ir_to_core *m = ir_to_core_new(kind);
 
 	m->report = IR_REPORT_STATE;
-	if (!ir_ring_push(p->loop.channels[IR_THREAD_MAIN]->to_core, m))
-		talloc_free(m);
+	push_to_core(p, m);
 }
 
 /* Applies the keys that can change at run time. Ignores invalid settings. */
@@ -325,8 +334,7 @@
 	p->settings = s;
 	m = ir_to_core_new(IR_TO_CORE_SETTINGS);
 	m->u.settings = s;
-	if (!ir_ring_push(p->loop.channels[IR_THREAD_MAIN]->to_core, m))
-		talloc_free(m);
+	push_to_core(p, m);
 }
 
 static void
@@ -341,17 +349,31 @@
 	reload_settings(p, "change");
 }
 
+/*
+ * A process that was suspended does not know when the signal came. Its
+ * supervisor has waited since then.
+ */
+static int64_t
+signal_time(const struct ir_process *p)
+{
+	int64_t now = ir_clock_now();
+
+	return now - p->awake_us > AWAKE_PERIOD_US ? p->awake_us : now;
+}
+
 static void
 begin_stop(struct ir_process *p)
 {
 	int64_t limit_ms = p->settings->drain_ms + STOP_AFTER_DRAIN_MS;
+	struct ir_to_core *m = ir_to_core_new(IR_TO_CORE_DRAIN);
 
 	p->stopping = true;
-	p->stop_us = ir_clock_now();
+	p->stop_us = signal_time(p);
+	m->since_us = p->stop_us;
 	if (!ir_stop_limit_start(p->stop_us + limit_ms * IR_US_PER_MS))
 		ir_io_log_event(p->log, IR_EVENT_STOP_STAGE, NULL, "%s",
 		    "stage=no-limit ms=0");
-	send_to_core(p, IR_TO_CORE_DRAIN);
+	push_to_core(p, m);
 }
 
 static void
@@ -426,16 +448,18 @@
 	    {.fd = ir_wakeup_fd(ch->wakeup), .events = POLLIN},
 	};
 
+	p->awake_us = ir_clock_now();
 	while (!p->drained) {
 		ir_wakeup_arm(ch->wakeup);
 		if (ir_ring_empty(ch->from_core))
 			poll(fds, 2,
 			    p->stopping ? DRAIN_POLL_MS : SETTINGS_CHECK_MS);
 		ir_wakeup_disarm(ch->wakeup);
-		check_settings_file(p);
 		if ((fds[0].revents & POLLIN) != 0)
 			handle_signal(p, signal_fd);
 		fds[0].revents = 0;
+		p->awake_us = ir_clock_now();
+		check_settings_file(p);
 		handle_core_messages(p);
 	}
 }
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -103,12 +103,14 @@
 }
 
 static void
-start_stopping(struct core *c, int64_t now)
+start_stopping(struct core *c, int64_t now, int64_t since_us)
 {
+	const struct ir_settings *s = c->loop->settings;
+
 	if (c->drain_deadline_us != 0)
 		return;
-	c->drain_deadline_us = now + c->loop->settings->drain_ms * IR_US_PER_MS;
-	c->leave_deadline_us = now + c->loop->settings->leave_ms * IR_US_PER_MS;
+	c->drain_deadline_us = since_us + s->drain_ms * IR_US_PER_MS;
+	c->leave_deadline_us = since_us + s->leave_ms * IR_US_PER_MS;
 	ir_outbox_push(&c->outboxes[IR_THREAD_CALLERS],
 	    ir_from_core_new(IR_FROM_CORE_LEAVING));
 	ir_node_stop(c->node, now, c->leave_deadline_us);
@@ -179,7 +181,7 @@
 		apply_settings(c, m->u.settings);
 		break;
 	case IR_TO_CORE_DRAIN:
-		start_stopping(c, now);
+		start_stopping(c, now, m->since_us);
 		break;
 	case IR_TO_CORE_EXIT:
 		c->ended = true;
--- a/src/io/message.h
+++ b/src/io/message.h
@@ -50,6 +50,7 @@
 	uint32_t conn;		    /* PEER_* */
 	uint32_t xid;		    /* PEER_MESSAGE: transaction id */
 	int64_t request_sent_us;    /* STORE_FAILED: when the read was begun */
+	int64_t since_us;	    /* DRAIN: when the signal may have come */
 	enum ir_report_kind report; /* REPORT_REQUEST */
 	union {
 		struct ir_call call;	     /* CALL */
--- a/test/test_core_loop.c
+++ b/test/test_core_loop.c
@@ -9,10 +9,12 @@
 #include <poll.h>
 
 #include "ibisrail/limits.h"
+#include "io/clock.h"
 #include "io/core/core_loop.h"
 
 #define RING_SLOTS 128
 #define DRAIN_MS 100
+#define LONG_DRAIN_MS 90000
 #define LEAVE_MS 60000
 
 struct fixture {
@@ -101,6 +103,15 @@
 	send_to_core(f, IR_THREAD_CALLERS, m);
 }
 
+static void
+send_drain(struct fixture *f, int64_t since_us)
+{
+	struct ir_to_core *m = ir_to_core_new(IR_TO_CORE_DRAIN);
+
+	m->since_us = since_us;
+	send_to_core(f, IR_THREAD_MAIN, m);
+}
+
 static void
 test_calls_after_the_stop_are_refused_as_stopping(void **state)
 {
@@ -111,7 +122,7 @@
 	m = receive(f, IR_THREAD_CALLERS, IR_FROM_CORE_ANSWER);
 	assert_int_not_equal(m->u.answer.error, IR_E_STOPPING);
 	talloc_free(m);
-	send_to_core(f, IR_THREAD_MAIN, ir_to_core_new(IR_TO_CORE_DRAIN));
+	send_drain(f, ir_clock_now());
 	m = receive(f, IR_THREAD_CALLERS, IR_FROM_CORE_STOP);
 	assert_int_equal(m->id, 7);
 	talloc_free(m);
@@ -122,6 +133,17 @@
 	talloc_free(m);
 }
 
+/* The process stood still: the signal is older than the message. */
+static void
+test_drain_counts_from_the_signal(void **state)
+{
+	struct fixture *f = *state;
+
+	f->settings.drain_ms = LONG_DRAIN_MS;
+	send_drain(f, ir_clock_now() - LONG_DRAIN_MS * IR_US_PER_MS);
+	talloc_free(receive(f, IR_THREAD_CALLERS, IR_FROM_CORE_STOP));
+}
+
 int
 main(void)
 {
@@ -129,6 +151,8 @@
 	    cmocka_unit_test_setup_teardown(
 		test_calls_after_the_stop_are_refused_as_stopping, set_up,
 		tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_drain_counts_from_the_signal, set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
