Daemon: a state dump that nobody reads does not hold signals up

The main thread wrote the dump of SIGUSR1 to standard error until all of it was taken. With a full pipe there it handled no signal any more: no SIGHUP, and no SIGTERM, so that the process was killed at the end of its grace time with all the calls it held. The dump is now written for 100 ms at most.

--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -6,6 +6,7 @@
 #include <errno.h>
 #include <inttypes.h>
 #include <json.h>
+#include <limits.h>
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
@@ -30,6 +31,8 @@
 #define RING_SLOTS 4096
 #define BYTES_PER_MB (UINT64_C(1024) * 1024)
 #define DRAIN_POLL_MS 100
+/* For writing a state dump to standard error. */
+#define DUMP_TIMEOUT_MS 100
 /* From the end of the drain to the end of the process, at most. */
 #define STOP_AFTER_DRAIN_MS 600
 /* How often the settings file is checked for a change. */
@@ -395,12 +398,21 @@
 		begin_stop(p);
 }
 
+/* Gives up on a reader that is too slow: signals wait meanwhile. */
 static void
 write_stderr(const char *text, size_t size)
 {
-	while (size > 0) {
-		ssize_t n = write(STDERR_FILENO, text, size);
+	int64_t end_us = ir_clock_now() + DUMP_TIMEOUT_MS * IR_US_PER_MS;
+	struct pollfd p = {.fd = STDERR_FILENO, .events = POLLOUT};
 
+	while (size > 0 && ir_clock_now() < end_us) {
+		size_t chunk = size < PIPE_BUF ? size : PIPE_BUF;
+		ssize_t n;
+
+		/* A pipe that polls as writable takes PIPE_BUF bytes. */
+		if (poll(&p, 1, DUMP_TIMEOUT_MS) <= 0)
+			return;
+		n = write(STDERR_FILENO, text, chunk);
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n <= 0)
--- a/test/test_stop.c
+++ b/test/test_stop.c
@@ -18,6 +18,8 @@
 
 #define NAME_BYTES 64
 #define LINE_BYTES 4096
+/* Below the log's limit of lines a second. */
+#define RELOADS 10
 /* Ends a test that hangs; far above the time that any of them needs. */
 #define LIMIT_S 60
 
@@ -133,11 +135,28 @@
 	expect_end(n);
 }
 
+static void
+test_unread_dump_does_not_delay_signals(void **state)
+{
+	struct node *n = start_node();
+
+	fill_standard_error(n);
+	kill(n->pid, SIGUSR1);
+	for (int i = 0; i < RELOADS; i++) {
+		kill(n->pid, SIGHUP);
+		wait_for_event(n, "\"settings-read\"");
+	}
+	kill(n->pid, SIGTERM);
+	wait_for_event(n, "\"stopped\"");
+	expect_end(n);
+}
+
 int
 main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_stop_ends_with_a_thread_that_hangs),
+	    cmocka_unit_test(test_unread_dump_does_not_delay_signals),
 	};
 
 	daemon_path =
