--- a/test/test_stop.c
+++ b/test/test_stop.c
@@ -159,7 +159,11 @@
 	    cmocka_unit_test(test_unread_dump_does_not_delay_signals),
 	};
 
-	daemon_path =
-	    talloc_asprintf(NULL, "%s/../ibisraild", dirname(strdup(argv[0])));
-	return cmocka_run_group_tests(tests, NULL, NULL);
+	char *name = talloc_strdup(NULL, argv[0]);
+	int failed;
+
+	daemon_path = talloc_asprintf(name, "%s/../ibisraild", dirname(name));
+	failed = cmocka_run_group_tests(tests, NULL, NULL);
+	talloc_free(name);
+	return failed;
 }
