--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -6,6 +6,7 @@
 #include <errno.h>
 #include <inttypes.h>
 #include <json.h>
+#include <limits.h>
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
@@ -14,6 +15,7 @@
 #include <unistd.h>
 
 #include "daemon/process.h"
+#include "daemon/stop_limit.h"
 #include "ibisrail/version.h"
 #include "io/admin/admin.h"
 #include "io/admin/io_log.h"
@@ -29,8 +31,14 @@
 #define RING_SLOTS 4096
 #define BYTES_PER_MB (UINT64_C(1024) * 1024)
 #define DRAIN_POLL_MS 100
+/* For writing a state dump to standard error. */
+#define DUMP_TIMEOUT_MS 100
+/* From the end of the drain to the end of the process, at most. */
+#define STOP_AFTER_DRAIN_MS 600
 /* How often the settings file is checked for a change. */
 #define SETTINGS_CHECK_MS 1000
+/* The main thread is awake at least once in this time, unless it is held up. */
+#define AWAKE_PERIOD_US ((SETTINGS_CHECK_MS + 500) * IR_US_PER_MS)
 
 /* Threads started here. The admin server starts its own. */
 enum thread {
@@ -70,7 +78,8 @@
 	pthread_t threads[THREAD_COUNT];
 	size_t thread_count;
 	bool stopping;
-	int64_t stop_us; /* when the signal was taken */
+	int64_t awake_us; /* when signals were last looked for */
+	int64_t stop_us;  /* when the signal may have come */
 	bool drained;
 };
 
@@ -290,14 +299,20 @@
 	return NULL;
 }
 
+static void
+push_to_core(struct ir_process *p, struct ir_to_core *m)
+{
+	if (!ir_ring_push(p->loop.channels[IR_THREAD_MAIN]->to_core, m))
+		talloc_free(m);
+}
+
 static void
 send_to_core(struct ir_process *p, enum ir_to_core_kind kind)
 {
 	struct ir_to_core *m = ir_to_core_new(kind);
 
 	m->report = IR_REPORT_STATE;
-	if (!ir_ring_push(p->loop.channels[IR_THREAD_MAIN]->to_core, m))
-		talloc_free(m);
+	push_to_core(p, m);
 }
 
 /* Applies the keys that can change at run time. Ignores invalid settings. */
@@ -322,8 +337,7 @@
 	p->settings = s;
 	m = ir_to_core_new(IR_TO_CORE_SETTINGS);
 	m->u.settings = s;
-	if (!ir_ring_push(p->loop.channels[IR_THREAD_MAIN]->to_core, m))
-		talloc_free(m);
+	push_to_core(p, m);
 }
 
 static void
@@ -338,6 +352,33 @@
 	reload_settings(p, "change");
 }
 
+/*
+ * A process that was suspended does not know when the signal came. Its
+ * supervisor has waited since then.
+ */
+static int64_t
+signal_time(const struct ir_process *p)
+{
+	int64_t now = ir_clock_now();
+
+	return now - p->awake_us > AWAKE_PERIOD_US ? p->awake_us : now;
+}
+
+static void
+begin_stop(struct ir_process *p)
+{
+	int64_t limit_ms = p->settings->drain_ms + STOP_AFTER_DRAIN_MS;
+	struct ir_to_core *m = ir_to_core_new(IR_TO_CORE_DRAIN);
+
+	p->stopping = true;
+	p->stop_us = signal_time(p);
+	m->since_us = p->stop_us;
+	if (!ir_stop_limit_start(p->stop_us + limit_ms * IR_US_PER_MS))
+		ir_io_log_event(p->log, IR_EVENT_STOP_STAGE, NULL, "%s",
+		    "stage=no-limit ms=0");
+	push_to_core(p, m);
+}
+
 static void
 handle_signal(struct ir_process *p, int signal_fd)
 {
@@ -353,19 +394,25 @@
 		reload_settings(p, "signal");
 		return;
 	}
-	if (p->stopping)
-		return;
-	p->stopping = true;
-	p->stop_us = ir_clock_now();
-	send_to_core(p, IR_TO_CORE_DRAIN);
+	if (!p->stopping)
+		begin_stop(p);
 }
 
+/* Gives up on a reader that is too slow: signals wait meanwhile. */
 static void
 write_stderr(const char *text, size_t size)
 {
-	while (size > 0) {
-		ssize_t n = write(STDERR_FILENO, text, size);
+	int64_t end_us = ir_clock_now() + DUMP_TIMEOUT_MS * IR_US_PER_MS;
+	struct pollfd p = {.fd = STDERR_FILENO, .events = POLLOUT};
+
+	while (size > 0 && ir_clock_now() < end_us) {
+		size_t chunk = size < PIPE_BUF ? size : PIPE_BUF;
+		ssize_t n;
 
+		/* A pipe that polls as writable takes PIPE_BUF bytes. */
+		if (poll(&p, 1, DUMP_TIMEOUT_MS) <= 0)
+			return;
+		n = write(STDERR_FILENO, text, chunk);
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n <= 0)
@@ -413,16 +460,18 @@
 	    {.fd = ir_wakeup_fd(ch->wakeup), .events = POLLIN},
 	};
 
+	p->awake_us = ir_clock_now();
 	while (!p->drained) {
 		ir_wakeup_arm(ch->wakeup);
 		if (ir_ring_empty(ch->from_core))
 			poll(fds, 2,
 			    p->stopping ? DRAIN_POLL_MS : SETTINGS_CHECK_MS);
 		ir_wakeup_disarm(ch->wakeup);
-		check_settings_file(p);
 		if ((fds[0].revents & POLLIN) != 0)
 			handle_signal(p, signal_fd);
 		fds[0].revents = 0;
+		p->awake_us = ir_clock_now();
+		check_settings_file(p);
 		handle_core_messages(p);
 	}
 }
