--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -30,10 +30,12 @@
 	"Look for another process that uses this address and port, or correct "
 	"the settings."},
     {IR_EVENT_RING_FULL, "ring: its name; what: the item that did not fit",
-	"A bounded ring between two threads was full; the work was refused and "
-	"not run.",
+	"A bounded ring between two threads was full. A call or run was "
+	"refused and not run; a message to a peer (ring=peers) is sent later, "
+	"or its call is refused. Reported once for each time that the ring to "
+	"the peers gets full.",
 	"Nothing for a short burst. If it persists, the host has too little "
-	"processor time."},
+	"processor time or memory."},
     {IR_EVENT_DESCRIPTORS_FEW,
 	"limit: of open file descriptors, after it was raised as far as "
 	"allowed; wanted: the number needed when all connections are at their "
