View: a request for sections is given up after 10 s even while bytes move on its link

A view that a peer dropped for want of memory was never asked for again as long as other large messages moved on the same link, since their bytes cannot be told from those of the reply.

test_lost_view_is_requested_again_while_other_bytes_move fails with a bound of 1,000 s.

--- a/src/core/control.c
+++ b/src/core/control.c
@@ -11,6 +11,11 @@
  * sections.
  */
 #define REPORT_ONLY UINT64_MAX
+/*
+ * A reply that takes longer is requested again: bytes of other messages on its
+ * link cannot be told from those of the reply.
+ */
+#define MAX_FETCH_US (10 * IR_US_PER_S)
 /* Between the readers of a region that request sections from another one. */
 #define FETCH_STAGGER_US (200 * IR_US_PER_MS)
 
@@ -188,12 +193,20 @@
 	ir_counters_add(&n->counters, IR_COUNTER_VIEW_REQUESTS, 1);
 }
 
+/* Whether bytes that may be those of the reply moved in the last period_us. */
+static bool
+is_reply_arriving(const struct peer *p, int64_t now, int64_t period_us)
+{
+	return p->view_request_xid != 0 && now - p->link.moved_us < period_us &&
+	       now - p->view_request_sent_us < MAX_FETCH_US;
+}
+
 /* Forgets a request whose reply neither came nor is arriving. */
 static void
 expire_view_request(struct peer *p, int64_t now)
 {
 	if (now - p->view_request_sent_us > IR_LINK_TIMEOUT_US &&
-	    now - p->link.moved_us > IR_LINK_TIMEOUT_US)
+	    !is_reply_arriving(p, now, IR_LINK_TIMEOUT_US))
 		p->view_request_xid = 0;
 }
 
@@ -219,8 +232,7 @@
 	if (n->sections_source == NULL)
 		return false;
 	HASH_FIND_STR(n->peers, n->sections_source, p);
-	return p != NULL && p->view_request_xid != 0 &&
-	       now - p->link.moved_us < IR_VIEW_POLL_US;
+	return p != NULL && is_reply_arriving(p, now, IR_VIEW_POLL_US);
 }
 
 /* Requests the sections that are newer than those held. */
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -503,6 +503,43 @@
 	end_fleet(f);
 }
 
+static void
+drop_views(struct fleet *f, const struct fleet_step_event *ev)
+{
+	f->next_drop = ev->step == STEP_SENT && ev->kind == IR_MSG_VIEW;
+}
+
+static void
+run_with_moving_bytes(struct fleet *f, int node, int64_t for_us)
+{
+	struct ir_node *n = f->nodes[node].node;
+	int64_t end_us = f->now_us + for_us;
+
+	while (f->now_us < end_us) {
+		for (struct peer *p = n->peers; p != NULL; p = p->hh.next)
+			ir_node_conn_progress(n, f->now_us, p->link.conn);
+		fleet_run(f, 100 * IR_US_PER_MS);
+	}
+}
+
+/* Views are lost, and bytes of other messages move on all links. */
+static void
+test_lost_view_is_requested_again_while_other_bytes_move(void **state)
+{
+	struct fleet *f = make_fleet(17);
+	uint64_t before;
+
+	settle(f);
+	f->hook = drop_views;
+	f->store_cut[0] = true;
+	run_with_moving_bytes(f, 0, 2 * IR_US_PER_S);
+	before = ir_node_counter(f->nodes[0].node, IR_COUNTER_VIEW_REQUESTS);
+	run_with_moving_bytes(f, 0, 12 * IR_US_PER_S);
+	assert_true(ir_node_counter(
+			f->nodes[0].node, IR_COUNTER_VIEW_REQUESTS) > before);
+	end_fleet(f);
+}
+
 int
 main(void)
 {
@@ -524,6 +561,8 @@
 	    cmocka_unit_test(test_new_process_requests_full_view_from_one_host),
 	    cmocka_unit_test(
 		test_change_is_not_sent_repeatedly_between_regions),
+	    cmocka_unit_test(
+		test_lost_view_is_requested_again_while_other_bytes_move),
 	    cmocka_unit_test(test_open_flag_of_forward_is_checked),
 	};
 
