Bound the receive buffers of connections by the memory of the process

What callers see: a process that exceeds its limit is ended, and with it the requests that it had passed on. Received bytes that were not yet read count towards the limit, and nothing bounded them: a node that is suspended, or short of processor time, with many connections that send.

Cause: no socket had a receive buffer of its own size. The system's default lets each hold 64 KB and more, up to 32 MB once a connection was in use; with 1,000 of 8,192 connections that is more than the process may have.

Evidence: test_bytes_sent_to_paused_node_stay_within_limit (test_process_memory) suspends a node of 48 MB while 1,000 callers send.

Each connection is now granted a receive buffer when it opens, from a share of the limit for its kind, so that callers take no room from peers: 16 to 4 KB for a caller, 64 to 8 KB for the upstream and for peers. Grants over 20% of the limit, the room above the measured guard, count as pages of the process.

memory-short and /metrics show the grants (sockets), which no other figure could tell from outside.

At 3,100 nodes: 64 KB of window carry 2.6 MB a second over 24 ms; 140 peers have it at 160 MB, further ones less. No message and no state of the core is added.

--- a/src/io/admin/admin.c
+++ b/src/io/admin/admin.c
@@ -146,6 +146,9 @@
 	    {"ibisrail_memory_rings_bytes",
 		"Messages between threads, on their way.",
 		held_bytes(mem, IR_MEMORY_RINGS)},
+	    {"ibisrail_memory_sockets_bytes",
+		"Receive buffers granted to connections, filled or not.",
+		(int64_t)ir_memory_sockets_held(mem)},
 	};
 	const struct ir_metric_set e = {&m->u.report.counters, gauges,
 	    sizeof(gauges) / sizeof(gauges[0]), &m->u.report.histograms};
--- a/src/io/callers/caller_conn.c
+++ b/src/io/callers/caller_conn.c
@@ -10,6 +10,7 @@
 
 #include "io/callers/caller_conn.h"
 #include "io/clock.h"
+#include "io/receive_buffer.h"
 
 /* Read size for new requests under memory pressure. */
 #define PRESSURE_READ_BYTES 1024
@@ -35,6 +36,8 @@
 	ir_caller_blocked_remove(c);
 	TALLOC_FREE(c->event);
 	close(c->fd);
+	ir_memory_return_socket(
+	    callers->memory, IR_SOCKET_CALLER, c->receive_bytes);
 	while ((r = c->requests) != NULL) {
 		DL_DELETE(c->requests, r);
 		if (r->state == REQUEST_SUBMITTED) {
@@ -272,6 +275,8 @@
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	c->listener = l;
 	c->fd = fd;
+	c->receive_bytes =
+	    ir_receive_buffer_grant(callers->memory, fd, IR_SOCKET_CALLER);
 	c->last_progress_us = ir_clock_now();
 	c->event = ir_check_alloc(
 	    tevent_add_fd(callers->loop, c, fd, TEVENT_FD_READ, on_event, c));
--- a/src/io/callers/caller_conn.h
+++ b/src/io/callers/caller_conn.h
@@ -67,6 +67,7 @@
 struct caller_conn {
 	struct listener *listener;
 	int fd;
+	size_t receive_bytes; /* granted for its receive buffer */
 	struct tevent_fd *event;
 	http_parser parser;
 	uint8_t *input; /* read and not yet parsed, or NULL */
--- a/src/io/callers/callers.c
+++ b/src/io/callers/callers.c
@@ -8,6 +8,7 @@
 #include "io/callers/caller_conn.h"
 #include "io/clock.h"
 #include "io/event_loop.h"
+#include "io/receive_buffer.h"
 
 /* How long the thread sends remaining answers after IR_FROM_CORE_STOP. */
 #define FLUSH_TIMEOUT_US (500 * IR_US_PER_MS)
@@ -201,6 +202,7 @@
 	l->fd = fd;
 	if (fd < 0)
 		return true;
+	ir_receive_buffer_set_max(fd, IR_SOCKET_CALLER);
 	l->event =
 	    tevent_add_fd(c->loop, c, fd, TEVENT_FD_READ, on_connection, l);
 	return l->event != NULL;
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -49,6 +49,9 @@
 	    __atomic_load_n(&m->process_bytes, __ATOMIC_RELAXED);
 	for (int u = 0; u < IR_MEMORY_USE_COUNT; u++)
 		to->held_bytes[u] = ir_memory_held(m, u);
+	for (int k = 0; k < IR_SOCKET_KIND_COUNT; k++)
+		to->socket_held_bytes[k] =
+		    __atomic_load_n(&m->socket_held_bytes[k], __ATOMIC_RELAXED);
 }
 
 static void
@@ -304,14 +307,14 @@
 	ir_io_log_event(c->loop->log, IR_EVENT_MEMORY_SHORT, NULL,
 	    "state=%s process=%" PRIu64 " limit=%" PRIu64 " callers=%" PRIu64
 	    " calls=%" PRIu64 " records=%" PRIu64 " upstream=%" PRIu64
-	    " peers=%" PRIu64 " rings=%" PRIu64,
+	    " peers=%" PRIu64 " rings=%" PRIu64 " sockets=%" PRIu64,
 	    ir_memory_is_short(m) ? "short" : "relieved", m->process_bytes,
 	    m->limit_bytes, ir_memory_held(m, IR_MEMORY_CALLERS),
 	    ir_memory_held(m, IR_MEMORY_CALLS),
 	    ir_memory_held(m, IR_MEMORY_RECORDS),
 	    ir_memory_held(m, IR_MEMORY_UPSTREAM),
 	    ir_memory_held(m, IR_MEMORY_PEERS),
-	    ir_memory_held(m, IR_MEMORY_RINGS));
+	    ir_memory_held(m, IR_MEMORY_RINGS), ir_memory_sockets_held(m));
 }
 
 static void
--- a/src/io/peers/peer_conn.c
+++ b/src/io/peers/peer_conn.c
@@ -12,6 +12,7 @@
 #include "io/clock.h"
 #include "io/peers/peer_conn.h"
 #include "io/peers/peers.h"
+#include "io/receive_buffer.h"
 #include "link/codec.h"
 
 #define READ_BYTES 65536
@@ -331,6 +332,7 @@
 	TALLOC_FREE(c->fd_event);
 	free_buffers(c);
 	close(c->fd);
+	ir_memory_return_socket(c->memory, IR_SOCKET_PEER, c->receive_bytes);
 	return 0;
 }
 
@@ -349,6 +351,7 @@
 	}
 	c->memory = memory;
 	c->fd = fd;
+	c->receive_bytes = ir_receive_buffer_grant(memory, fd, IR_SOCKET_PEER);
 	c->number = number;
 	c->connecting = connecting;
 	c->last_receive_us = ir_clock_now();
--- a/src/io/peers/peer_conn.h
+++ b/src/io/peers/peer_conn.h
@@ -49,6 +49,7 @@
 	bool failing;		 /* failed() was called */
 	int64_t last_receive_us; /* or time of creation */
 	int fd;
+	size_t receive_bytes; /* granted for its receive buffer */
 	const struct ir_peer_conn_ops *ops;
 	void *ctx;
 	struct tevent_fd *fd_event;
--- a/src/io/peers/peers.c
+++ b/src/io/peers/peers.c
@@ -11,6 +11,7 @@
 #include "io/listen.h"
 #include "io/peers/peer_conn.h"
 #include "io/peers/peers.h"
+#include "io/receive_buffer.h"
 #include "link/codec.h"
 
 /* Interval between attempts to push messages into a full ring. */
@@ -308,6 +309,7 @@
 	fd = socket(s.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		goto fail;
+	ir_receive_buffer_set_max(fd, IR_SOCKET_PEER);
 	if (connect(fd, (struct sockaddr *)&s, size) != 0 &&
 	    errno != EINPROGRESS) {
 		close(fd);
@@ -461,6 +463,7 @@
 	p->listen_fd = listen_fd;
 	p->max_connections = max_connections;
 	p->last_accepted_number = UINT32_MAX;
+	ir_receive_buffer_set_max(listen_fd, IR_SOCKET_PEER);
 	ir_outbox_init(&p->outbox, channel->to_core);
 	talloc_set_destructor(p, free_peers);
 	p->loop = tevent_context_init(p);
--- a/src/io/upstream/upstream_conn.c
+++ b/src/io/upstream/upstream_conn.c
@@ -13,6 +13,7 @@
 #include "core/unconst.h"
 #include "io/clock.h"
 #include "io/listen.h"
+#include "io/receive_buffer.h"
 #include "io/upstream/upstream_conn.h"
 
 #define READ_BYTES 16384
@@ -48,6 +49,8 @@
 	TALLOC_FREE(c->event);
 	TALLOC_FREE(c->timer);
 	close(c->fd);
+	ir_memory_return_socket(
+	    u->memory, IR_SOCKET_UPSTREAM, c->receive_bytes);
 	talloc_free(c);
 }
 
@@ -486,9 +489,11 @@
 	return true;
 }
 
+/* Sets *receive_bytes to the grant for the socket. */
 static int
-open_socket(const struct ir_endpoint *e)
+open_socket(const struct ir_upstream *u, size_t *receive_bytes)
 {
+	const struct ir_endpoint *e = &u->address;
 	struct sockaddr_storage s;
 	socklen_t size = ir_socket_address(e->address, e->port, &s);
 	int on = 1;
@@ -498,10 +503,13 @@
 	if (fd < 0)
 		return -1;
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	*receive_bytes =
+	    ir_receive_buffer_grant(u->memory, fd, IR_SOCKET_UPSTREAM);
 	if (connect(fd, (struct sockaddr *)&s, size) == 0 ||
 	    errno == EINPROGRESS)
 		return fd;
 	close(fd);
+	ir_memory_return_socket(u->memory, IR_SOCKET_UPSTREAM, *receive_bytes);
 	return -1;
 }
 
@@ -509,16 +517,18 @@
 new_conn(struct ir_upstream *u)
 {
 	struct upstream_conn *c;
+	size_t receive_bytes;
 	int fd;
 
 	if (!ensure_conn_slot(u))
 		return NULL;
-	fd = open_socket(&u->address);
+	fd = open_socket(u, &receive_bytes);
 	if (fd < 0)
 		return NULL;
 	c = ir_check_alloc(talloc_zero(u, struct upstream_conn));
 	c->upstream = u;
 	c->fd = fd;
+	c->receive_bytes = receive_bytes;
 	c->connecting = true;
 	c->event = ir_check_alloc(tevent_add_fd(
 	    u->loop, c, fd, TEVENT_FD_READ | TEVENT_FD_WRITE, on_event, c));
--- a/src/io/upstream/upstream_conn.h
+++ b/src/io/upstream/upstream_conn.h
@@ -33,6 +33,7 @@
 struct upstream_conn {
 	struct ir_upstream *upstream;
 	int fd;
+	size_t receive_bytes; /* granted for its receive buffer */
 	struct tevent_fd *event;
 	struct tevent_timer *timer; /* connect timeout; NULL once connected */
 	http_parser parser;
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -55,7 +55,8 @@
     {IR_EVENT_MEMORY_SHORT,
 	"state: short or relieved; process: its own pages, bytes; limit: from "
 	"the settings, bytes; callers, calls, records, upstream, peers, rings: "
-	"bytes held for each",
+	"bytes held for each; sockets: receive buffers granted to "
+	"connections, filled or not, which are not in process",
 	"short: the process is close to its memory limit and accepts no new "
 	"work until it is well below the limit. relieved: it is well below the "
 	"limit again.",
--- a/test/support/processes.c
+++ b/test/support/processes.c
@@ -27,6 +27,8 @@
 #include "support/process_platform.h"
 
 #define PAGES_TEXT_BYTES 128
+#define LINE_BYTES 256
+#define HEXADECIMAL 16
 #define MAX_ARGUMENTS 16
 #define POLL_MS 10
 #define REQUEST_TIMEOUT_MS 20000
@@ -299,6 +301,53 @@
 	return (resident - of_files) * (uint64_t)sysconf(_SC_PAGESIZE);
 }
 
+/*
+ * Parses the hexadecimal number after the nth colon of a line of /proc/net/tcp.
+ * They precede the local address, local port, remote port and received bytes.
+ */
+static unsigned long
+number_after_colon(const char *line, int n)
+{
+	for (; n > 0 && line != NULL; n--) {
+		line = strchr(line, ':');
+		if (line != NULL)
+			line++;
+	}
+	return line != NULL ? strtoul(line, NULL, HEXADECIMAL) : 0;
+}
+
+static bool
+is_listener(const char *line)
+{
+	return strstr(line, " 00000000:0000 0A ") != NULL;
+}
+
+static uint64_t
+unread_in_line(const char *line, const struct pr_host *h)
+{
+	unsigned long port = number_after_colon(line, 2);
+
+	if (is_listener(line) ||
+	    (port != h->callers_port && port != h->egress_port &&
+		port != h->peers_port))
+		return 0;
+	return number_after_colon(line, 4);
+}
+
+uint64_t
+pr_unread_bytes(const struct pr_host *h)
+{
+	FILE *f = fopen("/proc/net/tcp", "re");
+	char line[LINE_BYTES];
+	uint64_t sum = 0;
+
+	assert_non_null(f);
+	while (fgets(line, sizeof(line), f) != NULL)
+		sum += unread_in_line(line, h);
+	fclose(f);
+	return sum;
+}
+
 void
 pr_signal(const struct pr_child *c, int signal)
 {
--- a/test/support/processes.h
+++ b/test/support/processes.h
@@ -112,6 +112,8 @@
 void pr_upstream_start(struct processes *p, struct pr_host *h);
 /* Returns its resident memory without file pages; 0 if it has ended. */
 uint64_t pr_private_bytes(pid_t pid);
+/* Bytes that wait in the kernel for this node to read, at its listed ports. */
+uint64_t pr_unread_bytes(const struct pr_host *h);
 void pr_signal(const struct pr_child *c, int signal);
 /* Returns whether the child has ended; *status is as of waitpid(2). */
 bool pr_reap(struct pr_child *c, int *status);
--- a/test/test_caller_memory.c
+++ b/test/test_caller_memory.c
@@ -69,6 +69,7 @@
 
 	TALLOC_FREE(f->callers);
 	assert_int_equal(ir_memory_held(&f->memory, IR_MEMORY_CALLERS), 0);
+	assert_int_equal(ir_memory_sockets_held(&f->memory), 0);
 	talloc_free(f);
 	return 0;
 }
--- a/test/test_memory.c
+++ b/test/test_memory.c
@@ -15,6 +15,8 @@
 #define BLOCKS 300000
 #define BLOCK_BYTES 300
 #define KEEP_EVERY 64
+#define CONNECTIONS 8192
+#define MIN_GRANT_BYTES 4096 /* of a caller's connection */
 
 static void
 test_bounds_leave_40_percent(void **state)
@@ -129,6 +131,49 @@
 	talloc_free(blocks);
 }
 
+static void
+test_receive_buffers_of_many_connections_are_bounded(void **state)
+{
+	static size_t granted[CONNECTIONS];
+	struct ir_memory m;
+	uint64_t total = 0;
+
+	ir_memory_init(&m, 160 * MB);
+	for (int i = 0; i < CONNECTIONS; i++) {
+		granted[i] = ir_memory_grant_socket(&m, IR_SOCKET_CALLER);
+		total += granted[i];
+	}
+	assert_int_equal(
+	    granted[0], ir_memory_max_socket_bytes(IR_SOCKET_CALLER));
+	assert_int_equal(granted[CONNECTIONS - 1], MIN_GRANT_BYTES);
+	assert_int_equal(ir_memory_sockets_held(&m), total);
+	assert_true(total <= m.socket_bound_bytes[IR_SOCKET_CALLER] +
+				 CONNECTIONS * MIN_GRANT_BYTES);
+	/* Callers take nothing from peers. */
+	assert_int_equal(ir_memory_grant_socket(&m, IR_SOCKET_PEER),
+	    ir_memory_max_socket_bytes(IR_SOCKET_PEER));
+	for (int i = 0; i < CONNECTIONS; i++)
+		ir_memory_return_socket(&m, IR_SOCKET_CALLER, granted[i]);
+	assert_int_equal(ir_memory_grant_socket(&m, IR_SOCKET_CALLER),
+	    ir_memory_max_socket_bytes(IR_SOCKET_CALLER));
+}
+
+static void
+test_many_receive_buffers_make_memory_short(void **state)
+{
+	struct ir_memory m;
+
+	ir_memory_init(&m, 100 * MB);
+	assert_false(ir_memory_set_process_bytes(&m, 75 * MB));
+	while (ir_memory_sockets_held(&m) <= 20 * MB)
+		(void)ir_memory_grant_socket(&m, IR_SOCKET_PEER);
+	assert_false(ir_memory_set_process_bytes(&m, 75 * MB));
+	while (ir_memory_sockets_held(&m) <= 25 * MB)
+		(void)ir_memory_grant_socket(&m, IR_SOCKET_PEER);
+	assert_true(ir_memory_set_process_bytes(&m, 75 * MB));
+	assert_true(ir_memory_is_short(&m));
+}
+
 static void
 test_tree_bytes_include_chunk_overhead(void **state)
 {
@@ -150,6 +195,9 @@
 	    cmocka_unit_test(test_memory_stays_short_until_well_below_limit),
 	    cmocka_unit_test(test_process_pages_are_measured),
 	    cmocka_unit_test(test_process_is_not_short_after_memory_is_freed),
+	    cmocka_unit_test(
+		test_receive_buffers_of_many_connections_are_bounded),
+	    cmocka_unit_test(test_many_receive_buffers_make_memory_short),
 	    cmocka_unit_test(test_tree_bytes_include_chunk_overhead),
 	};
 
--- a/test/test_peer_conn.c
+++ b/test/test_peer_conn.c
@@ -104,7 +104,8 @@
 
 	stop_thread(f);
 	talloc_free(f->peers);
-	left_bytes = ir_memory_held(&f->memory, IR_MEMORY_PEERS);
+	left_bytes = ir_memory_held(&f->memory, IR_MEMORY_PEERS) +
+		     ir_memory_sockets_held(&f->memory);
 	talloc_free(f->core);
 	fclose(f->log_file);
 	talloc_free(f);
--- a/test/test_process_memory.c
+++ b/test/test_process_memory.c
@@ -42,6 +42,9 @@
 #define SENDERS 128
 #define SENDER_BODY_BYTES (1024 * BYTES_PER_KB)
 
+#define FLOOD_SENDERS 1000
+#define QUIET_STEPS 50
+
 #define LARGE_COUNT 400
 #define LARGE_AT_ONCE 48
 #define LARGE_ANSWER_BYTES (1024 * BYTES_PER_KB)
@@ -412,6 +415,59 @@
 	assert_within_limit();
 }
 
+static size_t
+sent_bytes(const struct sender *senders)
+{
+	size_t sum = 0;
+
+	for (int i = 0; i < FLOOD_SENDERS; i++)
+		sum += senders[i].sent_bytes;
+	return sum;
+}
+
+/* Sends until the sockets take no more. */
+static void
+fill_sockets(struct sender *senders, const char *body)
+{
+	size_t before;
+
+	for (int quiet = 0; quiet < QUIET_STEPS; quiet++) {
+		before = sent_bytes(senders);
+		for (int i = 0; i < FLOOD_SENDERS; i++)
+			sender_send(&senders[i], body);
+		poll(NULL, 0, 1);
+		if (sent_bytes(senders) != before)
+			quiet = 0;
+	}
+}
+
+/* What a paused process has not read counts towards its limit. */
+static void
+test_bytes_sent_to_paused_node_stay_within_limit(void **state)
+{
+	struct pr_host *paused = &procs->hosts[0];
+	struct sender *senders =
+	    talloc_zero_array(procs, struct sender, FLOOD_SENDERS);
+	const char *body = make_body(SENDER_BODY_BYTES);
+	uint64_t unread, pages;
+
+	for (int i = 0; i < FLOOD_SENDERS; i++)
+		sender_begin(&senders[i], paused);
+	pr_signal(&paused->node, SIGSTOP);
+	fill_sockets(senders, body);
+	unread = pr_unread_bytes(paused);
+	pages = pr_private_bytes(paused->node.pid);
+	pr_signal(&paused->node, SIGCONT);
+	for (int i = 0; i < FLOOD_SENDERS; i++)
+		close(senders[i].fd);
+	print_message("%.1f MB unread, %.1f MB of pages, limit %d MB\n",
+	    (double)unread / BYTES_PER_MB, (double)pages / BYTES_PER_MB,
+	    MEMORY_MB);
+	assert_serves_again();
+	assert_within_limit();
+	assert_true(unread + pages <= MEMORY_MB * BYTES_PER_MB);
+}
+
 static void
 test_large_answers_on_all_slots_stay_within_limit(void **state)
 {
@@ -491,6 +547,9 @@
 		restart_all_nodes),
 	    cmocka_unit_test_teardown(
 		test_slow_senders_stay_within_limit, restart_all_nodes),
+	    cmocka_unit_test_teardown(
+		test_bytes_sent_to_paused_node_stay_within_limit,
+		restart_all_nodes),
 	    cmocka_unit_test_teardown(
 		test_large_answers_on_all_slots_stay_within_limit,
 		restart_all_nodes),
--- a/test/test_upstream_run.c
+++ b/test/test_upstream_run.c
@@ -309,7 +309,8 @@
 	talloc_free(f->upstream);
 	talloc_free(f->core);
 	fclose(f->log_file);
-	return ir_memory_held(&f->memory, IR_MEMORY_UPSTREAM);
+	return ir_memory_held(&f->memory, IR_MEMORY_UPSTREAM) +
+	       ir_memory_sockets_held(&f->memory);
 }
 
 static int
