Free the shed levels of accounts when they are outdated

What callers would see: the end of a process by its memory.

A level is used for 150 to 200 ms after its report. Now levels are also in a list, oldest report first, and each report frees those older than 200 ms. What is held follows the answers of 200 ms, of all hosts and accounts together.

test_outdated_levels_of_many_accounts_are_freed: 12 hosts and 1,000 accounts held more than 12 levels after 201 ms on (failed); passes now.

At 3,100 nodes: an answer costs one list operation; the list is 24 bytes a level.

--- a/src/zone/balancer.c
+++ b/src/zone/balancer.c
@@ -11,7 +11,7 @@
  * request, so that the nodes do not all resume sending at once.
  */
 #define MIN_LEVEL_AGE_US (150 * IR_US_PER_MS)
-#define MAX_LEVEL_AGE_US (200 * IR_US_PER_MS)
+#define MAX_LEVEL_AGE_US IR_ACCOUNT_LEVEL_MAX_AGE_US
 /* One request in this many ignores shed levels, to get a new report. */
 #define PROBE_DIVISOR 32
 #define SHED_FRACTION_WEIGHT (1.0 / 64)
--- a/src/zone/host_status.c
+++ b/src/zone/host_status.c
@@ -1,8 +1,8 @@
 /* Status of the other hosts. */
-#include "zone/host_status.h"
+#include <utlist.h>
 
-#include "ibisrail/limits.h"
 #include "upstream/priority.h"
+#include "zone/host_status.h"
 
 /* Older load reports are ignored. Five heartbeats of a link in use. */
 #define LOAD_VALID_US IR_US_PER_S
@@ -41,12 +41,24 @@
 	HASH_ADD_KEYPTR(
 	    hh, s->account_levels, l->account, strlen(l->account), l);
 }
+
+static void
+free_level(struct ir_account_shed_level *l)
+{
+	HASH_DEL(l->host->account_levels, l);
+	DL_DELETE(l->host->table->levels, l);
+	talloc_free(l);
+}
 /* NOLINTEND(readability-function-size) */
 
 static int
 clear_account_levels(struct ir_host_status *s)
 {
-	HASH_CLEAR(hh, s->account_levels);
+	struct ir_account_shed_level *l, *tmp;
+
+	HASH_ITER (hh, s->account_levels, l, tmp) {
+		free_level(l);
+	}
 	return 0;
 }
 
@@ -78,6 +90,7 @@
 	s = talloc_zero(t, struct ir_host_status);
 	if (s == NULL)
 		return NULL;
+	s->table = t;
 	s->host = talloc_strdup(s, host);
 	if (s->host == NULL) {
 		talloc_free(s);
@@ -98,25 +111,49 @@
 	s->in_flight_at_report = s->in_flight;
 }
 
+static struct ir_account_shed_level *
+new_level(struct ir_host_status *s, const char *account)
+{
+	struct ir_account_shed_level *l =
+	    talloc_zero(s, struct ir_account_shed_level);
+
+	if (l == NULL)
+		return NULL;
+	l->host = s;
+	l->account = talloc_strdup(l, account);
+	if (l->account == NULL) {
+		talloc_free(l);
+		return NULL;
+	}
+	add_level(s, l);
+	return l;
+}
+
+static void
+free_outdated_levels(struct ir_host_status_table *t, int64_t now)
+{
+	while (t->levels != NULL &&
+	       now - t->levels->received_us > IR_ACCOUNT_LEVEL_MAX_AGE_US)
+		free_level(t->levels);
+}
+
 void
 ir_host_status_set_account_level(
     struct ir_host_status *s, int64_t now, const char *account, uint32_t level)
 {
-	struct ir_account_shed_level *l = find_level(s, account);
+	struct ir_account_shed_level *l;
 
-	if (l == NULL) {
-		l = talloc_zero(s, struct ir_account_shed_level);
-		if (l == NULL)
-			return;
-		l->account = talloc_strdup(l, account);
-		if (l->account == NULL) {
-			talloc_free(l);
-			return;
-		}
-		add_level(s, l);
-	}
+	free_outdated_levels(s->table, now);
+	l = find_level(s, account);
+	if (l != NULL)
+		DL_DELETE(s->table->levels, l);
+	else
+		l = new_level(s, account);
+	if (l == NULL)
+		return;
 	l->level = level;
 	l->received_us = now;
+	DL_APPEND(s->table->levels, l);
 }
 
 void
@@ -136,15 +173,10 @@
 void
 ir_host_status_set_reachable(struct ir_host_status *s)
 {
-	struct ir_account_shed_level *l, *tmp;
-
 	s->unreachable = false;
 	s->backoff_us = 0;
 	s->has_load = false;
-	HASH_ITER (hh, s->account_levels, l, tmp) {
-		HASH_DEL(s->account_levels, l);
-		talloc_free(l);
-	}
+	(void)clear_account_levels(s);
 }
 
 void
@@ -214,8 +246,7 @@
 		if (l->account[0] == '\0' ||
 		    ir_view_account(v, l->account) != NULL)
 			continue;
-		HASH_DEL(s->account_levels, l);
-		talloc_free(l);
+		free_level(l);
 	}
 }
 
--- a/src/zone/host_status.h
+++ b/src/zone/host_status.h
@@ -12,17 +12,28 @@
 #include <talloc.h>
 
 #include "host/view.h"
+#include "ibisrail/limits.h"
 #include "link/peer.h"
 
+/* Shed levels for an account are freed when they are older. */
+#define IR_ACCOUNT_LEVEL_MAX_AGE_US (200 * IR_US_PER_MS)
+
+struct ir_host_status_table;
+struct ir_host_status;
+
 /* The shed level of one host for one account. */
 struct ir_account_shed_level {
+	struct ir_host_status *host;
 	char *account;
 	uint32_t level; /* requests of lower priority are refused */
 	int64_t received_us;
+	struct ir_account_shed_level *prev; /* of the table */
+	struct ir_account_shed_level *next;
 	UT_hash_handle hh;
 };
 
 struct ir_host_status {
+	struct ir_host_status_table *table;
 	char *host;
 	uint32_t in_flight;	      /* requests of this node */
 	uint32_t in_flight_at_report; /* in_flight when load was received */
@@ -39,6 +50,7 @@
 
 struct ir_host_status_table {
 	struct ir_host_status *hosts;
+	struct ir_account_shed_level *levels; /* of all, oldest report first */
 };
 
 /* NULL if out of memory. */
@@ -54,7 +66,10 @@
 /* Stores a load report that was received at now. */
 void ir_host_status_set_load(
     struct ir_host_status *s, int64_t now, const struct ir_load *load);
-/* Stores the shed level for an account; does nothing if out of memory. */
+/*
+ * Stores the shed level for an account; does nothing if out of memory. Frees
+ * the outdated levels of all hosts and accounts.
+ */
 void ir_host_status_set_account_level(
     struct ir_host_status *s, int64_t now, const char *account, uint32_t level);
 
--- a/test/test_balancer.c
+++ b/test/test_balancer.c
@@ -13,6 +13,7 @@
 #define MS IR_US_PER_MS
 #define PER_ZONE 3
 #define HOSTS (4 * PER_ZONE)
+#define ACCOUNTS 1000
 
 struct fixture {
 	struct ir_host hosts[HOSTS];
@@ -347,6 +348,36 @@
 	assert_true(f->shed > 80);
 }
 
+static void
+report_account(struct fixture *f, int host, const char *account)
+{
+	const struct ir_load load = {.limit = 10};
+	const char *name = f->hosts[host].name;
+
+	ir_balancer_request_sent(f->balancer, f->now, name, false, 0);
+	ir_balancer_request_done(f->balancer, f->now, name, account, &load, MS);
+}
+
+static void
+test_outdated_levels_of_many_accounts_are_freed(void **state)
+{
+	struct fixture *f = *state;
+	size_t bytes;
+
+	for (int i = 0; i < HOSTS; i++)
+		report_account(f, i, "a");
+	bytes = talloc_total_size(f->balancer);
+	for (int n = 0; n < ACCOUNTS; n++) {
+		char *account = talloc_asprintf(f, "account-%d", n);
+
+		for (int i = 0; i < HOSTS; i++)
+			report_account(f, i, account);
+	}
+	f->now += 201 * MS;
+	report_account(f, 0, "a");
+	assert_true(talloc_total_size(f->balancer) <= bytes);
+}
+
 /* 6000 bytes/s shared by the six hosts of a region: 1000 for this node. */
 static void
 test_other_region_within_its_budget(void **state)
@@ -475,6 +506,7 @@
 	    BALANCER_TEST(test_shed_zone_overflows_then_refuses),
 	    BALANCER_TEST(test_retry_after_spreads_and_grows),
 	    BALANCER_TEST(test_account_level_overrides_host_level),
+	    BALANCER_TEST(test_outdated_levels_of_many_accounts_are_freed),
 	    BALANCER_TEST(test_other_region_within_its_budget),
 	    BALANCER_TEST(test_reconnect_and_new_view_discard_status),
 	    BALANCER_TEST(test_unknown_service),
