--- a/src/io/peers/peer_conn.h
+++ b/src/io/peers/peer_conn.h
@@ -57,6 +57,7 @@
 	int64_t last_receive_us;      /* or time of creation */
 	int64_t progress_reported_us; /* for the owner */
 	int fd;
+	size_t receive_bytes; /* granted for its receive buffer */
 	const struct ir_peer_conn_ops *ops;
 	void *ctx;
 	struct tevent_fd *fd_event;
