--- a/src/io/peers/peer_conn.c
+++ b/src/io/peers/peer_conn.c
@@ -295,7 +295,7 @@
 		ir_peer_conn_fail(c, "part");
 		return false;
 	}
-	if (wanted > talloc_get_size(c->parts) &&
+	if ((c->parts == NULL || wanted > talloc_get_size(c->parts)) &&
 	    !resize_buffer(
 		c, &c->parts, total < 2 * wanted ? total : 2 * wanted))
 		return false;
