Bound an answer of the store by the memory of the process

What callers see: a process that exceeds its limit is ended, and with it the requests that it had passed on. A process that starts read the whole configuration whatever its size, up to 64 MB of text; beside the text the parsed document and the sections made of it exist at the same time.

Evidence: test_large_configuration_stays_within_limit (test_process_memory) publishes 40 sections of 1 MB and starts a node of 48 MB anew.

An answer may now have a sixteenth of the limit (10 MB at 160 MB). A larger one is not read to its end, counts as a failed read and is logged as such, and the last configuration stays in force while it is confirmed.

test_answer_too_large_for_the_process_is_not_read: with a bound of the whole limit the answer of 4 MB was delivered (failed); passes with this one.

--- a/src/io/store/store_client.c
+++ b/src/io/store/store_client.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "ibisrail/memory.h"
 #include "io/admin/io_log.h"
 #include "io/clock.h"
 #include "io/store/curl_finished.h"
@@ -19,6 +20,13 @@
 /* Interval between attempts to push messages into a full ring. */
 #define BACKLOG_RETRY_MS 1
 
+/*
+ * An answer may have this fraction of the memory limit: its text, the parsed
+ * document and the sections made of it exist at the same time.
+ */
+#define ANSWER_DIVISOR 16
+#define BYTES_PER_MB (UINT64_C(1024) * 1024)
+
 /* Repeated reads of the configuration or of the host list. */
 struct watch {
 	struct ir_store_client *client;
@@ -38,11 +46,13 @@
 	struct ir_to_core *message; /* of the read; owns body */
 	char *body;
 	size_t body_bytes;
+	bool too_large; /* the answer, so its rest was not read */
 };
 
 struct ir_store_client {
 	struct ir_channel *channel;
 	struct ir_outbox outbox;
+	size_t max_answer_bytes;
 	CURLM *multi;
 	char *base_url; /* "http://ADDRESS:PORT" */
 	const struct ir_settings *settings;
@@ -62,7 +72,8 @@
 	size_t capacity = talloc_get_size(w->body);
 	char *text;
 
-	if (wanted > IR_MAX_STORE_ANSWER_BYTES)
+	w->too_large = wanted > w->client->max_answer_bytes;
+	if (w->too_large)
 		return 0;
 	if (wanted > capacity) {
 		capacity = capacity * 2 > wanted ? capacity * 2 : wanted;
@@ -372,8 +383,11 @@
 			restart_full_read(&c->config, now);
 		return;
 	}
-	log_invalid_answer(
-	    w, code == CURLE_OK ? error : curl_easy_strerror(code));
+	if (code == CURLE_WRITE_ERROR && w->too_large)
+		error = "answer too large for the memory limit";
+	else if (code != CURLE_OK)
+		error = curl_easy_strerror(code);
+	log_invalid_answer(w, error);
 	handle_read_failure(w, now);
 }
 
@@ -528,6 +542,17 @@
 	return 0;
 }
 
+static size_t
+max_answer_bytes(const struct ir_settings *s)
+{
+	uint64_t limit = s->memory_mb != 0 ? s->memory_mb * BYTES_PER_MB
+					   : IR_MEMORY_DEFAULT_BYTES;
+	uint64_t bytes = limit / ANSWER_DIVISOR;
+
+	return bytes < IR_MAX_STORE_ANSWER_BYTES ? bytes
+						 : IR_MAX_STORE_ANSWER_BYTES;
+}
+
 static void
 init_watch(struct ir_store_client *c, struct watch *w, bool hosts)
 {
@@ -550,6 +575,7 @@
 	c->channel = channel;
 	c->settings = settings;
 	c->dialect = dialect;
+	c->max_answer_bytes = max_answer_bytes(settings);
 	ir_outbox_init(&c->outbox, channel->to_core);
 	init_watch(c, &c->config, false);
 	init_watch(c, &c->hosts, true);
--- a/test/test_process_memory.c
+++ b/test/test_process_memory.c
@@ -45,6 +45,10 @@
 #define FLOOD_SENDERS 1000
 #define QUIET_STEPS 50
 
+#define LARGE_SECTIONS 40
+#define LARGE_SECTION_BYTES 1000000
+#define LARGE_STEPS 600
+
 #define LARGE_COUNT 400
 #define LARGE_AT_ONCE 48
 #define LARGE_ANSWER_BYTES (1024 * BYTES_PER_KB)
@@ -506,6 +510,29 @@
 	assert_within_limit();
 }
 
+/* Each node that is up reads the sections as they come; one starts anew. */
+static void
+test_large_configuration_stays_within_limit(void **state)
+{
+	struct pr_host *h = &procs->hosts[0];
+	int status;
+
+	for (int i = 0; i < LARGE_SECTIONS; i++)
+		pr_send_control(procs, procs->platform_port, "PUT",
+		    talloc_asprintf(procs, "/control/config/service/x%d", i),
+		    talloc_asprintf(procs, "{\"padding\":\"%s\"}",
+			make_body(LARGE_SECTION_BYTES)));
+	pr_signal(&h->node, SIGKILL);
+	while (!pr_reap(&h->node, &status))
+		poll(NULL, 0, 1);
+	pr_node_start(procs, h, h->peers_port);
+	for (int i = 0; i < LARGE_STEPS; i++) {
+		poll(NULL, 0, STEP_MS);
+		check_memory();
+	}
+	assert_within_limit();
+}
+
 static int
 memory_set_up(void **state)
 {
@@ -555,6 +582,9 @@
 		restart_all_nodes),
 	    cmocka_unit_test_teardown(
 		test_paused_peer_stays_within_limit, restart_all_nodes),
+	    /* Last: its sections stay published. */
+	    cmocka_unit_test_teardown(
+		test_large_configuration_stays_within_limit, restart_all_nodes),
 	};
 
 	program_path = argv[0];
--- a/test/test_store_client.c
+++ b/test/test_store_client.c
@@ -21,6 +21,7 @@
 #include "support/core_side.h"
 
 #define RING_SLOTS 64
+#define LARGE_ANSWER_BYTES (4 * 1024 * 1024)
 #define FULL_ANSWER                                            \
 	"{\"revision\":5,\"whole\":true,\"sections\":["        \
 	"{\"name\":\"fleet\",\"revision\":4,\"text\":\"{}\"}," \
@@ -192,6 +193,45 @@
 	close(fd);
 }
 
+/* Answers with more than a process of 48 MB may hold beside its work. */
+static void
+answer_large(void *ctx, struct fake_request *r)
+{
+	char *text = talloc_size(NULL, LARGE_ANSWER_BYTES + 1);
+
+	memset(text, ' ', LARGE_ANSWER_BYTES);
+	text[LARGE_ANSWER_BYTES] = '\0';
+	memcpy(text, FULL_ANSWER, strlen(FULL_ANSWER));
+	fake_answer_json(r, 200, text);
+	talloc_free(text);
+}
+
+static void
+test_answer_too_large_for_the_process_is_not_read(void **state)
+{
+	static const struct fake_handler large = {answer_large, on_disconnect};
+	struct fixture f = {.settings.platform.address = "127.0.0.1"};
+	struct ir_to_core *m;
+
+	f.server = fake_server_start(0, &large, &f);
+	f.settings.platform.port = fake_server_port(f.server);
+	f.settings.memory_mb = 48;
+	f.core = ir_wakeup_new(NULL);
+	f.channel = ir_channel_new(f.core, f.core, NULL, RING_SLOTS);
+	f.client = ir_store_client_new(
+	    f.core, f.channel, &f.settings, &ir_native_dialect.store);
+	pthread_create(&f.thread, NULL, ir_store_client_run, f.client);
+	start_polling(&f);
+	m = next_message(&f);
+	assert_int_equal(m->kind, IR_TO_CORE_STORE_FAILED);
+	talloc_free(m);
+	ir_ring_push(f.channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
+	pthread_join(f.thread, NULL);
+	talloc_free(f.client);
+	fake_server_stop(f.server);
+	talloc_free(f.core);
+}
+
 static void
 expect_rejected(const char *text)
 {
@@ -228,6 +268,7 @@
 	    cmocka_unit_test_setup_teardown(
 		test_reads_and_failures, set_up, tear_down),
 	    cmocka_unit_test(test_stopped_thread_starts_no_read),
+	    cmocka_unit_test(test_answer_too_large_for_the_process_is_not_read),
 	    cmocka_unit_test(test_invalid_documents),
 	};
 
