Store: order positions by era and revision

What callers saw: after the store came back from an older copy, nodes took all of its answers for stale until its new revisions passed those held before. Until then accounts with a rate were refused, and changes were not taken; in our own dialect, whose revisions rise with publications only, the fleet refused everything for as long as nobody published. Then one revision stood for two contents.

Cause: "newer" was a bare revision in the client, the sections, the lease, the issuer and the peers' messages.

The client now passes on positions: era and revision as one number of 64 bits (host/position.h), so that each of those comparisons is one of the pair, and peers' messages carry it without a new field. /state shows both parts.

An older copy must not undo what nodes know. Entries that differ from those held are used when they are written again, or after the 2 s that lost entries have. A configuration of a lower generation is left out as a whole, where the dialect has one generation for all; elsewhere, and in a process that has just started, nothing is removed as absent from a full read before another one, 2 s later.

--- a/include/ibisrail/dialect.h
+++ b/include/ibisrail/dialect.h
@@ -65,6 +65,9 @@
 	bool has_era; /* false: the answer has none, or one that is invalid */
 	struct ir_store_item *items;
 	size_t item_count;
+	/* Of the whole configuration in the answer; 0: each item has its own.
+	 */
+	uint64_t generation;
 	/* hosts_include_config: all of a changed configuration, or NULL. */
 	struct ir_store_item *config_items;
 	size_t config_item_count;
--- a/src/core/dump.c
+++ b/src/core/dump.c
@@ -2,6 +2,7 @@
 #include <json-c/json.h>
 
 #include "core/internal.h"
+#include "host/position.h"
 
 static void
 add_string(struct json_object *o, const char *key, const char *value)
@@ -31,8 +32,12 @@
 	struct json_object *o = json_object_new_object();
 	int64_t age = ir_view_lease_age_us(n->view_lease, now);
 
-	add_int(o, "config_revision", (int64_t)v->config_revision);
-	add_int(o, "list_revision", (int64_t)v->list_revision);
+	add_int(o, "config_revision",
+	    (int64_t)ir_position_revision(v->config_revision));
+	add_int(o, "config_era", (int64_t)ir_position_era(v->config_revision));
+	add_int(o, "list_revision",
+	    (int64_t)ir_position_revision(v->list_revision));
+	add_int(o, "list_era", (int64_t)ir_position_era(v->list_revision));
 	add_string(o, "state", states[node_view_state(n, now)]);
 	add_int(
 	    o, "confirmed_age_ms", age == INT64_MAX ? -1 : age / IR_US_PER_MS);
@@ -171,7 +176,7 @@
 	out->gate_limit = l.limit;
 	out->records = (int64_t)ir_records_count(n->records);
 	out->hosts = (int64_t)node_view(n)->host_count;
-	out->config_revision = (int64_t)config;
-	out->list_revision = (int64_t)list;
+	out->config_revision = (int64_t)ir_position_revision(config);
+	out->list_revision = (int64_t)ir_position_revision(list);
 	out->view_age_ms = age_us == INT64_MAX ? -1 : age_us / IR_US_PER_MS;
 }
--- a/src/io/store/host_items.c
+++ b/src/io/store/host_items.c
@@ -15,6 +15,10 @@
 	bool removed;		 /* freed by the next free_removed() */
 	bool removal_delayed;	 /* not before removal_due_us */
 	bool unreadable;	 /* cannot be decoded */
+	/* Read from a restored store, not used yet; NULL: none. */
+	char *restored_section;
+	char *restored_text;
+	uint64_t restored_created;
 	UT_hash_handle hh;
 };
 
@@ -33,6 +37,7 @@
 	uint64_t full_read_count;
 	uint64_t published_revision; /* highest of a change passed on */
 	bool in_recovery_read;	     /* in the first read after a failure */
+	bool in_restored_read;	     /* in the first read of a restored store */
 	int64_t removal_due_us;
 };
 
@@ -100,6 +105,45 @@
 	h->in_recovery_read = true;
 }
 
+void
+ir_host_items_store_restored(struct ir_host_items *h)
+{
+	h->in_recovery_read = true;
+	h->in_restored_read = true;
+}
+
+static void
+drop_restored(struct item *i)
+{
+	TALLOC_FREE(i->restored_section);
+	TALLOC_FREE(i->restored_text);
+}
+
+static void
+set_restored(struct item *i, const struct ir_store_item *in)
+{
+	i->restored_section = ir_text_copy(i, in->section);
+	i->restored_text = ir_text_copy(i, in->text);
+	i->restored_created = in->created_revision;
+}
+
+/* Uses what the restored store has and nobody wrote again. */
+static void
+use_restored(struct ir_host_items *h)
+{
+	struct item *i, *next;
+
+	HASH_ITER (hh, h->items, i, next) {
+		struct ir_store_item in = {.section = i->restored_section,
+		    .text = i->restored_text,
+		    .created_revision = i->restored_created};
+
+		if (i->restored_text != NULL)
+			set_item(i, &in);
+		drop_restored(i);
+	}
+}
+
 /* A removal found by the read in progress. */
 static void
 mark_removed(struct ir_host_items *h, struct item *i)
@@ -118,11 +162,16 @@
 	i->last_full_read = h->full_read_count;
 	i->revision = in->revision;
 	i->unreadable = in->section == NULL;
+	drop_restored(i);
 	if (in->section == NULL || in->text[0] == '\0') {
 		mark_removed(h, i);
 	} else {
 		i->removed = false;
-		if (!is_unchanged(i, in))
+		if (is_unchanged(i, in))
+			return false;
+		if (h->in_restored_read)
+			set_restored(i, in);
+		else
 			set_item(i, in);
 	}
 	return i->unreadable && !was_unreadable;
@@ -246,6 +295,9 @@
 	if (h->in_recovery_read)
 		h->removal_due_us = now + IR_REMOVAL_GRACE_US;
 	h->in_recovery_read = false;
+	h->in_restored_read = false;
+	if (now >= h->removal_due_us)
+		use_restored(h);
 	free_removed(h, now);
 	choose_newest(h);
 	list = ir_check_alloc(talloc_zero_array(
--- a/src/io/store/host_items.h
+++ b/src/io/store/host_items.h
@@ -43,6 +43,13 @@
  */
 void ir_host_items_store_recovered(struct ir_host_items *h);
 
+/*
+ * The same after the store was restored from an older copy. What differs there
+ * from the items held is used once it is written again, or after
+ * IR_REMOVAL_GRACE_US.
+ */
+void ir_host_items_store_restored(struct ir_host_items *h);
+
 /*
  * Sets the sections of r, under mem, to those that changed since the last
  * call, or to all of them, and r->complete to all. A removed section has an
--- a/src/io/store/store_client.c
+++ b/src/io/store/store_client.c
@@ -7,6 +7,7 @@
 
 #include "core/random.h"
 
+#include "host/position.h"
 #include "io/admin/io_log.h"
 #include "io/clock.h"
 #include "io/store/curl_finished.h"
@@ -30,16 +31,23 @@
 struct watch {
 	struct ir_store_client *client;
 	bool hosts;
-	uint64_t revision; /* highest read, or held by the core */
+	uint64_t revision; /* of this era: highest read, or held by the core */
 	char *next_key;	   /* of a full read: where its next page begins */
-	uint64_t full_read_revision;	  /* store revision of its first page */
+	uint64_t full_read_revision; /* store revision of its first page */
+	uint64_t reached; /* store revision up to which the last read went */
 	struct ir_host_items *host_items; /* NULL: items are sections */
-	uint64_t section_revision;	  /* highest delivered to the core */
-	char *reported_error;		  /* logged since the last success */
-	bool failed;			  /* the last read failed */
-	bool full_read_due;		  /* whatever the core holds */
-	int64_t removal_due_us;		  /* of delayed removals; 0: none */
-	CURL *easy;			  /* NULL: no read in flight */
+	uint64_t section_position;	  /* highest delivered to the core */
+	uint64_t generation; /* of the whole configuration: highest delivered */
+	char *reported_error; /* logged since the last success */
+	bool failed;	      /* the last read failed */
+	bool full_read_due;   /* whatever the core holds */
+	/*
+	 * When sections absent from a full read are removed, by another one: an
+	 * older copy may lack what peers hold. 0: they are by every one.
+	 */
+	int64_t removals_due_us;
+	int64_t removal_due_us; /* of delayed removals; 0: none */
+	CURL *easy;		/* NULL: no read in flight */
 	int64_t started_us;
 	int64_t next_read_us;
 	int64_t backoff_us;
@@ -199,9 +207,14 @@
 		handle_read_failure(w, now);
 }
 
-/* Converts each item of the page to a section. */
+static uint64_t
+position(const struct ir_store_client *c, uint64_t revision)
+{
+	return ir_position(c->era, revision);
+}
+
 static void
-set_sections(struct watch *w, const struct ir_store_page *page)
+add_sections(struct watch *w, const struct ir_store_page *page)
 {
 	struct ir_store_read *r = &w->message->u.store;
 	struct ir_section *list = ir_check_alloc(talloc_zero_array(
@@ -210,23 +223,42 @@
 	for (size_t i = 0; i < page->item_count; i++) {
 		list[i].name = page->items[i].section;
 		list[i].text = page->items[i].text;
-		list[i].revision = page->items[i].revision;
+		list[i].revision = position(w->client, page->items[i].revision);
 	}
 	r->sections = list;
 	r->section_count = page->item_count;
-	r->complete = page->full;
-	r->revision = page->revision;
-	if (!w->client->dialect->uses_host_items)
+}
+
+/*
+ * Converts each item of the page to a section. A configuration that is older as
+ * a whole than the one delivered, from an older copy of the store, is left out:
+ * the sections that it lacks must not be removed.
+ */
+static void
+set_sections(struct watch *w, struct ir_store_page *page)
+{
+	struct ir_store_client *c = w->client;
+	struct ir_store_read *r = &w->message->u.store;
+
+	if (page->generation < w->generation) {
+		page->item_count = 0;
+		page->full = false;
+	}
+	if (page->generation > w->generation)
+		w->generation = page->generation;
+	add_sections(w, page);
+	r->complete = page->full && w->removals_due_us == 0;
+	r->revision = position(c, page->revision);
+	if (!c->dialect->uses_host_items)
 		return;
 	/* Heartbeats raise page->revision, without a configuration change. */
 	for (size_t i = 0; i < page->item_count; i++) {
-		if (page->items[i].revision > w->section_revision)
-			w->section_revision = page->items[i].revision;
+		if (r->sections[i].revision > w->section_position)
+			w->section_position = r->sections[i].revision;
 	}
-	r->reached_revision = page->revision;
-	r->revision = w->section_revision;
+	r->reached_revision = r->revision;
+	r->revision = w->section_position;
 }
-
 static void
 log_unreadable_item(struct watch *w, const struct ir_store_item *item)
 {
@@ -250,7 +282,7 @@
 
 /* Adds a page to the read; false if the full read has further pages. */
 static bool
-add_page(struct watch *w, const struct ir_store_page *page)
+add_page(struct watch *w, struct ir_store_page *page)
 {
 	struct ir_store_read *r = &w->message->u.store;
 	bool first_page = page->full && w->next_key == NULL;
@@ -264,7 +296,10 @@
 		w->full_read_revision = page->revision;
 	}
 	for (size_t i = 0; i < page->item_count; i++) {
-		if (ir_host_items_put(w->host_items, &page->items[i]))
+		struct ir_store_item item = page->items[i];
+
+		item.revision = position(w->client, item.revision);
+		if (ir_host_items_put(w->host_items, &item))
 			log_unreadable_item(w, &page->items[i]);
 	}
 	TALLOC_FREE(w->next_key);
@@ -274,8 +309,8 @@
 	}
 	if (page->full)
 		ir_host_items_end_full_read(w->host_items);
-	r->reached_revision =
-	    page->full ? w->full_read_revision : page->revision;
+	w->reached = page->full ? w->full_read_revision : page->revision;
+	r->reached_revision = position(w->client, w->reached);
 	return true;
 }
 
@@ -332,6 +367,8 @@
 	    .revision = page->revision,
 	    .items = page->config_items,
 	    .item_count = page->config_item_count,
+	    .generation =
+		page->config_items != NULL ? page->generation : w->generation,
 	};
 
 	/* Before its first full read there is no configuration to confirm. */
@@ -347,7 +384,7 @@
 }
 
 static void
-handle_page(struct watch *w, int64_t now, const struct ir_store_page *page)
+handle_page(struct watch *w, int64_t now, struct ir_store_page *page)
 {
 	struct ir_store_client *c = w->client;
 	struct ir_store_read *r = &w->message->u.store;
@@ -362,7 +399,7 @@
 	if (w->hosts && c->dialect->hosts_include_config && !page->full)
 		deliver_config(c, w->started_us, page);
 	if (w->host_items != NULL) {
-		reached = r->reached_revision;
+		reached = w->reached;
 		ir_host_items_take_changes(
 		    w->host_items, now, w->message, page->full, r);
 	}
@@ -406,8 +443,8 @@
 {
 	if (!c->has_era)
 		return NULL;
-	if (!page->has_era)
-		return "era of the store missing or not a number";
+	if (!page->has_era || page->era > IR_MAX_STORE_ERA)
+		return "era of the store missing or not a valid number";
 	return page->era < c->era ? "era of the store went back" : NULL;
 }
 
@@ -423,10 +460,17 @@
 	    c->hosts.revision);
 	restart_full_read(&c->config, now);
 	restart_full_read(&c->hosts, now);
-	c->config.section_revision = 0;
-	c->hosts.section_revision = 0;
 	/* What the copy lacks is written again, as after a failure. */
 	c->hosts.failed = true;
+	if (c->hosts.host_items != NULL)
+		ir_host_items_store_restored(c->hosts.host_items);
+}
+
+static void
+delay_removals(struct watch *w, int64_t now)
+{
+	if (w->host_items == NULL && w->generation == 0)
+		w->removals_due_us = now + IR_REMOVAL_GRACE_US;
 }
 
 /* Returns whether a new era began, so that the answer is of no use. */
@@ -436,11 +480,14 @@
 {
 	bool began;
 
-	if (!page->has_era || (c->has_era && page->era <= c->era))
+	if (!page->has_era || page->era > IR_MAX_STORE_ERA ||
+	    (c->has_era && page->era <= c->era))
 		return false;
 	began = c->config.revision != 0 || c->hosts.revision != 0;
 	if (began)
 		begin_era(c, now, page);
+	delay_removals(&c->config, now);
+	delay_removals(&c->hosts, now);
 	c->era = page->era;
 	c->has_era = true;
 	return began;
@@ -495,10 +542,15 @@
 		finish_read(w, code);
 }
 
+/* Skips what the core has from peers, unless it is of another era. */
 static void
-raise_revision(struct watch *w, uint64_t revision)
+raise_revision(struct watch *w, uint64_t held)
 {
-	if (revision > w->revision && !w->full_read_due)
+	uint64_t revision = ir_position_revision(held);
+
+	if (ir_position_era(held) != w->client->era || w->full_read_due)
+		return;
+	if (revision > w->revision)
 		w->revision = revision;
 }
 
@@ -536,7 +588,7 @@
 	m = ir_to_core_new(IR_TO_CORE_STORE_READ);
 	m->u.store.request_sent_us = w->started_us;
 	m->u.store.is_host_list = w->hosts;
-	m->u.store.reached_revision = w->revision;
+	m->u.store.reached_revision = position(w->client, w->revision);
 	ir_host_items_take_changes(w->host_items, now, m, false, &m->u.store);
 	ir_outbox_push(&w->client->outbox, m);
 }
@@ -562,6 +614,10 @@
 		return;
 	}
 	deliver_due_removals(w, now);
+	if (w->removals_due_us != 0 && now >= w->removals_due_us) {
+		w->removals_due_us = 0;
+		restart_full_read(w, now);
+	}
 	if (is_included_in_host_reads(w))
 		return;
 	if (w->easy == NULL && now >= w->next_read_us)
--- a/test/test_host_items.c
+++ b/test/test_host_items.c
@@ -154,6 +154,65 @@
  * was delayed too, its host was given work for another 2.1 s (seen in an
  * incident).
  */
+static void
+begin_restored_read(struct fixture *f)
+{
+	ir_host_items_store_restored(f->items);
+	ir_host_items_begin_full_read(f->items);
+}
+
+static void
+test_older_copy_does_not_undo_a_change_that_is_written_again(void **state)
+{
+	struct fixture *f = *state;
+
+	put_item(f, "a", "host/1", "leaving", 1);
+	expect_one_change(f, 0, "host/1", "leaving");
+	begin_restored_read(f);
+	put_item(f, "a", "host/1", "live", 1);
+	ir_host_items_end_full_read(f->items);
+	assert_int_equal(take_changes(f, 100), 0);
+	put_item(f, "a", "host/1", "leaving", 1);
+	assert_int_equal(take_changes(f, 200), 0);
+	assert_int_equal(take_changes(f, 100 + IR_REMOVAL_GRACE_US), 0);
+}
+
+static void
+test_older_copy_is_used_if_nothing_is_written_again(void **state)
+{
+	struct fixture *f = *state;
+
+	put_item(f, "a", "host/1", "leaving", 1);
+	expect_one_change(f, 0, "host/1", "leaving");
+	begin_restored_read(f);
+	put_item(f, "a", "host/1", "live", 1);
+	put_item(f, "gone", "host/2", "live", 1);
+	ir_host_items_end_full_read(f->items);
+	assert_int_equal(take_changes(f, 100), 0);
+	assert_int_equal(take_changes(f, 99 + IR_REMOVAL_GRACE_US), 0);
+	assert_int_equal(take_changes(f, 100 + IR_REMOVAL_GRACE_US), 2);
+}
+
+static void
+test_entry_that_an_older_copy_brings_back_is_dropped_when_removed(void **state)
+{
+	struct fixture *f = *state;
+
+	put_item(f, "a", "host/1", "live", 1);
+	put_item(f, "successor", "host/2", "live", 5);
+	assert_int_equal(take_changes(f, 0), 2);
+	begin_restored_read(f);
+	put_item(f, "a", "host/1", "live", 1);
+	put_item(f, "left", "host/2", "old", 2);
+	ir_host_items_end_full_read(f->items);
+	assert_int_equal(take_changes(f, 100), 0);
+	/* The successor writes its entry again; that of the other expires. */
+	put_item(f, "successor", "host/2", "live", 5);
+	put_item(f, "left", "host/2", "", 2);
+	assert_int_equal(take_changes(f, 200), 0);
+	assert_int_equal(take_changes(f, 100 + IR_REMOVAL_GRACE_US), 0);
+}
+
 static void
 test_removal_after_the_recovery_is_passed_on_at_once(void **state)
 {
@@ -196,6 +255,12 @@
 	    WITH_HOST_ITEMS(test_recreated_item_is_passed_on_again),
 	    WITH_HOST_ITEMS(test_unreadable_item_removes_its_host),
 	    WITH_HOST_ITEMS(test_removals_are_delayed_after_a_failure),
+	    WITH_HOST_ITEMS(
+		test_older_copy_does_not_undo_a_change_that_is_written_again),
+	    WITH_HOST_ITEMS(
+		test_older_copy_is_used_if_nothing_is_written_again),
+	    WITH_HOST_ITEMS(
+		test_entry_that_an_older_copy_brings_back_is_dropped_when_removed),
 	    WITH_HOST_ITEMS(
 		test_removal_after_the_recovery_is_passed_on_at_once),
 	    WITH_HOST_ITEMS(test_item_missing_from_a_full_read_is_removed),
