Simulated fleet and fuzz program: the store comes back from an older copy

fleet_restore_store() goes back by a given time, in a new era; each section that it loses is published again after up to 2 s. The terms of changes start again when the last one is, as after an outage. A rate that the copy brings back counts as allowed until the next one is in force again, since the store itself shows it.

The fuzz program has restores as an operation in runs of their own (-r, and the fixed seeds once more), so that recorded seeds keep their meaning. At the end of these runs all nodes must hold what the store holds.

With positions that are bare revisions (mutation era-not-compared), seed 1 of 400 steps fails: "h0 holds revision 11/9 of 6/9". Without the check at the end of the run 24 of 24 seeds passed with that mutation, so it is this check that catches it.

--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -102,6 +102,8 @@
 	int64_t shed_us;    /* 0: not shed */
 };
 
+#define FLEET_REWRITE_PAUSE_US (2 * IR_US_PER_S)
+
 struct fleet_node {
 	struct fleet *fleet;
 	struct ir_node *node;
@@ -147,8 +149,11 @@
 	int64_t max_list_lag_us;
 	int64_t last_leaving_us; /* last time a host was listed as leaving */
 	int64_t store_correct_since_us; /* 0: down or stale now */
-	uint64_t config_revision;
+	uint64_t config_revision;	/* of the store, in its present era */
 	uint64_t list_revision;
+	uint64_t era;		 /* how often the store was restored */
+	uint64_t lost_revisions; /* of the configuration, by all restores */
+	int lost_count;		 /* sections not published again yet */
 	struct fleet_section *sections;
 	struct fleet_event *events;
 	struct fleet_conn *conns;
@@ -216,6 +221,12 @@
 /* While stale, the store answers with the revisions as of this call. */
 void fleet_set_store_stale(struct fleet *f, bool stale);
 void fleet_set_store_down(struct fleet *f, bool down);
+/*
+ * Restores the store from a copy of this age: revisions are given out again, in
+ * a new era. What was published since is published again after up to
+ * FLEET_REWRITE_PAUSE_US each.
+ */
+void fleet_restore_store(struct fleet *f, int64_t age_us);
 /* The store shows changes of the host list this much later. */
 void fleet_set_list_lag(struct fleet *f, int64_t lag_us);
 
--- a/test/support/fleet_check.c
+++ b/test/support/fleet_check.c
@@ -1,5 +1,6 @@
 /* Guarantees that are checked after each event and at the end of a run. */
 #include "core/internal.h"
+#include "host/position.h"
 #include "support/fleet_priv.h"
 
 static uint64_t
@@ -67,6 +68,7 @@
 void
 fleet_check_event(struct fleet *f)
 {
+	fleet_publish_lost(f);
 	for (int i = 0; i < f->node_count; i++)
 		check_revisions(f, &f->nodes[i]);
 	record_spent_tokens(f);
@@ -189,6 +191,8 @@
 void
 fleet_check_converged(struct fleet *f)
 {
+	uint64_t config = ir_position(f->era, f->config_revision);
+	uint64_t list = ir_position(f->era, f->list_revision);
 	uint64_t rate = 0;
 
 	for (int i = 0; i < f->node_count; i++) {
@@ -200,14 +204,14 @@
 			continue;
 		v = node_view(n->node);
 		a = ir_view_account(v, "a");
-		if (v->config_revision != f->config_revision ||
-		    v->list_revision != f->list_revision || a == NULL) {
+		if (v->config_revision != config || v->list_revision != list ||
+		    a == NULL) {
 			fleet_fail(f,
 			    "%s holds revision %llu/%llu of %llu/%llu", n->name,
 			    (unsigned long long)v->config_revision,
 			    (unsigned long long)v->list_revision,
-			    (unsigned long long)f->config_revision,
-			    (unsigned long long)f->list_revision);
+			    (unsigned long long)config,
+			    (unsigned long long)list);
 			return;
 		}
 		if (rate != 0 && a->rate_mt_per_s != rate)
--- a/test/support/fleet_priv.h
+++ b/test/support/fleet_priv.h
@@ -53,11 +53,22 @@
 	struct fleet_conn *next;
 };
 
+/* A text that was published before the current one. */
+struct fleet_version {
+	char *text;
+	uint64_t revision;
+	int64_t published_us;
+};
+
 struct fleet_section {
 	char name[40];
 	char *text;
-	uint64_t revision;
+	uint64_t revision; /* 0: the store does not have it */
 	int64_t published_us;
+	struct fleet_version *past; /* oldest first */
+	int past_count;
+	char *lost_text; /* to be published again; NULL: none */
+	int64_t lost_due_us;
 	struct fleet_section *next;
 };
 
@@ -81,6 +92,8 @@
 void fleet_deliver_egress(struct fleet *f, struct fleet_event *ev);
 void fleet_deliver_store(struct fleet *f, struct fleet_event *ev);
 void fleet_poll_store(struct fleet *f, int node);
+/* Publishes again what a restore lost and is due. */
+void fleet_publish_lost(struct fleet *f);
 /* Returns the number of running hosts that can reach the store. */
 int fleet_store_readers(const struct fleet *f);
 /* Notes the present time for changes that have become readable. */
--- a/test/support/fleet_store.c
+++ b/test/support/fleet_store.c
@@ -2,9 +2,11 @@
 #include <stdio.h>
 #include <string.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 #include "contract/key.h"
 #include "core/internal.h"
+#include "host/position.h"
 #include "support/fleet_priv.h"
 
 static struct fleet_section *
@@ -28,6 +30,15 @@
 	return strncmp(name, "host/", 5) == 0;
 }
 
+static void
+keep_past(struct fleet_section *s)
+{
+	s->past =
+	    talloc_realloc(s, s->past, struct fleet_version, s->past_count + 1);
+	s->past[s->past_count++] =
+	    (struct fleet_version){s->text, s->revision, s->published_us};
+}
+
 void
 fleet_publish(struct fleet *f, const char *name, const char *text)
 {
@@ -35,6 +46,11 @@
 	uint64_t *revision =
 	    is_host_section(name) ? &f->list_revision : &f->config_revision;
 
+	if (s->revision != 0)
+		keep_past(s);
+	if (s->lost_text != NULL)
+		f->lost_count--;
+	s->lost_text = NULL;
 	s->text = talloc_strdup(s, text);
 	s->revision = ++*revision;
 	s->published_us = f->now_us;
@@ -143,12 +159,18 @@
 	fleet_update_readable(f);
 }
 
+/* Generations rise over restores too. */
+static uint64_t
+next_generation(const struct fleet *f)
+{
+	return f->config_revision + f->lost_revisions + 1;
+}
+
 void
 fleet_publish_account(
     struct fleet *f, uint64_t rate_per_s, uint64_t burst, bool with_key)
 {
-	fleet_publish_rate(
-	    f, f->config_revision + 1, rate_per_s, burst, with_key);
+	fleet_publish_rate(f, next_generation(f), rate_per_s, burst, with_key);
 }
 
 static void
@@ -195,7 +217,7 @@
 static void
 update_store_state(struct fleet *f)
 {
-	bool good = !f->store_down && !f->store_stale;
+	bool good = !f->store_down && !f->store_stale && f->lost_count == 0;
 
 	if (!good)
 		f->store_correct_since_us = 0;
@@ -219,6 +241,76 @@
 	update_store_state(f);
 }
 
+/* Takes one publication of a section back. */
+static void
+undo_publication(struct fleet *f, struct fleet_section *s)
+{
+	uint64_t *revision =
+	    is_host_section(s->name) ? &f->list_revision : &f->config_revision;
+
+	if (s->lost_text == NULL) {
+		s->lost_text = s->text;
+		s->lost_due_us =
+		    f->now_us + (int64_t)(XXH64(s->name, strlen(s->name),
+					      f->seed + f->sequence) %
+					  FLEET_REWRITE_PAUSE_US);
+		f->lost_count++;
+	}
+	if (s->revision <= *revision)
+		*revision = s->revision - 1;
+	s->revision = 0;
+	if (s->past_count == 0)
+		return;
+	s->past_count--;
+	s->text = s->past[s->past_count].text;
+	s->revision = s->past[s->past_count].revision;
+	s->published_us = s->past[s->past_count].published_us;
+}
+
+/* The superseded rate is in the store again until the next one is. */
+static void
+restore_rates(struct fleet *f, int64_t copy_us)
+{
+	for (int i = 0; i + 1 < f->rate_count; i++) {
+		if (f->rates[i + 1].published_us <= copy_us)
+			continue;
+		f->rates[i].in_force_until_us = INT64_MAX;
+		f->rates[i].superseded_us = f->now_us;
+	}
+}
+
+void
+fleet_restore_store(struct fleet *f, int64_t age_us)
+{
+	uint64_t config_revision = f->config_revision;
+	struct fleet_section *s;
+
+	LL_FOREACH (f->sections, s) {
+		while (s->revision != 0 && s->published_us > f->now_us - age_us)
+			undo_publication(f, s);
+	}
+	f->era++;
+	f->lost_revisions += config_revision - f->config_revision;
+	f->store_stale = false;
+	restore_rates(f, f->now_us - age_us);
+	f->store_correct_since_us = 0;
+	update_store_state(f);
+}
+
+void
+fleet_publish_lost(struct fleet *f)
+{
+	struct fleet_section *s;
+
+	if (f->lost_count == 0 || f->store_down)
+		return;
+	LL_FOREACH (f->sections, s) {
+		if (s->lost_text != NULL && f->now_us >= s->lost_due_us)
+			fleet_publish(f, s->name, s->lost_text);
+	}
+	update_store_state(f);
+}
+
 void
 fleet_set_list_lag(struct fleet *f, int64_t lag_us)
 {
@@ -267,7 +359,7 @@
 section_visible(
     const struct fleet *f, const struct fleet_section *s, bool hosts)
 {
-	if (is_host_section(s->name) != hosts)
+	if (is_host_section(s->name) != hosts || s->revision == 0)
 		return false;
 	if (f->store_stale)
 		return s->revision <= (hosts ? f->stale_list_revision
@@ -294,15 +386,17 @@
 	ir_node_revisions(n->node, &config, &list);
 	node_revision = ev->reads_list ? list : config;
 	LL_FOREACH (f->sections, s) {
+		uint64_t position = ir_position(f->era, s->revision);
+
 		if (!section_visible(f, s, ev->reads_list))
 			continue;
-		if (s->revision > r.revision)
-			r.revision = s->revision;
+		if (position > r.revision)
+			r.revision = position;
 		/* In a quarter of cases, repeats sections known to the node. */
-		if (s->revision <= node_revision && f->sequence % 4 != 0)
+		if (position <= node_revision && f->sequence % 4 != 0)
 			continue;
 		sections[r.section_count].name = s->name;
-		sections[r.section_count].revision = s->revision;
+		sections[r.section_count].revision = position;
 		sections[r.section_count].generation = 0;
 		sections[r.section_count].text = s->text;
 		r.section_count++;
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -9,6 +9,7 @@
  * test_fuzz -n COUNT FIRST STEPS  COUNT seeds, starting with FIRST
  * test_fuzz -f COUNT FIRST STEPS  the same; failing seeds are not shrunk
  * test_fuzz -x COUNT FIRST STEPS  like -f, up to the first failing seed
+ * test_fuzz -r COUNT FIRST STEPS  like -n, the store may be restored as well
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -42,6 +43,7 @@
 	OP_UPSTREAM,
 	OP_RUN_TIME,
 	OP_DISTURB,
+	OP_RESTORE, /* only in runs with restores: seeds keep their meaning */
 	OP_COUNT
 };
 
@@ -67,6 +69,7 @@
     [OP_UPSTREAM] = 4,
     [OP_RUN_TIME] = 4,
     [OP_DISTURB] = 6,
+    [OP_RESTORE] = 4,
 };
 
 /*
@@ -109,6 +112,7 @@
 	uint64_t state;
 	/* Outcomes over all seeds: shows that calls were served and refused. */
 	uint64_t calls, served, refused, unknown, unanswered;
+	bool restores;		      /* runs have OP_RESTORE */
 	bool no_shrink;		      /* failing seeds are not shrunk */
 	bool stop_at_first;	      /* stops at the first failing seed */
 	uint32_t messages_to_disturb; /* random delay or duplicate */
@@ -124,12 +128,13 @@
 static enum op_kind
 random_op_kind(struct fuzz *r)
 {
+	int count = r->restores ? OP_COUNT : OP_RESTORE;
 	uint32_t sum = 0, at;
 
-	for (int k = 0; k < OP_COUNT; k++)
+	for (int k = 0; k < count; k++)
 		sum += weights[k];
 	at = (uint32_t)(next_random(r) % sum);
-	for (int k = 0; k < OP_COUNT; k++) {
+	for (int k = 0; k < count; k++) {
 		if (at < weights[k])
 			return k;
 		at -= weights[k];
@@ -315,6 +320,9 @@
 		f->nodes[a].run_duration_us =
 		    (int64_t)(o->b % 400 + 1) * IR_US_PER_MS;
 		break;
+	case OP_RESTORE:
+		fleet_restore_store(f, (int64_t)(o->a % 8000) * IR_US_PER_MS);
+		break;
 	case OP_DISTURB:
 		r->messages_to_disturb = o->a % 30;
 		break;
@@ -428,6 +436,8 @@
 		end_faults(f);
 	if (f->failure == NULL)
 		fleet_check_end(f);
+	if (f->failure == NULL && r->restores)
+		fleet_check_converged(f);
 	count_answers(r, f);
 	if (f->failure != NULL)
 		failure = talloc_strdup(mem, f->failure);
@@ -548,6 +558,8 @@
 			      regressions[i].ops, mem)
 			: !run_seed(r, regressions[i].seed,
 			      regressions[i].steps, mem);
+	failed += run_many(r, 1, FIXED_SEEDS, FIXED_STEPS, mem);
+	r->restores = true;
 	return failed + run_many(r, 1, FIXED_SEEDS, FIXED_STEPS, mem) != 0;
 }
 
@@ -569,7 +581,9 @@
 	r->stop_at_first = argc == 5 && strcmp(argv[1], "-x") == 0;
 	r->no_shrink =
 	    r->stop_at_first || (argc == 5 && strcmp(argv[1], "-f") == 0);
-	if (r->no_shrink || (argc == 5 && strcmp(argv[1], "-n") == 0))
+	r->restores = argc == 5 && strcmp(argv[1], "-r") == 0;
+	if (r->no_shrink || r->restores ||
+	    (argc == 5 && strcmp(argv[1], "-n") == 0))
 		status = run_many(r, strtoull(argv[3], NULL, 10),
 		    parse_count(argv[2]), parse_count(argv[4]), mem);
 	else if (argc == 4)
