--- a/src/io/store/store_client.c
+++ b/src/io/store/store_client.c
@@ -63,7 +63,7 @@
 	char *body;
 	size_t body_bytes;
 	char era[MAX_ERA_BYTES]; /* value of the header; "": none */
-	bool too_large; /* the answer, so its rest was not read */
+	bool too_large;		 /* the answer, so its rest was not read */
 };
 
 struct ir_store_client {
