--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -129,9 +129,9 @@
 random_op_kind(struct fuzz *r)
 {
 	int count = r->restores ? OP_COUNT : OP_RESTORE;
-	uint32_t sum = 0, at;
+	uint32_t sum = weights[0], at;
 
-	for (int k = 0; k < count; k++)
+	for (int k = 1; k < count; k++)
 		sum += weights[k];
 	at = (uint32_t)(next_random(r) % sum);
 	for (int k = 0; k < count; k++) {
