Links: the connection of an idle link is closed

Suspected as the cause, found by reading: ir_link_tick() asks to close an idle connection, and peer_tick() did not do so. The link went down, the connection stayed in the table with a pointer to its peer, and a peer that is down and no longer listed is freed. The end of that connection, reported when the host's process ends, then reads freed memory.

--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -233,14 +233,20 @@
 }
 
 static void
-close_lost_link(struct ir_node *n, int64_t now, struct peer *p, const char *why)
+close_connection(struct ir_node *n, struct peer *p)
 {
 	struct conn *c = conn_find(n, p->link.conn);
 
-	if (c != NULL) {
-		n->ops.close(n->ctx, c->id);
-		conn_remove(n, c);
-	}
+	if (c == NULL)
+		return;
+	n->ops.close(n->ctx, c->id);
+	conn_remove(n, c);
+}
+
+static void
+close_lost_link(struct ir_node *n, int64_t now, struct peer *p, const char *why)
+{
+	close_connection(n, p);
 	node_log(n, IR_EVENT_LINK_LOST, "host=%s why=%s", p->name, why);
 	ir_counters_add(&n->counters, IR_COUNTER_LINKS_LOST, 1);
 	ir_link_connection_closed(&p->link, now);
@@ -547,6 +553,9 @@
 	case IR_LINK_LOST:
 		close_lost_link(n, now, p, "silent");
 		break;
+	case IR_LINK_CLOSE_IDLE:
+		close_connection(n, p);
+		break;
 	case IR_LINK_CONNECT:
 		connect_peer(n, now, p);
 		break;
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -565,6 +565,25 @@
 	end_fleet(f);
 }
 
+/* A connection that outlives its link refers to a peer that may be freed. */
+static void
+test_connection_of_an_idle_link_is_closed(void **state)
+{
+	struct fleet *f = make_fleet(18);
+
+	settle(f);
+	assert_int_equal(call_and_wait(f, 0, &read_request), IR_OK);
+	fleet_run(f, 45 * IR_US_PER_S);
+	for (int i = 0; i < f->node_count; i++) {
+		struct conn *c, *tmp;
+
+		HASH_ITER (hh, f->nodes[i].node->conns, c, tmp)
+			assert_true(c->peer == NULL ||
+				    c->peer->link.state != IR_LINK_DOWN);
+	}
+	end_fleet(f);
+}
+
 /* With one host of the service, the call cannot be retried elsewhere. */
 static void
 test_read_without_another_host_is_not_lost_with_its_link(void **state)
@@ -654,6 +673,7 @@
 		test_revision_in_a_heartbeat_does_not_wait_for_the_next_poll),
 	    cmocka_unit_test(
 		test_lost_view_is_requested_again_while_other_bytes_move),
+	    cmocka_unit_test(test_connection_of_an_idle_link_is_closed),
 	    cmocka_unit_test(test_open_flag_of_forward_is_checked),
 	    cmocka_unit_test(
 		test_read_without_another_host_is_not_lost_with_its_link),
