Upstreams: answers before the final one, and bytes of one answer, are bounded

Chunks with long extensions had no bound either: only the body in them was counted.

Ruled out: a bound on one turn of the event loop. A turn reads 16 KB of one connection already; what had no bound is the number of turns.

At most 32 answers are skipped for one request, and at most 8 times the largest body is read: chunks of one byte take 6 bytes each. Past it the connection is closed, the run is broken (unknown, or tried again where that is allowed, and counted against the upstream) and upstream-broken says why.

test_answers_without_end_are_given_up: 14 kinds of bytes. Provisional answers before a good one are skipped as before.

--- a/src/io/upstream/upstream_conn.c
+++ b/src/io/upstream/upstream_conn.c
@@ -32,6 +32,16 @@
  * close the connection just when a request is sent. */
 #define KEEP_ALIVE_USED_PERCENT 80
 #define HTTP_FIRST_FINAL_STATUS 200
+/*
+ * Provisional answers and answers to other requests that may precede the answer
+ * to a request. More of them are taken for a faulty upstream.
+ */
+#define MAX_SKIPPED_ANSWERS 32
+/*
+ * Bytes that may be read for one request: the largest body in chunks of one
+ * byte takes 6 bytes of each, and a head comes before it.
+ */
+#define MAX_ANSWER_READ_BYTES (8 * (size_t)IR_MAX_BODY)
 
 void
 ir_upstream_conn_close(struct upstream_conn *c)
@@ -174,6 +184,18 @@
 		   : -1;
 }
 
+/* Drops the answer just read; false if the upstream has sent too many such. */
+static bool
+skip_answer(struct upstream_conn *c)
+{
+	ir_upstream_answer_reset(&c->transfer->answer);
+	c->skipped_answers++;
+	if (c->skipped_answers <= MAX_SKIPPED_ANSWERS)
+		return true;
+	c->fault = "too many answers before the final one";
+	return false;
+}
+
 /* Skips provisional answers and answers to other requests. */
 static int
 on_message_complete(http_parser *p)
@@ -184,10 +206,8 @@
 
 	free_header(c);
 	if (status < HTTP_FIRST_FINAL_STATUS ||
-	    ir_upstream_answer_is_mismatched(a, status)) {
-		ir_upstream_answer_reset(a);
-		return 0;
-	}
+	    ir_upstream_answer_is_mismatched(a, status))
+		return skip_answer(c) ? 0 : -1;
 	c->answer_complete = true;
 	c->keep_alive = http_should_keep_alive(p) != 0;
 	http_parser_pause(p, 1);
@@ -235,10 +255,15 @@
 		finish_answer(c, size - n);
 		return false;
 	}
-	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK)
+	c->read_bytes += size;
+	if (c->read_bytes > MAX_ANSWER_READ_BYTES)
+		c->fault = "answer without end";
+	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK && c->fault == NULL)
 		return true;
 	if (c->transfer->memory.reserve_failed)
 		fail_conn(c, "memory");
+	else if (c->fault != NULL)
+		fail_conn(c, c->fault);
 	else
 		fail_conn(c, http_errno_name(HTTP_PARSER_ERRNO(&c->parser)));
 	return false;
@@ -587,6 +612,9 @@
 	c->transfer = t;
 	c->answer_started = false;
 	c->answer_complete = false;
+	c->skipped_answers = 0;
+	c->read_bytes = 0;
+	c->fault = NULL;
 	c->max_idle_us = DEFAULT_MAX_IDLE_US;
 	c->sent_bytes = 0;
 	c->request = talloc_steal(c, out);
--- a/src/io/upstream/upstream_conn.h
+++ b/src/io/upstream/upstream_conn.h
@@ -43,6 +43,9 @@
 	bool answer_started;	    /* read bytes since the request was given */
 	bool answer_complete;	    /* read the final answer to its end */
 	bool keep_alive;	    /* the answer allows another request */
+	uint32_t skipped_answers;   /* since the request was given */
+	size_t read_bytes;	    /* since the request was given */
+	const char *fault;	    /* why the answer is given up, or NULL */
 	char *header_name;	    /* of the header being read, or NULL */
 	char *header_value;	    /* of the header being read, or NULL */
 	size_t header_bytes;	    /* reserved for header_name and _value */
--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -1,8 +1,9 @@
 /*
  * Connections to the upstream in the platform's dialect, against a scripted
  * server. Guards against taking an answer for that to another request, against
- * passing on an incomplete or unsigned one, and against telling callers that a
- * request was not run when it may have been.
+ * passing on an incomplete or unsigned one, against reading one that does not
+ * end, and against telling callers that a request was not run when it may have
+ * been.
  */
 #include <sys/socket.h>
 
@@ -33,6 +34,28 @@
 	"HTTP/1.1 200 OK\r\nX-Ibisrail-Attempt-Id: " id "\r\n" \
 	"X-Ibisrail-Response-Signature: s\r\nContent-Length: 2\r\n\r\n" body
 
+#define SIGNED_HEAD                                       \
+	"HTTP/1.1 200 OK\r\nX-Ibisrail-Attempt-Id: 1\r\n" \
+	"X-Ibisrail-Response-Signature: s\r\n"
+#define CHUNKED_HEAD SIGNED_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+#define SIXTEEN_BYTES "aaaaaaaaaaaaaaaa"
+#define EARLY_HINTS "HTTP/1.1 103 Early Hints\r\nLink: </a.css>\r\n\r\n"
+/*
+ * More than a connection takes of an answer without end: the largest body in
+ * chunks of one byte (6 bytes each), and what the sockets hold.
+ */
+#define ENDLESS_BYTES (12 * (size_t)IR_MAX_BODY)
+#define ENDLESS_WRITE_BYTES 65536
+
+/*
+ * An answer that does not end: a head, then a unit again and again until the
+ * node closes the connection.
+ */
+struct endless {
+	const char *head;
+	const char *unit;
+};
+
 /*
  * What the server sends for each request of a connection, in order. It closes
  * the connection at the end of the list (NULL), or resets it at "!".
@@ -51,7 +74,9 @@
 	pthread_t server;
 	int listen_fd;
 	uint64_t last_id;
-	const struct script *script; /* for the next connections */
+	const struct script *script;   /* for the next connections */
+	const struct endless *endless; /* sent instead, unless NULL */
+	bool endless_taken;	       /* all ENDLESS_BYTES of one answer */
 	int connections;
 	char request[REQUEST_BYTES]; /* head of the last one read */
 };
@@ -101,6 +126,37 @@
 	}
 }
 
+static bool
+send_all(int fd, const char *data, size_t size)
+{
+	while (size > 0) {
+		ssize_t n = send(fd, data, size, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			return false;
+		data += n;
+		size -= (size_t)n;
+	}
+	return true;
+}
+
+static void
+serve_endless(struct fixture *f, const struct endless *e, int fd)
+{
+	char units[ENDLESS_WRITE_BYTES + 256];
+	size_t unit_bytes = strlen(e->unit), bytes = 0;
+
+	if (!read_request(f, fd) || !send_all(fd, e->head, strlen(e->head)))
+		return;
+	for (; bytes < ENDLESS_WRITE_BYTES; bytes += unit_bytes)
+		memcpy(units + bytes, e->unit, unit_bytes);
+	for (size_t sent = 0; sent < ENDLESS_BYTES; sent += bytes) {
+		if (!send_all(fd, units, bytes))
+			return;
+	}
+	__atomic_store_n(&f->endless_taken, true, __ATOMIC_SEQ_CST);
+}
+
 static void *
 serve(void *ctx)
 {
@@ -108,9 +164,15 @@
 	int fd;
 
 	while ((fd = accept(f->listen_fd, NULL, NULL)) >= 0) {
+		const struct endless *e =
+		    __atomic_load_n(&f->endless, __ATOMIC_SEQ_CST);
+
 		__atomic_add_fetch(&f->connections, 1, __ATOMIC_SEQ_CST);
-		serve_conn(
-		    f, __atomic_load_n(&f->script, __ATOMIC_SEQ_CST), fd);
+		if (e != NULL)
+			serve_endless(f, e, fd);
+		else
+			serve_conn(f,
+			    __atomic_load_n(&f->script, __ATOMIC_SEQ_CST), fd);
 		close(fd);
 	}
 	return NULL;
@@ -372,6 +434,64 @@
 	assert_int_equal(f->connections, 2);
 }
 
+static void
+test_answers_without_end_are_given_up(void **state)
+{
+	static const struct endless answers[] = {
+	    {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	    {"", EARLY_HINTS},
+	    {"", SIGNED_ANSWER("2", "xx")},
+	    {"", "\r\n"},
+	    {"", SIXTEEN_BYTES},
+	    {"HTTP/1.1 200 ", SIXTEEN_BYTES},
+	    {"HTTP/1.1 200 OK\r\nX-A: ", SIXTEEN_BYTES},
+	    {"HTTP/1.1 200 OK\r\n", "X-A: aaaaaaaa\r\n"},
+	    {SIGNED_HEAD "\r\n", SIXTEEN_BYTES},
+	    {CHUNKED_HEAD, "0"},
+	    {CHUNKED_HEAD "1;", "a=bbbb;"},
+	    {CHUNKED_HEAD, "1;a=" SIXTEEN_BYTES SIXTEEN_BYTES "\r\nx\r\n"},
+	    {CHUNKED_HEAD, "10\r\n" SIXTEEN_BYTES "\r\n"},
+	    {CHUNKED_HEAD "0\r\n", "X-A: aaaaaaaa\r\n"},
+	};
+	struct fixture *f = *state;
+
+	for (size_t i = 0; i < sizeof(answers) / sizeof(*answers); i++) {
+		__atomic_store_n(&f->endless, &answers[i], __ATOMIC_SEQ_CST);
+		expect_run_end(f, "", IR_RUN_BROKEN);
+		if (__atomic_load_n(&f->endless_taken, __ATOMIC_SEQ_CST))
+			fail_msg("answer %zu: all of it was read", i);
+	}
+}
+
+/* What follows a whole answer is not read. */
+static void
+test_bytes_without_end_after_an_answer_close_the_connection(void **state)
+{
+	static const struct endless e = {
+	    SIGNED_ANSWER("1", "aa"), SIXTEEN_BYTES};
+	struct fixture *f = *state;
+
+	__atomic_store_n(&f->endless, &e, __ATOMIC_SEQ_CST);
+	expect_body(run_request(f, "1"), "aa");
+	expect_body(run_request(f, "1"), "aa");
+	assert_int_equal(f->connections, 2);
+	assert_false(__atomic_load_n(&f->endless_taken, __ATOMIC_SEQ_CST));
+}
+
+static void
+test_provisional_answers_are_skipped(void **state)
+{
+	static const struct script s = {
+	    .answers = {
+		EARLY_HINTS EARLY_HINTS EARLY_HINTS EARLY_HINTS EARLY_HINTS
+		    EARLY_HINTS EARLY_HINTS EARLY_HINTS SIGNED_ANSWER(
+			"1", "aa")}};
+	struct fixture *f = *state;
+
+	use_script(f, &s);
+	expect_body(run_request(f, "1"), "aa");
+}
+
 #define WITH_UPSTREAM(t) cmocka_unit_test_setup_teardown(t, set_up, tear_down)
 
 int
@@ -387,6 +507,10 @@
 	    WITH_UPSTREAM(test_only_not_run_answers_are_shed),
 	    WITH_UPSTREAM(
 		test_answer_before_complete_request_closes_connection),
+	    WITH_UPSTREAM(test_answers_without_end_are_given_up),
+	    WITH_UPSTREAM(
+		test_bytes_without_end_after_an_answer_close_the_connection),
+	    WITH_UPSTREAM(test_provisional_answers_are_skipped),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
