Callers: HTTP/1.1 without Host is refused, targets in absolute form are taken

RFC 9112: a request of HTTP/1.1 without Host must get 400 (the product's own dialect served it), and a server must take a target in absolute form and use its host in place of the Host header (both dialects gave 400).

Two tests stated the contrary for http://x/a/ with a Host field; they are replaced by ones that refuse what is wrong in such a target (another scheme, no host, user information, a fragment, no Host) and by test_request_target_may_be_absolute in both dialects. Different keys in one request got 400 already; now tested in the platform's dialect too. Equal keys are taken as before: they leave no doubt.

--- a/src/io/callers/caller_headers.c
+++ b/src/io/callers/caller_headers.c
@@ -11,6 +11,7 @@
 #define KEY_HEADER "ibisrail-key"
 #define AUTHORIZATION "authorization"
 #define BEARER "bearer"
+#define HTTP_SCHEME "http://"
 #define MAX_KEY_BYTES 512
 #define KEY_OUTSIDE_TEXT "The key stands outside its header."
 
@@ -265,6 +266,26 @@
 	return false;
 }
 
+/*
+ * Whether the target is in absolute form: a URI with the scheme http.
+ * *authority is then set to its host and port, and *path to what follows, which
+ * is empty or starts with '/' or '?'.
+ */
+static bool
+is_absolute(
+    TALLOC_CTX *mem, const char *target, char **authority, const char **path)
+{
+	size_t size;
+
+	if (strncasecmp(target, HTTP_SCHEME, strlen(HTTP_SCHEME)) != 0)
+		return false;
+	target += strlen(HTTP_SCHEME);
+	size = strcspn(target, "/?#");
+	*authority = talloc_strndup(mem, target, size);
+	*path = target + size;
+	return true;
+}
+
 static struct ir_refusal
 check_target(const char *target)
 {
@@ -309,10 +330,9 @@
 
 /* The authority is the host name in lower case, without the port. */
 static struct ir_refusal
-read_authority(TALLOC_CTX *mem, const char *target,
-    const struct ir_raw_headers *raw, struct ir_call *call)
+read_authority(
+    TALLOC_CTX *mem, const char *target, const char *host, struct ir_call *call)
 {
-	const char *host = host_field(raw);
 	char *name = talloc_strndup(mem, host, strcspn(host, ":"));
 
 	call->path = talloc_strdup(mem, target);
@@ -330,19 +350,38 @@
 	return accepted;
 }
 
-struct ir_refusal
-ir_caller_target_read(TALLOC_CTX *mem, const struct ir_dialect *d,
-    const char *target, const struct ir_raw_headers *raw, struct ir_call *call)
+static struct ir_refusal
+read_path_target(TALLOC_CTX *mem, const struct ir_dialect *d,
+    const char *target, const char *host, struct ir_call *call)
 {
 	struct ir_refusal r = check_target(target);
 
 	if (r.error != IR_OK)
 		return r;
 	if (d->routes_by_authority)
-		return read_authority(mem, target, raw, call);
+		return read_authority(mem, target, host, call);
 	return read_service(mem, target, call);
 }
 
+struct ir_refusal
+ir_caller_target_read(TALLOC_CTX *mem, const struct ir_dialect *d,
+    const char *target, const struct ir_raw_headers *raw, struct ir_call *call)
+{
+	const char *path;
+	char *authority, *origin_form;
+
+	if (!is_absolute(mem, target, &authority, &path))
+		return read_path_target(mem, d, target, host_field(raw), call);
+	origin_form =
+	    talloc_asprintf(mem, "%s%s", path[0] == '/' ? "" : "/", path);
+	if (authority == NULL || origin_form == NULL)
+		return ir_refusal_make(IR_E_OVERLOAD, "memory", NULL);
+	if (authority[0] == '\0' || strchr(authority, '@') != NULL)
+		return ir_refusal_make(IR_E_BAD_REQUEST, "target",
+		    "The request target names no host.");
+	return read_path_target(mem, d, origin_form, authority, call);
+}
+
 static int
 hex_value(char c)
 {
--- a/src/io/http_head.c
+++ b/src/io/http_head.c
@@ -156,6 +156,8 @@
 			return fault;
 		line = line_end + LINE_END_BYTES;
 	}
+	if (http_1_1 && !f.has_host)
+		return "host-missing";
 	if (f.chunked && f.length != NULL)
 		return "length-and-coding";
 	if (f.chunked && !http_1_1)
