Records: an attempt shed by the upstream is kept until its deadline

A chain of calls had one retry more than its tokens allow (known red: fuzz, 'call m51 was retried 2 times').

Trace: m52 is forwarded to h1, whose upstream sheds it. The link is cut, the answer is lost, the link is silent after 0.7 s. STATUS on the new link gets never-received, as a gate kept a refused attempt only 250 ms. The origin counts no attempt at an upstream then (FREE_REFUSALS) and sends the next one without a token, so upstreams see one arrival more than the quota and the budget allow. Ruled out: a token returned twice (the replies returned 1 of 1 and 0 of 0), a free retry after link-lost (that one had run nowhere).

A shed attempt is now kept as long as one that ran: a STATUS gets upstream-shed. Costs about 1 KB for each attempt shed in the time of a deadline; other refusals are forgotten as before. Weighed: counting never-received as seen by an upstream; it would take a token for each attempt that was lost on its way.

--- a/src/upstream/record.c
+++ b/src/upstream/record.c
@@ -377,8 +377,12 @@
 
 	if (r->error == IR_E_NEVER_RECEIVED)
 		return now + IR_NEVER_RECEIVED_KEEP_US;
-	/* STATUS then gets IR_E_NEVER_RECEIVED, which also means not run. */
-	if (was_refused(r))
+	/*
+	 * STATUS then gets IR_E_NEVER_RECEIVED, which also means not run. But
+	 * the origin must not take it that the upstream has not seen it: its
+	 * next attempt costs a retry token.
+	 */
+	if (was_refused(r) && r->error != IR_E_UPSTREAM_SHED)
 		return now + IR_RECORD_MARGIN_US;
 	if (r->idempotency_key != NULL)
 		return now + IR_ATTEMPT_KEEP_US;
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -95,6 +95,9 @@
     /* A gate refused important work by its estimate and ran less important. */
     {212528, 600, NULL},
     {900183, 600, NULL},
+    /* A gate forgot that its upstream had shed an attempt, whose answer was
+       lost: the next one took no token. */
+    {9101257, 600, NULL},
 };
 
 struct op {
--- a/test/test_record.c
+++ b/test/test_record.c
@@ -96,6 +96,29 @@
 	assert_null(find(f, 1));
 }
 
+/*
+ * A lost answer that says so is asked for again after the link is back: without
+ * the record, the origin's next attempt at an upstream would cost no token.
+ */
+static void
+test_attempt_shed_by_the_upstream_is_retained_until_its_deadline(void **state)
+{
+	struct fixture *f = *state;
+	int64_t deadline_us = START_US + 5 * IR_US_PER_S;
+	struct ir_record *shed = add(f, deadline_us, NULL);
+	struct ir_record *refused = add(f, deadline_us, NULL);
+
+	shed->error = IR_E_UPSTREAM_SHED;
+	ir_records_mark_done(f->records, shed, START_US);
+	refused->error = IR_E_OVERLOAD;
+	ir_records_mark_done(f->records, refused, START_US);
+	ir_records_expire(f->records, deadline_us);
+	assert_non_null(find(f, 1));
+	assert_null(find(f, 2));
+	ir_records_expire(f->records, deadline_us + IR_US_PER_S);
+	assert_null(find(f, 1));
+}
+
 static void
 test_key_is_retained_for_its_time(void **state)
 {
@@ -254,6 +277,7 @@
 #define T(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 	    T(test_attempt_is_retained_until_its_deadline),
+	    T(test_attempt_shed_by_the_upstream_is_retained_until_its_deadline),
 	    T(test_key_is_retained_for_its_time),
 	    T(test_key_answered_after_a_pause_is_not_freed_early),
 	    T(test_answers_are_evicted_before_work_is_refused),
