Test: an idle link to a host that leaves does not crash the process

Shows that the fault mended in could crash: with that change reverted on a scratch copy, under the address sanitizer, the test reads freed memory (heap-use-after-free in ir_node_conn_closed, peers.c:506). It passes now.

--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -584,6 +584,26 @@
 	end_fleet(f);
 }
 
+/*
+ * The end of a connection whose link became idle, reported after its peer is
+ * freed, crashed the process: it is to be run with the address sanitizer.
+ */
+static void
+test_idle_link_to_a_host_that_leaves_does_not_crash(void **state)
+{
+	struct fleet *f = make_fleet(18);
+
+	settle(f);
+	assert_int_equal(call_and_wait(f, 0, &read_request), IR_OK);
+	fleet_run(f, 45 * IR_US_PER_S);
+	fleet_publish_host(f, 1, "gone");
+	fleet_run(f, 5 * IR_US_PER_S);
+	fleet_kill(f, 1);
+	fleet_run(f, 5 * IR_US_PER_S);
+	assert_int_equal(call_and_wait(f, 0, &read_request), IR_OK);
+	end_fleet(f);
+}
+
 /* With one host of the service, the call cannot be retried elsewhere. */
 static void
 test_read_without_another_host_is_not_lost_with_its_link(void **state)
@@ -674,6 +694,8 @@
 	    cmocka_unit_test(
 		test_lost_view_is_requested_again_while_other_bytes_move),
 	    cmocka_unit_test(test_connection_of_an_idle_link_is_closed),
+	    cmocka_unit_test(
+		test_idle_link_to_a_host_that_leaves_does_not_crash),
 	    cmocka_unit_test(test_open_flag_of_forward_is_checked),
 	    cmocka_unit_test(
 		test_read_without_another_host_is_not_lost_with_its_link),
