Sections: the texts of all together are bounded by the memory of the process

40 MB of sections at running nodes of 48 MB took 61.6, 56.8 and 45.4 MB (known red): each answer of the store was bounded, their sum was not.

All texts may have a sixteenth of the limit, 10 MB at 160 MB (a view of 3,873 hosts has 1.1 MB). A section beyond it is refused with a log line that says so; a placeholder keeps its name in full lists, so that peers with a good text do not remove it. Which sections are refused depends on their order then.

--- a/src/core/node.c
+++ b/src/core/node.c
@@ -6,6 +6,12 @@
 
 #include "core/internal.h"
 
+/*
+ * The texts of all sections may have this fraction of the memory limit, as one
+ * answer of the store: their parsed form and messages to peers hold them again.
+ */
+#define SECTIONS_DIVISOR 16
+
 static int
 clear_tables(struct ir_node *n)
 {
@@ -90,8 +96,11 @@
 	struct ir_rate_margin margin = rate_margin(&n->settings);
 
 	n->sections = ir_sections_new(n);
-	if (n->sections != NULL)
+	if (n->sections != NULL) {
 		ir_sections_set_rate_margin(n->sections, &margin);
+		ir_sections_set_max_bytes(n->sections,
+		    n->settings.memory->limit_bytes / SECTIONS_DIVISOR);
+	}
 	n->view_lease = ir_view_lease_new(n);
 	n->balancer = ir_balancer_new(n, n->settings.seed ^ 1);
 	n->rate_limiter = ir_rate_limiter_new(
--- a/src/host/section.c
+++ b/src/host/section.c
@@ -8,6 +8,9 @@
 #include "conf/publication.h"
 #include "host/section_internal.h"
 
+/* Held in place of a text that exceeds the limit; does not parse. */
+#define TOO_LARGE_TEXT "-"
+
 static int
 sections_destructor(struct ir_sections *s)
 {
@@ -26,6 +29,12 @@
 	return s;
 }
 
+void
+ir_sections_set_max_bytes(struct ir_sections *s, size_t max_bytes)
+{
+	s->max_text_bytes = max_bytes;
+}
+
 void
 ir_sections_set_rate_margin(
     struct ir_sections *s, const struct ir_rate_margin *m)
@@ -131,6 +140,8 @@
 static void
 release_text(struct ir_sections *s, struct section_entry *e)
 {
+	if (e->text != NULL)
+		s->text_bytes -= strlen(e->text);
 	talloc_free(e->text);
 	if (s->view == NULL)
 		talloc_free(e->memory);
@@ -283,6 +294,7 @@
 	remove_tombstone(s, e);
 	release_text(s, e);
 	e->text = talloc_strdup(e, c->text);
+	s->text_bytes += strlen(c->text);
 	e->parsed = c->parsed;
 	e->memory = talloc_steal(e, c->memory);
 	e->text_hash = c->text_hash;
@@ -355,9 +367,10 @@
  * this section must not remove its text.
  */
 static void
-keep_unparsable(struct ir_sections *s, const struct ir_section *in)
+keep_unparsable(
+    struct ir_sections *s, const struct ir_section *in, const char *text)
 {
-	struct candidate c = {in->text, NULL, NULL, 0, in->revision, 0};
+	struct candidate c = {text, NULL, NULL, 0, in->revision, 0};
 	struct section_entry *e = add_entry(s, in->name);
 
 	e->first_revision = in->revision;
@@ -388,7 +401,7 @@
 	if (c.parsed == NULL) {
 		*error = talloc_steal(mem, json.error);
 		if (e == NULL && !may_have_been_removed(s, in))
-			keep_unparsable(s, in);
+			keep_unparsable(s, in, in->text);
 		goto out;
 	}
 	result = IR_SECTION_NOT_NEWER;
@@ -439,6 +452,17 @@
 	return strcmp(e->text, in->text) == 0;
 }
 
+/* Whether the texts of all sections stay in their limit with this one. */
+static bool
+has_room(const struct ir_sections *s, const struct section_entry *e,
+    const struct ir_section *in)
+{
+	size_t replaced = e != NULL && e->text != NULL ? strlen(e->text) : 0;
+	size_t bytes = s->text_bytes - replaced + strlen(in->text);
+
+	return s->max_text_bytes == 0 || bytes <= s->max_text_bytes;
+}
+
 enum ir_section_result
 ir_sections_put(struct ir_sections *s, TALLOC_CTX *mem,
     const struct ir_section *in, char **error)
@@ -454,8 +478,16 @@
 	}
 	if (in->text[0] == '\0')
 		return put_removal(s, in);
-	if (!is_current_text(e, in))
-		return put_text(s, mem, in, error);
+	if (!is_current_text(e, in)) {
+		if (has_room(s, e, in))
+			return put_text(s, mem, in, error);
+		*error = talloc_asprintf(mem,
+		    "%s: all sections together would have more than %zu bytes",
+		    in->name, s->max_text_bytes);
+		if (e == NULL && !may_have_been_removed(s, in))
+			keep_unparsable(s, in, TOO_LARGE_TEXT);
+		return IR_SECTION_REFUSED;
+	}
 	e->revision = ir_max_u64(e->revision, in->revision);
 	return merge_repeated(s, e, in->revision);
 }
--- a/src/host/section.h
+++ b/src/host/section.h
@@ -39,6 +39,12 @@
 
 struct ir_sections *ir_sections_new(TALLOC_CTX *mem);
 
+/*
+ * Limits the texts of all sections together, which have no limit before. A
+ * section that would exceed it is refused; those that are held stay.
+ */
+void ir_sections_set_max_bytes(struct ir_sections *s, size_t max_bytes);
+
 /* Sets the margin of all accounts in views built from now on. */
 void ir_sections_set_rate_margin(
     struct ir_sections *s, const struct ir_rate_margin *m);
--- a/src/host/section_internal.h
+++ b/src/host/section_internal.h
@@ -61,6 +61,8 @@
 	struct ir_view *view;
 	struct ir_view *previous_view; /* still valid for callers */
 	struct ir_rate_margin margin;
+	size_t text_bytes; /* of all texts */
+	size_t max_text_bytes;
 	bool view_outdated; /* view must be rebuilt */
 };
 
--- a/test/test_process_memory.c
+++ b/test/test_process_memory.c
@@ -563,6 +563,17 @@
 	return processes_restore(state);
 }
 
+/* A node that starts cannot read them, and would not serve. */
+static int
+withdraw_large_sections(void **state)
+{
+	for (int i = 0; i < LARGE_SECTIONS; i++)
+		pr_send_control(procs, procs->platform_port, "DELETE",
+		    talloc_asprintf(procs, "/control/config/service/x%d", i),
+		    "");
+	return restart_all_nodes(state);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -582,9 +593,9 @@
 		restart_all_nodes),
 	    cmocka_unit_test_teardown(
 		test_paused_peer_stays_within_limit, restart_all_nodes),
-	    /* Last: its sections stay published. */
 	    cmocka_unit_test_teardown(
-		test_large_configuration_stays_within_limit, restart_all_nodes),
+		test_large_configuration_stays_within_limit,
+		withdraw_large_sections),
 	};
 
 	program_path = argv[0];
--- a/test/test_section.c
+++ b/test/test_section.c
@@ -10,6 +10,8 @@
 
 #include "host/section.h"
 
+#define SECTION_PADDING 4096
+
 struct fixture {
 	TALLOC_CTX *mem;
 	struct ir_sections *s;
@@ -83,6 +85,45 @@
 	talloc_free(f.mem);
 }
 
+static char *
+padded_service(TALLOC_CTX *mem, const char *name, uint64_t generation)
+{
+	return talloc_asprintf(mem,
+	    "{\"generation\":%u,\"name\":\"%s\",\"slots\":%u,\"routes\":[]}"
+	    "%*s",
+	    (unsigned)generation, name, (unsigned)generation, SECTION_PADDING,
+	    "");
+}
+
+/* Each section is small enough; all together would fill the process. */
+static void
+test_sections_together_stay_within_their_limit(void **state)
+{
+	struct fixture f = start();
+	struct ir_section *all;
+	bool full;
+
+	ir_sections_set_max_bytes(
+	    f.s, 2 * SECTION_PADDING + SECTION_PADDING / 2);
+	put(&f, "service/s", 1, padded_service(f.mem, "s", 2));
+	put(&f, "service/t", 2, padded_service(f.mem, "t", 2));
+	assert_int_equal(put(&f, "service/u", 3, padded_service(f.mem, "u", 2)),
+	    IR_SECTION_REFUSED);
+	assert_non_null(strstr(f.error, "service/u: all sections together"));
+	/* A new text in place of another is within the limit. */
+	assert_int_equal(put(&f, "service/s", 4, padded_service(f.mem, "s", 3)),
+	    IR_SECTION_APPLIED);
+	assert_int_equal(slots(&f), 3);
+	/* A list of all sections names it: peers must not remove theirs. */
+	ir_sections_raise_revisions(f.s, 4, 4);
+	assert_int_equal(ir_sections_since(f.s, f.mem, 0, 0, &all, &full), 3);
+	/* Once there is room, the next text is taken. */
+	put(&f, "service/t", 5, "");
+	assert_int_equal(put(&f, "service/u", 6, padded_service(f.mem, "u", 3)),
+	    IR_SECTION_APPLIED);
+	talloc_free(f.mem);
+}
+
 static void
 test_two_texts_of_one_generation(void **state)
 {
@@ -415,6 +456,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_higher_generation_replaces),
+	    cmocka_unit_test(test_sections_together_stay_within_their_limit),
 	    cmocka_unit_test(test_two_texts_of_one_generation),
 	    cmocka_unit_test(test_two_texts_of_one_revision),
 	    cmocka_unit_test(test_removed_service_needs_a_higher_generation),
