Lease: as long as two reads of the store are apart; issuers go on between them

Trace: the lease of 2.2 s is made for reads each 400 ms. An issuer without a lease grants nothing, and when a change of the list meets such a moment, its buckets begin again, empty. Ruled out: accounts over their rate (all 88 were refused, at all 98 hosts, at once) and links (23 lost).

The lease follows the read period (3.4 s with watches of 1 s; 2.2 s as before in the own dialect); the issuer's wait and the effect of a raised rate follow the lease. After a failed read a watch waits 200 ms, so that evidence is not old when it comes. Where the contract tolerates overlap, a bucket that waits keeps its start time over skipped revisions: on the platform each change skips some.

--- a/src/contract/issuer.c
+++ b/src/contract/issuer.c
@@ -45,7 +45,9 @@
 	size_t early_count;
 	struct revisions revisions; /* of the current view */
 	bool has_view;
+	int64_t lease_us;
 	int64_t wait_us;
+	bool tolerates_overlap;
 	int64_t lease_valid_us; /* when the lease was last valid */
 };
 
@@ -76,14 +78,22 @@
 
 	talloc_set_destructor(iss, issuer_destroy);
 	iss->lease_valid_us = INT64_MIN / 2;
-	iss->wait_us = IR_ISSUER_WAIT_US;
+	ir_issuer_set_lease(iss, IR_VIEW_LEASE_US);
 	return iss;
 }
 
 void
-ir_issuer_set_wait(struct ir_issuer *iss, int64_t wait_us)
+ir_issuer_set_lease(struct ir_issuer *iss, int64_t lease_us)
 {
-	iss->wait_us = wait_us;
+	iss->lease_us = lease_us;
+	iss->wait_us = 2 * lease_us + ISSUER_WAIT_MARGIN_US;
+}
+
+void
+ir_issuer_tolerate_overlap(struct ir_issuer *iss)
+{
+	iss->tolerates_overlap = true;
+	iss->wait_us = IR_ISSUER_SHORT_WAIT_US;
 }
 
 static struct account_buckets *
@@ -175,14 +185,15 @@
     const struct ir_account *a)
 {
 	struct slot *slot = &e->slots[j];
-	bool unchanged = c->consecutive && e->burst_mt == a->burst_mt;
+	bool unchanged = (c->consecutive || c->issuer->tolerates_overlap) &&
+			 e->burst_mt == a->burst_mt;
 
 	if (!slot->bucket ||
 	    !(was_active(c, slot) ? c->lease_valid : unchanged)) {
 		start_bucket(c, e, j, a);
 		return;
 	}
-	ir_bucket_set_share(slot->bucket, c->now, c->now + IR_VIEW_LEASE_US,
+	ir_bucket_set_share(slot->bucket, c->now, c->now + c->issuer->lease_us,
 	    rate_share(a, j, e->bucket_count),
 	    burst_share(a, j, e->bucket_count));
 }
@@ -336,7 +347,7 @@
 	e = talloc_zero(iss, struct early_handover);
 	e->handover = *h;
 	e->handover.account = talloc_strdup(e, h->account);
-	e->expiry_us = now + IR_VIEW_LEASE_US;
+	e->expiry_us = now + iss->lease_us;
 	DL_APPEND(iss->early, e);
 	iss->early_count++;
 }
--- a/src/contract/issuer.h
+++ b/src/contract/issuer.h
@@ -21,8 +21,8 @@
  * of two moves at once: when it keeps the bucket or hands it over, its previous
  * view was confirmed at most one lease and IR_GRANT_VALID_US before.
  */
-#define IR_ISSUER_WAIT_US \
-	(2 * IR_VIEW_LEASE_US + 2 * IR_GRANT_VALID_US + 50 * IR_US_PER_MS)
+#define IR_ISSUER_WAIT_US (2 * IR_VIEW_LEASE_US + ISSUER_WAIT_MARGIN_US)
+#define ISSUER_WAIT_MARGIN_US (2 * IR_GRANT_VALID_US + 50 * IR_US_PER_MS)
 
 /*
  * The wait if the contract tolerates some requests over the rate. It covers
@@ -35,10 +35,16 @@
 
 struct ir_issuer *ir_issuer_new(TALLOC_CTX *mem);
 /*
- * Sets how long a bucket that is started from now on waits before it issues
- * tokens. Default: IR_ISSUER_WAIT_US.
+ * Sets the length of the lease on the view, IR_VIEW_LEASE_US before; the wait
+ * of buckets that are started from now on follows it.
  */
-void ir_issuer_set_wait(struct ir_issuer *iss, int64_t wait_us);
+void ir_issuer_set_lease(struct ir_issuer *iss, int64_t lease_us);
+/*
+ * To be called after ir_issuer_set_lease() if the contract tolerates some
+ * requests over the rate. Buckets then wait for IR_ISSUER_SHORT_WAIT_US, and
+ * one that waits keeps its start time also over skipped revisions.
+ */
+void ir_issuer_tolerate_overlap(struct ir_issuer *iss);
 /*
  * Notes whether the lease of the current view is valid. To be called on every
  * tick, before a newer view is applied.
@@ -50,11 +56,12 @@
  *
  * A bucket that is newly assigned to this host starts empty after the wait. A
  * bucket that stays here and is active goes on if the lease was valid until
- * now; one that still waits keeps its start time if no revision was skipped and
- * the burst is the same. Otherwise both start again, empty and with the full
- * wait. A bucket that is no longer assigned to this host is stopped; if it was
- * active and the lease was valid, handover() is called with its new issuer. If
- * the number of an account's buckets changes, all of them start again.
+ * now; one that still waits keeps its start time if no revision was skipped (or
+ * overlap is tolerated) and the burst is the same. Otherwise both start again,
+ * empty and with the full wait. A bucket that is no longer assigned to this
+ * host is stopped; if it was active and the lease was valid, handover() is
+ * called with its new issuer. If the number of an account's buckets changes,
+ * all of them start again.
  */
 void ir_issuer_set_view(struct ir_issuer *iss, int64_t now,
     const struct ir_view *v, const struct ir_host *self,
@@ -73,7 +80,7 @@
  * Handles a handover from the former issuer of a bucket. It is applied if the
  * bucket was assigned to this host in the handover's view and in every view
  * since the bucket began to wait. If the handover's view is newer than the
- * current one, it is kept for IR_VIEW_LEASE_US. The caller must make sure that
+ * current one, it is kept for a lease. The caller must make sure that
  * it was sent to this process, not to a previous one on this host (the greeting
  * of a link carries the incarnation).
  */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -90,6 +90,31 @@
 	ir_sections_set_rate_margin(n->sections, &margin);
 }
 
+/*
+ * Length of the lease on the view. IR_VIEW_LEASE_US is for reads of the store
+ * each IR_VIEW_POLL_US. With a longer period an answer may be two of these
+ * periods older when the next one comes.
+ */
+static int64_t
+lease_us(const struct ir_node *n)
+{
+	int64_t longer_us = n->settings.store_read_period_us - IR_VIEW_POLL_US;
+
+	return IR_VIEW_LEASE_US + (longer_us > 0 ? 2 * longer_us : 0);
+}
+
+static void
+set_lease(struct ir_node *n)
+{
+	if (n->view_lease != NULL)
+		ir_view_lease_set_length(n->view_lease, lease_us(n));
+	if (n->issuer == NULL)
+		return;
+	ir_issuer_set_lease(n->issuer, lease_us(n));
+	if (n->settings.rate_tolerance_fraction > 0)
+		ir_issuer_tolerate_overlap(n->issuer);
+}
+
 static bool
 create_components(struct ir_node *n, int64_t now)
 {
@@ -106,12 +131,11 @@
 	n->rate_limiter = ir_rate_limiter_new(
 	    n, &rate_limiter_ops, n, n->settings.incarnation);
 	n->issuer = ir_issuer_new(n);
-	if (n->issuer != NULL && n->settings.rate_tolerance_fraction > 0)
-		ir_issuer_set_wait(n->issuer, IR_ISSUER_SHORT_WAIT_US);
 	n->gate = ir_gate_new(n, &serve_gate_ops, n, n->settings.initial_slots,
 	    n->settings.seed ^ 2, now);
 	n->records = ir_records_new(n, n->settings.memory);
 	n->callee_throttle = ir_throttle_new(n);
+	set_lease(n);
 	return n->sections != NULL && n->view_lease != NULL &&
 	       n->balancer != NULL && n->rate_limiter != NULL &&
 	       n->issuer != NULL && n->gate != NULL && n->records != NULL &&
--- a/src/host/view_lease.c
+++ b/src/host/view_lease.c
@@ -32,6 +32,7 @@
 };
 
 struct ir_view_lease {
+	int64_t lease_us;
 	struct confirmation confirmed[GROUP_COUNT];
 	/* When reads were sent; NEVER: none. Stale answers are failures. */
 	int64_t last_answer_us[GROUP_COUNT];
@@ -53,6 +54,7 @@
 {
 	struct ir_view_lease *l = talloc_zero(mem, struct ir_view_lease);
 
+	l->lease_us = IR_VIEW_LEASE_US;
 	for (int group = 0; group < GROUP_COUNT; group++) {
 		l->confirmed[group].time_us = NEVER;
 		l->last_answer_us[group] = NEVER;
@@ -63,6 +65,12 @@
 	return l;
 }
 
+void
+ir_view_lease_set_length(struct ir_view_lease *l, int64_t lease_us)
+{
+	l->lease_us = lease_us;
+}
+
 static int64_t
 later(int64_t a, int64_t b)
 {
@@ -96,9 +104,9 @@
 }
 
 static bool
-is_fresh(int64_t now, int64_t time_us)
+is_fresh(const struct ir_view_lease *l, int64_t now, int64_t time_us)
 {
-	return age_of(now, time_us) <= (uint64_t)IR_VIEW_LEASE_US;
+	return age_of(now, time_us) <= (uint64_t)l->lease_us;
 }
 
 /*
@@ -187,7 +195,7 @@
 	struct reader_report *r, *next;
 
 	HASH_ITER (hh, l->reports, r, next) {
-		if (is_fresh(now, r->sent_us))
+		if (is_fresh(l, now, r->sent_us))
 			continue;
 		HASH_DEL(l->reports, r);
 		talloc_free(r);
@@ -258,10 +266,10 @@
 };
 
 static enum vote
-vote_of(const struct reader_report *r, int64_t now,
-    const uint64_t revision[GROUP_COUNT])
+vote_of(const struct ir_view_lease *l, const struct reader_report *r,
+    int64_t now, const uint64_t revision[GROUP_COUNT])
 {
-	if (!is_fresh(now, r->read_us))
+	if (!is_fresh(l, now, r->read_us))
 		return VOTE_NONE;
 	if (r->store_reachable)
 		return VOTE_AGAINST;
@@ -308,7 +316,7 @@
 		r = find_report(l, name);
 	if (r == NULL)
 		return;
-	switch (vote_of(r, q->now, q->revision)) {
+	switch (vote_of(l, r, q->now, q->revision)) {
 	case VOTE_FOR:
 		v->times[v->votes++] = r->read_us;
 		break;
@@ -401,11 +409,11 @@
 	/* A higher revision is known to exist. */
 	if (!has_known_revisions(l, config_revision, list_revision))
 		return IR_VIEW_UNCONFIRMED;
-	if (is_fresh(now, confirmed_us(l)))
+	if (is_fresh(l, now, confirmed_us(l)))
 		return IR_VIEW_CONFIRMED;
 	if (l->outage_revision[CONFIG] == config_revision &&
 	    l->outage_revision[HOST_LIST] == list_revision &&
-	    is_fresh(now, l->outage_us))
+	    is_fresh(l, now, l->outage_us))
 		return IR_VIEW_OUTAGE;
 	return IR_VIEW_UNCONFIRMED;
 }
--- a/src/host/view_lease.h
+++ b/src/host/view_lease.h
@@ -38,6 +38,11 @@
 };
 
 struct ir_view_lease *ir_view_lease_new(TALLOC_CTX *mem);
+/*
+ * Sets how long a confirmation and evidence of an outage are valid,
+ * IR_VIEW_LEASE_US before.
+ */
+void ir_view_lease_set_length(struct ir_view_lease *l, int64_t lease_us);
 
 /*
  * The store answered a read of the host list (hosts) or of the configuration
--- a/src/io/store/store_client.c
+++ b/src/io/store/store_client.c
@@ -23,6 +23,11 @@
 /* Full reads that all hosts start for one reason are spread over this time. */
 #define FULL_READ_SPREAD_MS 300
 #define MAX_ERA_BYTES 24
+/*
+ * Wait of a watch after a failed read: what it finds is evidence of an outage
+ * or of its end, and must not be old when it comes.
+ */
+#define FAILED_WAIT_MS 200
 #define POLL_MS 1000
 #define DECIMAL 10
 /* Interval between attempts to push messages into a full ring. */
@@ -141,8 +146,12 @@
 change_wait_ms(const struct watch *w)
 {
 	const struct ir_store_dialect *d = w->client->dialect;
+	uint32_t wait_ms = w->hosts ? d->hosts_wait_ms : d->config_wait_ms;
 
-	return w->hosts ? d->hosts_wait_ms : d->config_wait_ms;
+	/* A full read needs the time for its answer. */
+	if (w->failed && w->revision != 0 && wait_ms > FAILED_WAIT_MS)
+		return FAILED_WAIT_MS;
+	return wait_ms;
 }
 
 static struct ir_store_query
--- a/test/support/fleet.c
+++ b/test/support/fleet.c
@@ -345,6 +345,12 @@
 	s.region = n->region;
 	s.zone = n->zone;
 	s.initial_slots = 4;
+	s.store_read_period_us = f->store_wait_us;
+	if (f->tolerant) {
+		s.rate_tolerance_fraction = 0.25;
+		s.rate_tolerance_requests = 20;
+		s.rate_tolerance_window_s = 5;
+	}
 	s.incarnation = n->incarnation;
 	s.seed = f->seed * 1000 + n->incarnation;
 	n->node = ir_node_new(n->mem, f->now_us, &s, &fleet_ops, n);
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -141,6 +141,11 @@
 	struct fleet_node nodes[FLEET_MAX_NODES];
 	int node_count;
 	bool cut[FLEET_MAX_NODES][FLEET_MAX_NODES]; /* [from][to] */
+	/* A read of the store is answered after this time; 0: at once. */
+	int64_t store_wait_us;
+	/* The contract tolerates requests over the rate; views are believed
+	   unconfirmed. To be set before fleet_publish_defaults(). */
+	bool tolerant;
 	bool store_down;
 	bool store_cut[FLEET_MAX_NODES]; /* the node cannot reach the store */
 	bool store_stale; /* answers with the stale revisions below */
--- a/test/support/fleet_store.c
+++ b/test/support/fleet_store.c
@@ -203,8 +203,9 @@
 
 	(void)snprintf(text, sizeof(text),
 	    "{\"generation\":%llu,\"store_region\":\"r1\","
-	    "\"link_bytes_per_s\":3750000,\"unconfirmed_view\":\"refuse\"}",
-	    (unsigned long long)f->config_revision + 1);
+	    "\"link_bytes_per_s\":3750000,\"unconfirmed_view\":\"%s\"}",
+	    (unsigned long long)f->config_revision + 1,
+	    f->tolerant ? "serve" : "refuse");
 	fleet_publish(f, "fleet", text);
 	fleet_publish_account(f, 1000, 1000, true);
 	publish_service(f, "s");
@@ -336,7 +337,8 @@
 {
 	struct fleet_event *ev;
 
-	ev = fleet_event(f, EVENT_STORE_READ, node, f->now_us + f->delay_us);
+	ev = fleet_event(f, EVENT_STORE_READ, node,
+	    f->now_us + f->store_wait_us + f->delay_us);
 	ev->reads_list = hosts;
 	ev->requested_us = f->now_us;
 	fleet_schedule(f, ev);
@@ -350,7 +352,8 @@
 	if (f->now_us < n->next_store_poll_us ||
 	    !ir_node_should_read_store(n->node))
 		return;
-	n->next_store_poll_us = f->now_us + 300 * IR_US_PER_MS;
+	n->next_store_poll_us =
+	    f->now_us + f->store_wait_us + 300 * IR_US_PER_MS;
 	schedule_store_read(f, node, false);
 	schedule_store_read(f, node, true);
 }
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -16,12 +16,11 @@
 #include "zone/placement.h"
 
 /* Two regions of two zones each; every upstream of s calls service t. */
-static struct fleet *
-make_fleet(uint64_t seed)
+static void
+start_fleet(struct fleet *f)
 {
 	static const char *const regions[] = {"r1", "r1", "r2", "r2"};
 	static const char *const zones[] = {"z1", "z2", "z3", "z4"};
-	struct fleet *f = fleet_create(NULL, seed);
 
 	for (int i = 0; i < 4; i++) {
 		int s = fleet_add_node(f, "s", regions[i], zones[i]);
@@ -32,6 +31,14 @@
 	fleet_publish_defaults(f);
 	for (int i = 0; i < f->node_count; i++)
 		fleet_start(f, i);
+}
+
+static struct fleet *
+make_fleet(uint64_t seed)
+{
+	struct fleet *f = fleet_create(NULL, seed);
+
+	start_fleet(f);
 	return f;
 }
 
@@ -48,6 +55,8 @@
     "s", "read", true, NULL, false, 0, 0};
 static const struct fleet_request write_request = {
     "s", "write", true, NULL, false, 0, 0};
+static const struct fleet_request leaf_request = {
+    "t", "read", true, NULL, false, 0, 0};
 
 static enum ir_error
 call_and_wait(struct fleet *f, int node, const struct fleet_request *r)
@@ -604,6 +613,64 @@
 	end_fleet(f);
 }
 
+/*
+ * A store that is read by watches of a second, in a fleet that believes its
+ * view unconfirmed. Half of the account's rate is sent.
+ */
+static struct fleet *
+make_fleet_with_watches(uint64_t seed)
+{
+	struct fleet *f = fleet_create(NULL, seed);
+
+	f->store_wait_us = IR_US_PER_S;
+	f->tolerant = true;
+	start_fleet(f);
+	fleet_publish_account(f, 40, 16, true);
+	settle(f);
+	return f;
+}
+
+static int
+calls_refused(struct fleet *f, int64_t run_us)
+{
+	int first = f->call_count, refused = 0;
+
+	for (int64_t t = 0; t < run_us; t += IR_US_PER_S / 20) {
+		(void)fleet_call(f, f->call_count % 8, &leaf_request);
+		fleet_run(f, IR_US_PER_S / 20);
+	}
+	fleet_run(f, IR_US_PER_S);
+	for (int i = first; i < f->call_count; i++)
+		refused += f->calls[i].answers != 1 ||
+			   f->calls[i].answer.error != IR_OK;
+	return refused;
+}
+
+static void
+test_rates_are_granted_between_long_reads_of_the_store(void **state)
+{
+	for (uint64_t seed = 31; seed < 36; seed++) {
+		struct fleet *f = make_fleet_with_watches(seed);
+
+		assert_int_equal(calls_refused(f, 10 * IR_US_PER_S), 0);
+		end_fleet(f);
+	}
+}
+
+static void
+test_rates_are_granted_while_the_store_is_silent(void **state)
+{
+	for (uint64_t seed = 36; seed < 41; seed++) {
+		struct fleet *f = make_fleet_with_watches(seed);
+
+		fleet_set_store_down(f, true);
+		assert_int_equal(calls_refused(f, 8 * IR_US_PER_S), 0);
+		fleet_set_store_down(f, false);
+		assert_int_equal(calls_refused(f, 3 * IR_US_PER_S), 0);
+		end_fleet(f);
+	}
+}
+
 /* With one host of the service, the call cannot be retried elsewhere. */
 static void
 test_read_without_another_host_is_not_lost_with_its_link(void **state)
@@ -696,6 +763,9 @@
 	    cmocka_unit_test(test_connection_of_an_idle_link_is_closed),
 	    cmocka_unit_test(
 		test_idle_link_to_a_host_that_leaves_does_not_crash),
+	    cmocka_unit_test(
+		test_rates_are_granted_between_long_reads_of_the_store),
+	    cmocka_unit_test(test_rates_are_granted_while_the_store_is_silent),
 	    cmocka_unit_test(test_open_flag_of_forward_is_checked),
 	    cmocka_unit_test(
 		test_read_without_another_host_is_not_lost_with_its_link),
--- a/test/test_issuer.c
+++ b/test/test_issuer.c
@@ -301,6 +301,38 @@
  * learns of both moves at once, within its lease, and hands over to the third;
  * the second knows of the first move only, until its lease ends.
  */
+/* A list that changes again and again must not keep a bucket from starting. */
+static void
+test_skipped_views_do_not_restart_the_wait_where_overlap_is_tolerated(
+    void **state)
+{
+	struct fixture *f = *state;
+	struct ir_view *v = f->view;
+	int64_t now;
+
+	ir_issuer_tolerate_overlap(f->a);
+	set_view(f, f->a, 0, v);
+	for (now = 0; now < IR_ISSUER_SHORT_WAIT_US; now += 100 * MS) {
+		v = contract_view_without(f, v, NULL);
+		v->list_revision += 3;
+		set_view(f, f->a, now, v);
+	}
+	assert_true(
+	    request_tokens(f, f->a, IR_ISSUER_SHORT_WAIT_US, v, 1).issuing);
+}
+
+static void
+test_wait_follows_the_length_of_the_lease(void **state)
+{
+	struct fixture *f = *state;
+	int64_t wait_us = W + 2 * S;
+
+	ir_issuer_set_lease(f->a, IR_VIEW_LEASE_US + S);
+	set_view(f, f->a, 0, f->view);
+	assert_false(request_tokens(f, f->a, wait_us - 1, f->view, 1).issuing);
+	assert_true(request_tokens(f, f->a, wait_us, f->view, 1).issuing);
+}
+
 static void
 test_two_moves_leave_one_active_issuer(void **state)
 {
@@ -406,6 +438,9 @@
 	    with_fixture(test_no_handover_after_the_lease_expired),
 	    with_fixture(test_no_handover_of_a_waiting_bucket),
 	    with_fixture(test_skipped_view_restarts_the_wait),
+	    with_fixture(
+		test_skipped_views_do_not_restart_the_wait_where_overlap_is_tolerated),
+	    with_fixture(test_wait_follows_the_length_of_the_lease),
 	    with_fixture(test_two_moves_leave_one_active_issuer),
 	    cmocka_unit_test(test_changed_bucket_count_restarts_buckets),
 	    cmocka_unit_test(test_shares_add_up_to_the_contract),
