Issuers: a bucket that starts anew holds part of the tolerance

Buckets started empty, and a small rate over eight buckets is a token in a second at each. Ruled out: the views (confirmed 20 ms after the start) and the wait alone (0.45 s).

A new process does not wait: what its former one granted was taken from that one's bucket. A bucket that moves still waits for its handover.

--- a/src/contract/bucket.c
+++ b/src/contract/bucket.c
@@ -128,6 +128,13 @@
 	cap_level(b);
 }
 
+void
+ir_bucket_set_level(struct ir_bucket *b, uint64_t level_mt)
+{
+	b->level_mt = level_mt;
+	cap_level(b);
+}
+
 static struct requester *
 requester_add(struct ir_bucket *b, uint64_t incarnation)
 {
--- a/src/contract/bucket.h
+++ b/src/contract/bucket.h
@@ -22,6 +22,8 @@
 /* Returns an empty bucket that refills and grants from start_us on. */
 struct ir_bucket *ir_bucket_new(TALLOC_CTX *mem, int64_t now, int64_t start_us,
     uint64_t rate_mt_per_s, uint64_t burst_mt);
+/* Gives a new bucket its first tokens, at most its burst. */
+void ir_bucket_set_level(struct ir_bucket *b, uint64_t level_mt);
 /*
  * Changes the bucket's share of the account's rate and burst. A decrease
  * applies at once, an increase from effective_us on.
--- a/src/contract/issuer.c
+++ b/src/contract/issuer.c
@@ -48,6 +48,7 @@
 	int64_t lease_us;
 	int64_t wait_us;
 	bool tolerates_overlap;
+	bool has_issued;	/* a view assigned buckets to this process */
 	int64_t lease_valid_us; /* when the lease was last valid */
 };
 
@@ -146,18 +147,38 @@
 }
 
 static uint64_t
-burst_share(const struct ir_account *a, uint32_t bucket, uint32_t count)
+share_of_tokens(uint64_t total_mt, uint32_t bucket, uint32_t count)
 {
-	uint64_t tokens = a->burst_mt / TOKEN_MT;
+	uint64_t tokens = total_mt / TOKEN_MT;
 	uint64_t share_mt = tokens / count * TOKEN_MT;
 
 	if (bucket < tokens % count)
 		share_mt += TOKEN_MT;
 	if (bucket == 0)
-		share_mt += a->burst_mt % TOKEN_MT;
+		share_mt += total_mt % TOKEN_MT;
 	return share_mt;
 }
 
+static uint64_t
+burst_share(const struct ir_account *a, uint32_t bucket, uint32_t count)
+{
+	return share_of_tokens(a->burst_mt, bucket, count);
+}
+
+/*
+ * A bucket that moves waits for its handover. A new process has nothing to wait
+ * for where overlap is tolerated.
+ */
+static int64_t
+bucket_start_us(const struct view_change *c)
+{
+	const struct ir_issuer *iss = c->issuer;
+
+	if (iss->tolerates_overlap && !iss->has_issued)
+		return c->now;
+	return c->now + iss->wait_us;
+}
+
 static void
 start_bucket(const struct view_change *c, struct account_buckets *e, uint32_t j,
     const struct ir_account *a)
@@ -165,9 +186,12 @@
 	struct slot *slot = &e->slots[j];
 
 	TALLOC_FREE(slot->bucket);
-	slot->bucket = ir_bucket_new(e, c->now, c->now + c->issuer->wait_us,
+	slot->bucket = ir_bucket_new(e, c->now, bucket_start_us(c),
 	    rate_share(a, j, e->bucket_count),
 	    burst_share(a, j, e->bucket_count));
+	if (c->issuer->tolerates_overlap)
+		ir_bucket_set_level(slot->bucket,
+		    share_of_tokens(a->restart_mt, j, e->bucket_count));
 	slot->assigned_since.config = c->view->config_revision;
 	slot->assigned_since.list = c->view->list_revision;
 	slot->taken_over = false;
@@ -381,6 +405,7 @@
 	iss->revisions.config = v->config_revision;
 	iss->revisions.list = v->list_revision;
 	iss->has_view = true;
+	iss->has_issued = iss->has_issued || iss->accounts != NULL;
 	apply_early(iss, now);
 }
 
--- a/src/contract/issuer.h
+++ b/src/contract/issuer.h
@@ -28,8 +28,8 @@
  * The wait if the contract tolerates some requests over the rate. It covers
  * only the grants of this host's previous process. A former issuer on another
  * host may issue tokens at the same time until it learns of the move, which
- * takes one read of the host list and its relay. As the bucket starts empty,
- * the excess is at most the bucket's share of the rate over that time.
+ * takes one read of the host list and its relay. The excess is at most the
+ * bucket's share of the rate over that time, and what it starts with.
  */
 #define IR_ISSUER_SHORT_WAIT_US (IR_GRANT_VALID_US + 50 * IR_US_PER_MS)
 
@@ -41,8 +41,9 @@
 void ir_issuer_set_lease(struct ir_issuer *iss, int64_t lease_us);
 /*
  * To be called after ir_issuer_set_lease() if the contract tolerates some
- * requests over the rate. Buckets then wait for IR_ISSUER_SHORT_WAIT_US, and
- * one that waits keeps its start time also over skipped revisions.
+ * requests over the rate. Buckets then wait for IR_ISSUER_SHORT_WAIT_US, those
+ * of a new process not at all, and start with their share of the account's
+ * restart_mt. One that waits keeps its start time also over skipped revisions.
  */
 void ir_issuer_tolerate_overlap(struct ir_issuer *iss);
 /*
--- a/src/host/view.h
+++ b/src/host/view.h
@@ -48,6 +48,13 @@
 	double fraction;	   /* fraction of the rate and of the burst */
 	double extra_burst_tokens; /* added to the burst */
 	double extra_rate_per_s;   /* added to the rate */
+	/*
+	 * What an account's buckets may hold when they start anew: this
+	 * fraction of the burst and of window_s at the rate, and these tokens.
+	 */
+	double restart_fraction;
+	double restart_tokens;
+	double window_s;
 };
 
 /* Kinds of sections, by their name. */
@@ -99,6 +106,7 @@
 	const char *name;
 	uint64_t rate_mt_per_s; /* thousandths of a token a second */
 	uint64_t burst_mt;	/* thousandths of a token */
+	uint64_t restart_mt;	/* held by new buckets, thousandths */
 	uint32_t weight;
 	uint8_t importance;	  /* compared before the route's */
 	bool unlimited;		  /* has no rate limit */
--- a/src/host/view_build.c
+++ b/src/host/view_build.c
@@ -155,7 +155,11 @@
 {
 	double rate = (double)a->rate_mt_per_s * (1 + m->fraction);
 	double burst = (double)a->burst_mt * (1 + m->fraction);
+	double window = m->window_s * (double)a->rate_mt_per_s;
 
+	a->restart_mt =
+	    (uint64_t)(m->restart_fraction * (window + (double)a->burst_mt) +
+		       MT_PER_TOKEN * m->restart_tokens);
 	a->rate_mt_per_s =
 	    (uint64_t)(rate + MT_PER_TOKEN * m->extra_rate_per_s);
 	a->burst_mt = (uint64_t)(burst + MT_PER_TOKEN * m->extra_burst_tokens);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -631,13 +631,13 @@
 }
 
 static int
-calls_refused(struct fleet *f, int64_t run_us)
+calls_refused(struct fleet *f, int calls_per_s, int64_t run_us)
 {
 	int first = f->call_count, refused = 0;
 
-	for (int64_t t = 0; t < run_us; t += IR_US_PER_S / 20) {
+	for (int64_t t = 0; t < run_us; t += IR_US_PER_S / calls_per_s) {
 		(void)fleet_call(f, f->call_count % 8, &leaf_request);
-		fleet_run(f, IR_US_PER_S / 20);
+		fleet_run(f, IR_US_PER_S / calls_per_s);
 	}
 	fleet_run(f, IR_US_PER_S);
 	for (int i = first; i < f->call_count; i++)
@@ -652,7 +652,7 @@
 	for (uint64_t seed = 31; seed < 36; seed++) {
 		struct fleet *f = make_fleet_with_watches(seed);
 
-		assert_int_equal(calls_refused(f, 10 * IR_US_PER_S), 0);
+		assert_int_equal(calls_refused(f, 20, 10 * IR_US_PER_S), 0);
 		end_fleet(f);
 	}
 }
@@ -664,13 +664,82 @@
 		struct fleet *f = make_fleet_with_watches(seed);
 
 		fleet_set_store_down(f, true);
-		assert_int_equal(calls_refused(f, 8 * IR_US_PER_S), 0);
+		assert_int_equal(calls_refused(f, 20, 8 * IR_US_PER_S), 0);
 		fleet_set_store_down(f, false);
-		assert_int_equal(calls_refused(f, 3 * IR_US_PER_S), 0);
+		assert_int_equal(calls_refused(f, 20, 3 * IR_US_PER_S), 0);
 		end_fleet(f);
 	}
 }
 
+static void
+restart_all(struct fleet *f)
+{
+	for (int i = 0; i < f->node_count; i++)
+		fleet_kill(f, i);
+	fleet_run(f, IR_US_PER_S / 2);
+	for (int i = 0; i < f->node_count; i++)
+		fleet_start(f, i);
+}
+
+/* No process is left that knows what was spent. */
+static void
+test_rates_are_granted_after_all_processes_were_killed(void **state)
+{
+	for (uint64_t seed = 41; seed < 46; seed++) {
+		struct fleet *f = make_fleet_with_watches(seed);
+
+		fleet_publish_account(f, 8, 16, true);
+		assert_int_equal(calls_refused(f, 4, 4 * IR_US_PER_S), 0);
+		restart_all(f);
+		assert_true(fleet_wait_ready(f));
+		assert_int_equal(calls_refused(f, 4, 4 * IR_US_PER_S), 0);
+		end_fleet(f);
+	}
+}
+
+static void
+flood(struct fleet *f, int64_t run_us)
+{
+	for (int64_t t = 0; t < run_us; t += IR_US_PER_S / 200) {
+		(void)fleet_call(f, f->call_count % 8, &leaf_request);
+		fleet_run(f, IR_US_PER_S / 200);
+	}
+}
+
+/* Of the calls sent in the window that begins with the first. */
+static int
+runs_in_window(const struct fleet *f, int first, int64_t window_us)
+{
+	int64_t end_us = f->calls[first].sent_us + window_us;
+	int runs = 0;
+
+	for (int i = first; i < f->call_count; i++) {
+		if (f->calls[i].sent_us < end_us)
+			runs += f->calls[i].runs;
+	}
+	return runs;
+}
+
+/* Buckets that start anew hold tokens; all start twice within a window. */
+static void
+test_restarts_keep_the_rate_within_its_tolerance(void **state)
+{
+	for (uint64_t seed = 46; seed < 51; seed++) {
+		struct fleet *f = make_fleet_with_watches(seed);
+		int first = f->call_count;
+
+		flood(f, 3 * IR_US_PER_S);
+		restart_all(f);
+		flood(f, IR_US_PER_S);
+		restart_all(f);
+		flood(f, 5 * IR_US_PER_S);
+		for (int i = first; i < f->call_count; i += 10)
+			assert_in_range(runs_in_window(f, i, 5 * IR_US_PER_S),
+			    0, (40 * 5 + 16) * 1.25 + 20);
+		talloc_free(f);
+	}
+}
+
 /* With one host of the service, the call cannot be retried elsewhere. */
 static void
 test_read_without_another_host_is_not_lost_with_its_link(void **state)
@@ -766,6 +835,9 @@
 	    cmocka_unit_test(
 		test_rates_are_granted_between_long_reads_of_the_store),
 	    cmocka_unit_test(test_rates_are_granted_while_the_store_is_silent),
+	    cmocka_unit_test(
+		test_rates_are_granted_after_all_processes_were_killed),
+	    cmocka_unit_test(test_restarts_keep_the_rate_within_its_tolerance),
 	    cmocka_unit_test(test_open_flag_of_forward_is_checked),
 	    cmocka_unit_test(
 		test_read_without_another_host_is_not_lost_with_its_link),
