--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -92,8 +92,9 @@
 	    .rate_tolerance_fraction = s->rate_tolerance.share,
 	    .rate_tolerance_requests = s->rate_tolerance.requests,
 	    .rate_tolerance_window_s = s->rate_tolerance.window_s,
-	    .store_read_period_us =
-		l->dialect->store.hosts_wait_ms * IR_US_PER_MS,
+	    .store_read_period_us = (l->dialect->store.hosts_wait_ms +
+					l->dialect->store.min_pause_ms) *
+				    IR_US_PER_MS,
 	    .child_separator = l->dialect->child_separator,
 	    .keyless_calls_from_upstream = !s->has_egress,
 	    .incarnation = l->incarnation,
