Placement: two store readers a zone in regions of more than two zones

Readers stand in for each other when some fail, and a region of four zones has enough with eight. At 3,100 hosts in seven zones 14 read in place of 21.

Weighed: one reader a zone; a zone whose reader is killed would read across until its successor is known.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -19,6 +19,7 @@
 /* The fleet that is modelled, and its assumed traffic. */
 #define HOSTS 3100.0
 #define ZONES 7.0
+#define READERS_PER_ZONE (IR_STORE_READERS_PER_ZONE - 1) /* 3 and 4 zones */
 #define ACCOUNTS 100.0
 #define CALLS_PER_S (370000.0 / HOSTS)
 #define ENTERING_PER_S (CALLS_PER_S / 10)
@@ -340,7 +341,7 @@
 		    full_view_bytes_of_hosts(MAX_VIEW_HOSTS + i),
 		    i > 0 ? " (0: cannot be sent)" : "");
 	printf("store: %.0f reads/s at 200 hosts a zone or any more\n",
-	    ZONES * IR_STORE_READERS_PER_ZONE * STORE_READS_PER_S);
+	    ZONES * READERS_PER_ZONE * STORE_READS_PER_S);
 }
 
 static void
--- a/src/zone/placement.c
+++ b/src/zone/placement.c
@@ -11,6 +11,12 @@
 
 #include "zone/placement.h"
 
+/*
+ * Regions of more zones have one reader less in each: readers are there for
+ * each other when some fail, and each read of the store is paid for.
+ */
+#define SMALL_REGION_ZONES 2
+
 /* The finalizer of splitmix64, a bijection. */
 static uint64_t
 mix(uint64_t x)
@@ -96,22 +102,30 @@
 	return n;
 }
 
+/* The most readers of a zone in that region. */
+static size_t
+max_readers(const struct ir_view *v, const char *region)
+{
+	size_t zones = 0;
+
+	for (size_t i = 0; i < v->zone_count; i++)
+		zones += strcmp(v->zones[i].region, region) == 0;
+	return zones <= SMALL_REGION_ZONES ? IR_STORE_READERS_PER_ZONE
+					   : IR_STORE_READERS_PER_ZONE - 1;
+}
+
 bool
 ir_is_store_reader(const struct ir_view *v, const struct ir_host *h)
 {
 	const struct ir_zone *z = zone_of(v, h);
+	size_t index;
 
-	if (!z || h->leaving)
+	if (z == NULL || h->leaving)
 		return false;
-	for (size_t i = 0, n = 0; i < z->host_count; i++) {
-		if (z->hosts[i]->leaving)
-			continue;
-		if (n++ == IR_STORE_READERS_PER_ZONE)
-			break;
-		if (strcmp(z->hosts[i]->name, h->name) == 0)
-			return true;
-	}
-	return false;
+	index = live_index(z, h);
+	/* Of a host that is not listed, it is the number of live ones. */
+	return index < max_readers(v, z->region) &&
+	       live_host_at(z, index) != NULL;
 }
 
 /*
@@ -127,11 +141,11 @@
 }
 
 static size_t
-live_reader_count(const struct ir_zone *z)
+live_reader_count(const struct ir_view *v, const struct ir_zone *z)
 {
-	size_t n = 0;
+	size_t n = 0, most = max_readers(v, z->region);
 
-	while (n < IR_STORE_READERS_PER_ZONE && live_host_at(z, n) != NULL)
+	while (n < most && live_host_at(z, n) != NULL)
 		n++;
 	return n;
 }
@@ -148,7 +162,7 @@
 			continue;
 		if (strcmp(z->name, h->zone) == 0 && ir_is_store_reader(v, h))
 			return rank + live_index(z, h);
-		rank += live_reader_count(z);
+		rank += live_reader_count(v, z);
 	}
 	return rank;
 }
@@ -164,10 +178,10 @@
 	r = talloc_array(mem, struct ir_store_reader,
 	    v->zone_count * IR_STORE_READERS_PER_ZONE);
 	for (size_t i = 0; i < v->zone_count; i++) {
-		for (size_t k = 0; k < IR_STORE_READERS_PER_ZONE; k++) {
+		size_t count = live_reader_count(v, &v->zones[i]);
+
+		for (size_t k = 0; k < count; k++) {
 			h = live_host_at(&v->zones[i], k);
-			if (!h)
-				break;
 			r[n].name = talloc_strdup(r, h->name);
 			r[n++].region = talloc_strdup(r, h->region);
 		}
@@ -200,7 +214,9 @@
 static void
 visit_readers(struct source_search *s, const struct ir_zone *z)
 {
-	for (size_t k = 0; k < IR_STORE_READERS_PER_ZONE; k++)
+	size_t most = max_readers(s->view, z->region);
+
+	for (size_t k = 0; k < most; k++)
 		visit(s, live_host_at(z, k));
 }
 
@@ -208,12 +224,12 @@
 visit_ancestors(struct source_search *s, const struct ir_zone *z)
 {
 	size_t i = live_index(z, s->self);
+	size_t readers = max_readers(s->view, z->region);
 
-	if (s->self->leaving && i < IR_STORE_READERS_PER_ZONE)
+	if (s->self->leaving && i < readers)
 		return;
-	for (int level = 0; level < 2 && i >= IR_STORE_READERS_PER_ZONE;
-	     level++) {
-		i = (i - IR_STORE_READERS_PER_ZONE) / IR_RELAY_FANOUT;
+	for (int level = 0; level < 2 && i >= readers; level++) {
+		i = (i - readers) / IR_RELAY_FANOUT;
 		visit(s, live_host_at(z, i));
 	}
 }
--- a/src/zone/placement.h
+++ b/src/zone/placement.h
@@ -9,6 +9,7 @@
 
 #include "host/view.h"
 
+/* In regions of up to two zones; one less in those of more. */
 #define IR_STORE_READERS_PER_ZONE 3
 #define IR_RELAY_FANOUT 8
 
