Issuers: 0.8 of the tolerance is granted again, and what starts anew holds the rest

All issuers may restart in a window in which the whole burst is spent; for a second restart there is what nobody grants while processes are down (test_restarts_keep_the_rate_within_its_tolerance: two in a window, passes).

--- a/src/core/node.c
+++ b/src/core/node.c
@@ -59,12 +59,11 @@
 }
 
 /*
- * Fraction of the rate tolerance that is granted at all times. The rest is
- * reserved for tokens that are granted twice around restarts: buckets that
- * start anew hold half of it, so that two restarts of all issuers fit into a
- * window.
+ * Fraction of the rate tolerance that is granted at all times. The rest is what
+ * buckets hold when they start anew, so that all issuers may restart in a
+ * window in which the whole burst is spent.
  */
-#define GRANTED_TOLERANCE 0.5
+#define GRANTED_TOLERANCE 0.8
 
 /*
  * Splits the tolerated requests of a window: half are added to the burst. The
@@ -82,9 +81,8 @@
 	    GRANTED_TOLERANCE * s->rate_tolerance_requests / 2;
 	m.extra_rate_per_s = m.extra_burst_tokens / s->rate_tolerance_window_s;
 	m.window_s = s->rate_tolerance_window_s;
-	m.restart_fraction = (s->rate_tolerance_fraction - m.fraction) / 2;
-	m.restart_tokens =
-	    (1 - GRANTED_TOLERANCE) * s->rate_tolerance_requests / 2;
+	m.restart_fraction = s->rate_tolerance_fraction - m.fraction;
+	m.restart_tokens = (1 - GRANTED_TOLERANCE) * s->rate_tolerance_requests;
 	return m;
 }
 
