Upstream: what it says of its rate and of leaving is read, logged and shown

Its answers are read for a rate limit and, on the platform, for leaving: event upstream-statement, gauges ibisrail_upstream_rate_limit and ibisrail_upstream_leaving. Nothing is decided by it yet. The native dialect has Upstream-Rate-Limit; leaving is what operators publish there.

A limit ends with an answer without it to a run that started after it was last named, as answers of several connections are read in any order. test_statement; the simulated fleet's upstreams can name a limit and say that they leave.

--- a/include/ibisrail/dialect.h
+++ b/include/ibisrail/dialect.h
@@ -14,6 +14,7 @@
 #include <talloc.h>
 
 #include "ibisrail/error.h"
+#include "ibisrail/node.h"
 
 /* Names of headers; NULL for a header that the dialect does not have. */
 struct ir_header_names {
@@ -32,6 +33,7 @@
 	/* Answers of the upstream. */
 	const char *not_run;	   /* the request was not run */
 	const char *answer_digest; /* on every answer of an upstream */
+	struct ir_statement_headers statement;
 };
 
 /* An item of the store, decoded to a section of the view. */
--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -127,6 +127,12 @@
 	void (*log)(void *ctx, enum ir_event event, const char *fields);
 };
 
+/* Headers in which an upstream speaks of itself; NULL: there is no such one. */
+struct ir_statement_headers {
+	const char *rate_limit; /* requests a second that it takes, decimal */
+	const char *leaving;	/* value 1: it takes no new work and will end */
+};
+
 struct ir_node_settings {
 	const char *host;    /* this host's name in the host list */
 	const char *service; /* served by the local upstream */
@@ -150,6 +156,7 @@
 	char child_separator;
 	/* Calls without a key are treated as calls of the local upstream. */
 	bool keyless_calls_from_upstream;
+	struct ir_statement_headers statement_headers; /* not copied */
 	uint64_t incarnation; /* unique to this process start, above 0 */
 	uint64_t seed;
 	struct ir_memory *memory; /* NULL: the node creates its own */
@@ -252,7 +259,10 @@
 	int64_t gate_running;
 	int64_t gate_queued;
 	int64_t gate_limit;
-	int64_t hosts; /* in the host list */
+	/* As named by the upstream, in thousandths; -1: none. */
+	int64_t upstream_rate_limit_mt_per_s;
+	int64_t upstream_leaving; /* 1: it says so */
+	int64_t hosts;		  /* in the host list */
 	int64_t config_revision;
 	int64_t list_revision;
 	int64_t records;     /* attempts recorded by the gate */
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -29,6 +29,7 @@
 #include "link/peer.h"
 #include "upstream/gate.h"
 #include "upstream/record.h"
+#include "upstream/statement.h"
 #include "upstream/throttle.h"
 #include "zone/balancer.h"
 #include "zone/placement.h"
@@ -169,6 +170,7 @@
 	/* Refuses requests whose callees are overloaded. */
 	struct ir_throttle *callee_throttle;
 	struct ir_records *records;
+	struct ir_upstream_status upstream_status;
 	uint64_t random_state;
 	uint64_t next_attempt_sequence;
 	uint64_t next_run_id;
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -97,6 +97,7 @@
 				    IR_US_PER_MS,
 	    .child_separator = l->dialect->child_separator,
 	    .keyless_calls_from_upstream = !s->has_egress,
+	    .statement_headers = l->dialect->headers.statement,
 	    .incarnation = l->incarnation,
 	    .seed = l->seed,
 	    .memory = l->memory,
--- a/src/io/native_dialect.c
+++ b/src/io/native_dialect.c
@@ -61,6 +61,7 @@
 	    .request = "Ibisrail-Request",
 	    .importance = "Ibisrail-Importance",
 	    .not_run = "Ibisrail-Outcome",
+	    .statement = {.rate_limit = "Upstream-Rate-Limit"},
 	},
     .store =
 	{
--- a/test/support/fleet.c
+++ b/test/support/fleet.c
@@ -24,6 +24,7 @@
 	f->delay_us = 500;
 	f->verbose = getenv("FLEET_VERBOSE") != NULL;
 	f->calls = talloc_zero_array(f, struct fleet_call, FLEET_MAX_CALLS);
+	f->runs = talloc_array(f, struct fleet_run, FLEET_MAX_ATTEMPTS);
 	f->attempts =
 	    talloc_zero_array(f, struct fleet_attempt, FLEET_MAX_ATTEMPTS);
 	f->token_spent_us = talloc_zero_array(f, int64_t, FLEET_MAX_CALLS);
@@ -345,6 +346,8 @@
 	s.region = n->region;
 	s.zone = n->zone;
 	s.initial_slots = 4;
+	s.statement_headers.rate_limit = FLEET_LIMIT_HEADER;
+	s.statement_headers.leaving = FLEET_LEAVING_HEADER;
 	s.store_read_period_us = f->store_wait_us;
 	if (f->tolerant) {
 		s.rate_tolerance_fraction = 0.25;
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -102,6 +102,14 @@
 	int64_t shed_us;    /* 0: not shed */
 };
 
+/* A run that an upstream was given. */
+struct fleet_run {
+	int node;
+	int caller_node; /* where its request began */
+	int call;
+	int64_t at_us;
+};
+
 #define FLEET_REWRITE_PAUSE_US (2 * IR_US_PER_S)
 
 struct fleet_node {
@@ -118,6 +126,11 @@
 	uint64_t incarnation;
 	enum fleet_upstream_mode upstream_mode;
 	int64_t run_duration_us;
+	const char *rate_limit; /* named in each answer; NULL: none */
+	bool says_leaving;	/* in each answer */
+	/* When its answers first named a limit, said that it leaves. */
+	int64_t first_limit_us;
+	int64_t first_leaving_us;
 	const char *callee_service; /* service that its runs call; NULL: none */
 	bool fails_with_callee;	    /* answers 500 if that call fails */
 	int64_t next_store_poll_us;
@@ -173,6 +186,8 @@
 	int rate_count;
 	struct fleet_attempt *attempts;
 	int attempt_count;
+	struct fleet_run *runs;
+	int run_count;
 	bool key_published;
 	int64_t key_withdrawn_us;
 	int64_t key_withdrawal_readable_us; /* 0: not readable yet */
--- a/test/support/fleet_calls.c
+++ b/test/support/fleet_calls.c
@@ -5,6 +5,7 @@
 #include <utlist.h>
 
 #include "core/internal.h"
+#include "core/unconst.h"
 #include "support/fleet_priv.h"
 
 struct fleet_call *
@@ -193,6 +194,11 @@
 	if (!n->alive)
 		return;
 	c->upstream_attempts++;
+	if (f->run_count < FLEET_MAX_ATTEMPTS)
+		f->runs[f->run_count++] = (struct fleet_run){.node = node,
+		    .caller_node = c->node,
+		    .call = (int)(c - f->calls),
+		    .at_us = f->now_us};
 	record_run_start(f, node, r->attempt);
 	if (n->upstream_mode == UPSTREAM_SHEDS) {
 		ev = fleet_event(
@@ -231,6 +237,32 @@
 	    f, ev->node, &ev->run_copy, &f->calls[ev->parent_call], ev->run);
 }
 
+static void
+add_answer_header(struct fleet_event *ev, const char *name, const char *value)
+{
+	struct ir_header *h = &ev->headers[ev->result.header_count++];
+
+	h->name = ir_unconst(name);
+	h->value = ir_unconst(value);
+}
+
+static void
+add_statement(
+    const struct fleet *f, struct fleet_node *n, struct fleet_event *ev)
+{
+	ev->result.headers = ev->headers;
+	if (n->rate_limit != NULL) {
+		add_answer_header(ev, FLEET_LIMIT_HEADER, n->rate_limit);
+		if (n->first_limit_us == 0)
+			n->first_limit_us = f->now_us;
+	}
+	if (n->says_leaving) {
+		add_answer_header(ev, FLEET_LEAVING_HEADER, "1");
+		if (n->first_leaving_us == 0)
+			n->first_leaving_us = f->now_us;
+	}
+}
+
 void
 fleet_deliver_run_end(struct fleet *f, struct fleet_event *ev)
 {
@@ -241,6 +273,8 @@
 		return;
 	ev->result.body = (const uint8_t *)ev->marker;
 	ev->result.body_bytes = strlen(ev->marker);
+	if (ev->result.end == IR_RUN_ANSWERED)
+		add_statement(f, n, ev);
 	ir_node_run_ended(n->node, f->now_us, ev->run, &ev->result);
 }
 
--- a/test/support/fleet_priv.h
+++ b/test/support/fleet_priv.h
@@ -4,6 +4,10 @@
 
 #include "support/fleet.h"
 
+#define FLEET_LIMIT_HEADER "Test-Limit"
+#define FLEET_LEAVING_HEADER "Test-Leaving"
+#define FLEET_MAX_ANSWER_HEADERS 2
+
 enum fleet_event_kind {
 	EVENT_MESSAGE,
 	EVENT_CONNECTED,
@@ -27,6 +31,7 @@
 	size_t size_bytes;
 	uint64_t run;
 	struct ir_run_result result;
+	struct ir_header headers[FLEET_MAX_ANSWER_HEADERS];
 	char marker[24];
 	int parent_call;
 	struct ir_run run_copy;
