Gate: starts runs at the rate that the upstream names

All work for an upstream passes the gate of its host, so the gate counts for all callers and no one has to be told. A cap (rate_cap) spaces the starts of runs; work that cannot start within half a second is refused, so that its caller's node goes to another host; the gate reports itself as full meanwhile, so that balancers prefer others. The statement goes with the upstream's id.

Left red: a gate that starts again has heard nothing, 63 in 4 s at a limit of 0.5, 8 allowed (test made stricter: 36 slots a host, as on the platform; it passed with 4).

--- a/src/core/dump.c
+++ b/src/core/dump.c
@@ -175,10 +175,10 @@
 	out->gate_queued = l.queued;
 	out->gate_limit = l.limit;
 	out->upstream_rate_limit_mt_per_s =
-	    n->upstream_status.said.limited
-		? (int64_t)n->upstream_status.said.rate_mt_per_s
+	    n->upstream.status.said.limited
+		? (int64_t)n->upstream.status.said.rate_mt_per_s
 		: -1;
-	out->upstream_leaving = n->upstream_status.said.leaving;
+	out->upstream_leaving = n->upstream.status.said.leaving;
 	out->records = (int64_t)ir_records_count(n->records);
 	out->hosts = (int64_t)node_view(n)->host_count;
 	out->config_revision = (int64_t)ir_position_revision(config);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -154,6 +154,13 @@
 	UT_hash_handle hh;
 };
 
+/* The upstream of this host, as its answers describe it. */
+struct local_upstream {
+	char id[IR_MAX_NAME + 1]; /* as listed last, or "" */
+	int64_t since_us;	  /* when it was first listed */
+	struct ir_upstream_status status;
+};
+
 struct ir_node {
 	struct ir_node_settings settings;
 	struct ir_host placeholder_self; /* this host while not listed */
@@ -170,7 +177,7 @@
 	/* Refuses requests whose callees are overloaded. */
 	struct ir_throttle *callee_throttle;
 	struct ir_records *records;
-	struct ir_upstream_status upstream_status;
+	struct local_upstream upstream;
 	uint64_t random_state;
 	uint64_t next_attempt_sequence;
 	uint64_t next_run_id;
@@ -417,6 +424,14 @@
 /* Starts the runs to which the gate has given slots. */
 void serve_start_runs(struct ir_node *n, int64_t now);
 
+/* local_upstream.c */
+/* Follows what a complete answer, also one that refuses the run, says. */
+void local_upstream_answered(struct ir_node *n, int64_t now,
+    const struct ir_record *r, const struct ir_run_result *res);
+/* Forgets what an upstream said when another one is listed in its place. */
+void local_upstream_view_changed(
+    struct ir_node *n, int64_t now, const struct ir_host *self);
+
 /* peers.c */
 /* The peer of that name, created on first use. NULL if out of memory. */
 struct peer *peer_get(struct ir_node *n, const char *host);
--- /dev/null
+++ b/src/core/local_upstream.c
@@ -0,0 +1,60 @@
+/* What the local upstream says of itself, and what the gate does about it. */
+#include <stdio.h>
+#include <string.h>
+
+#include "core/internal.h"
+
+static void
+apply_to_gate(struct ir_node *n, int64_t now)
+{
+	const struct ir_statement *s = &n->upstream.status.said;
+
+	if (s->limited)
+		ir_gate_set_rate_cap(n->gate, now, s->rate_mt_per_s);
+	else
+		ir_gate_clear_rate_cap(n->gate);
+}
+
+static void
+log_statement(struct ir_node *n, const char *source)
+{
+	const struct ir_statement *s = &n->upstream.status.said;
+
+	node_log(n, IR_EVENT_UPSTREAM_STATEMENT,
+	    "source=%s limited=%d rate_mt_per_s=%llu leaving=%d", source,
+	    s->limited, (unsigned long long)s->rate_mt_per_s, s->leaving);
+}
+
+void
+local_upstream_answered(struct ir_node *n, int64_t now,
+    const struct ir_record *r, const struct ir_run_result *res)
+{
+	struct ir_statement s;
+
+	if (res->end != IR_RUN_ANSWERED && res->end != IR_RUN_SHED)
+		return;
+	/* A run that started earlier may have been another upstream's. */
+	if (r->work.started_us < n->upstream.since_us)
+		return;
+	s = ir_statement_read(
+	    &n->settings.statement_headers, res->headers, res->header_count);
+	if (!ir_upstream_status_apply(
+		&n->upstream.status, now, r->work.started_us, &s))
+		return;
+	log_statement(n, r->attempt_text);
+	apply_to_gate(n, now);
+}
+
+void
+local_upstream_view_changed(
+    struct ir_node *n, int64_t now, const struct ir_host *self)
+{
+	struct local_upstream *u = &n->upstream;
+
+	if (self == NULL || strcmp(self->upstream_id, u->id) == 0)
+		return;
+	(void)snprintf(u->id, sizeof(u->id), "%s", self->upstream_id);
+	u->since_us = now;
+	memset(&u->status, 0, sizeof(u->status));
+	apply_to_gate(n, now);
+}
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -179,27 +179,6 @@
 	return e == IR_E_UPSTREAM_SHED || e == IR_E_OVERLOAD;
 }
 
-/* Follows what a whole answer, also one that refuses the run, says. */
-static void
-apply_statement(struct ir_node *n, int64_t now, const struct ir_record *r,
-    const struct ir_run_result *res)
-{
-	struct ir_statement s;
-
-	if (res->end != IR_RUN_ANSWERED && res->end != IR_RUN_SHED)
-		return;
-	s = ir_statement_read(
-	    &n->settings.statement_headers, res->headers, res->header_count);
-	if (!ir_upstream_status_apply(
-		&n->upstream_status, now, r->work.started_us, &s))
-		return;
-	s = n->upstream_status.said;
-	node_log(n, IR_EVENT_UPSTREAM_STATEMENT,
-	    "attempt=%s limited=%d rate_mt_per_s=%llu leaving=%d",
-	    r->attempt_text, s.limited, (unsigned long long)s.rate_mt_per_s,
-	    s.leaving);
-}
-
 void
 ir_node_run_ended(struct ir_node *n, int64_t now, uint64_t run,
     const struct ir_run_result *res)
@@ -216,7 +195,7 @@
 		    "attempt=%s reason=answer-not-kept", r->attempt_text);
 	}
 	serve_log_run_ended(n, now, r, e, res->status);
-	apply_statement(n, now, r, res);
+	local_upstream_answered(n, now, r, res);
 	r->wasted = sample_of_run(r, res) == IR_SAMPLE_CALLEE_REFUSED;
 	ir_throttle_run_ended(n->callee_throttle, now, r->route_hash, r->wasted,
 	    now - r->work.started_us);
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -219,7 +219,8 @@
 	"Nothing if the caller closed it. Otherwise the caller lost an answer: "
 	"see ibisrail_calls_cut_total and the lines before it."},
     {IR_EVENT_UPSTREAM_STATEMENT,
-	"attempt: whose answer said so; limited; rate_mt_per_s: the rate that "
+	"source: the attempt whose answer said so; limited; rate_mt_per_s: the "
+	"rate that "
 	"it takes, in thousandths of a request a second; leaving",
 	"What the local upstream says of itself has changed.",
 	"limited: look at the upstream's own log for what it lacks. leaving: "
--- a/src/upstream/gate.c
+++ b/src/upstream/gate.c
@@ -4,6 +4,7 @@
 #include "core/random.h"
 #include "ibisrail/limits.h"
 #include "upstream/queue.h"
+#include "upstream/rate_cap.h"
 #include "upstream/shed.h"
 
 /* Weight of a new run in the moving average of run times. */
@@ -13,6 +14,8 @@
  * at least as many requests as may run, and QUEUE_PER_FLOW for each flow in it.
  */
 #define QUEUE_WAIT_US (100 * IR_US_PER_MS)
+/* The same where the upstream names a rate limit: callers have other hosts. */
+#define CAPPED_QUEUE_WAIT_US (500 * IR_US_PER_MS)
 #define MIN_QUEUE 8
 #define MAX_QUEUE 1024
 #define MAX_QUEUE_PLAIN 100000
@@ -38,6 +41,7 @@
 	uint64_t random;
 	int64_t last_expiry_us;
 	struct ir_limit limit;
+	struct ir_rate_cap rate_cap; /* named by the upstream itself */
 	double mean_run_us; /* moving average; includes waits for callees */
 	struct ir_queue *queue;
 	struct ir_shed shed;
@@ -92,6 +96,18 @@
 	g->reported_slots = slots;
 }
 
+void
+ir_gate_set_rate_cap(struct ir_gate *g, int64_t now, uint64_t mt_per_s)
+{
+	ir_rate_cap_set(&g->rate_cap, now, mt_per_s);
+}
+
+void
+ir_gate_clear_rate_cap(struct ir_gate *g)
+{
+	ir_rate_cap_clear(&g->rate_cap);
+}
+
 static uint32_t
 current_limit(const struct ir_gate *g)
 {
@@ -104,9 +120,20 @@
 
 /* Expected time until n requests have left the queue. */
 static int64_t
-expected_wait_us(const struct ir_gate *g, uint32_t n)
+expected_wait_us(const struct ir_gate *g, int64_t now, uint32_t n)
+{
+	int64_t capped_us = ir_rate_cap_wait_us(&g->rate_cap, now, n);
+	int64_t us = n * expected_run_us(g) / current_limit(g);
+
+	return us > capped_us ? us : capped_us;
+}
+
+/* Whether the upstream takes one more run now. */
+static bool
+has_free_slot(const struct ir_gate *g, int64_t now)
 {
-	return n * expected_run_us(g) / current_limit(g);
+	return g->running < current_limit(g) &&
+	       ir_rate_cap_wait_us(&g->rate_cap, now, 1) == 0;
 }
 
 /*
@@ -137,12 +164,27 @@
 	       (now < w->deadline_us && below_probe_limit(g));
 }
 
+/* Number of runs that the rate cap lets start within CAPPED_QUEUE_WAIT_US. */
+static uint32_t
+capped_queue_bound(const struct ir_gate *g)
+{
+	int64_t n;
+
+	if (g->rate_cap.interval_us == 0)
+		return MAX_QUEUE;
+	n = CAPPED_QUEUE_WAIT_US / g->rate_cap.interval_us;
+	if (n < 1)
+		return 1;
+	return n < MAX_QUEUE ? (uint32_t)n : MAX_QUEUE;
+}
+
 static uint32_t
 queue_bound(const struct ir_gate *g)
 {
 	int64_t run_us = expected_run_us(g);
 	uint32_t limit = current_limit(g);
 	uint32_t by_flows = QUEUE_PER_FLOW * g->queue->active_count;
+	uint32_t capped = capped_queue_bound(g);
 	uint64_t n = MIN_QUEUE;
 
 	if (g->policy == IR_GATE_BASELINE)
@@ -152,15 +194,15 @@
 	n = n < limit ? limit : n;
 	n = n < by_flows ? by_flows : n;
 	n = n < MIN_QUEUE ? MIN_QUEUE : n;
-	return n < MAX_QUEUE ? (uint32_t)n : MAX_QUEUE;
+	return n < capped ? (uint32_t)n : capped;
 }
 
 /* Grows with the refusal ratio; randomized so that retries spread out. */
 static uint32_t
-retry_after_ms(struct ir_gate *g)
+retry_after_ms(struct ir_gate *g, int64_t now)
 {
 	double us =
-	    RETRY_BASE_US + (double)expected_wait_us(g, g->queue->count);
+	    RETRY_BASE_US + (double)expected_wait_us(g, now, g->queue->count);
 	double spread = 0.5 + (double)ir_random_below(&g->random, 1000) / 1000;
 	double ms;
 
@@ -178,7 +220,7 @@
 		ir_shed_count_refused(&g->shed, w->flow);
 	w->flow = NULL;
 	w->state = IR_WORK_ENDED;
-	g->ops.refuse(g->ctx, now, w, kind, retry_after_ms(g));
+	g->ops.refuse(g->ctx, now, w, kind, retry_after_ms(g, now));
 }
 
 static void
@@ -197,13 +239,14 @@
 	w->state = IR_WORK_RUNNING;
 	w->started_us = now;
 	g->running++;
+	ir_rate_cap_take(&g->rate_cap, now);
 	g->ops.start(g->ctx, now, w);
 }
 
 static void
 start_queued(struct ir_gate *g, int64_t now)
 {
-	while (g->running < current_limit(g) && g->queue->count > 0) {
+	while (has_free_slot(g, now) && g->queue->count > 0) {
 		struct ir_work *w = ir_queue_pop(g->queue);
 
 		if (may_start(g, now, w)) {
@@ -260,14 +303,15 @@
 	if (g->policy == IR_GATE_BASELINE)
 		return g->queue->count < MAX_QUEUE_PLAIN;
 	ahead = ir_queue_count_ahead(g->queue, w->flow);
-	return can_finish_in_time(g, now + expected_wait_us(g, ahead + 1), w);
+	return can_finish_in_time(
+	    g, now + expected_wait_us(g, now, ahead + 1), w);
 }
 
 /* IR_E_DEADLINE if w could not finish in time even if it were next. */
 static enum ir_error
 refusal_reason(const struct ir_gate *g, int64_t now, const struct ir_work *w)
 {
-	return can_finish_in_time(g, now + expected_wait_us(g, 1), w)
+	return can_finish_in_time(g, now + expected_wait_us(g, now, 1), w)
 		   ? IR_E_OVERLOAD
 		   : IR_E_DEADLINE;
 }
@@ -304,7 +348,7 @@
 		refuse(g, now, w, IR_E_DEADLINE);
 		return;
 	}
-	if (g->queue->count == 0 && g->running < current_limit(g)) {
+	if (g->queue->count == 0 && has_free_slot(g, now)) {
 		start(g, now, w);
 		return;
 	}
@@ -384,6 +428,19 @@
 	ir_queue_free_idle_flows(g->queue, now - FLOW_IDLE_US);
 }
 
+/*
+ * A gate that may not start a run now has as much work as its limit, so that
+ * balancers prefer other hosts.
+ */
+static void
+show_as_full(struct ir_load *load)
+{
+	if (load->running + load->queued == 0)
+		load->queued = 1;
+	if (load->limit > load->running + load->queued)
+		load->limit = load->running + load->queued;
+}
+
 struct ir_load
 ir_gate_load(const struct ir_gate *g, int64_t now, const char *account)
 {
@@ -396,6 +453,8 @@
 
 	if (g->policy == IR_GATE_BASELINE)
 		return load;
+	if (ir_rate_cap_wait_us(&g->rate_cap, now, 1) > 0)
+		show_as_full(&load);
 	load.shed_level = ir_shed_level(&g->shed);
 	load.account_shed_level =
 	    ir_shed_account_level(&g->shed, g->queue, account);
--- a/src/upstream/gate.h
+++ b/src/upstream/gate.h
@@ -74,6 +74,12 @@
  * need not be estimated. 0 makes the limit adaptive again.
  */
 void ir_gate_set_reported_slots(struct ir_gate *g, uint32_t slots);
+/*
+ * Sets the rate of runs, in thousandths a second, that the upstream itself says
+ * it takes, whatever the limit.
+ */
+void ir_gate_set_rate_cap(struct ir_gate *g, int64_t now, uint64_t mt_per_s);
+void ir_gate_clear_rate_cap(struct ir_gate *g);
 /* Starts, queues or refuses w. */
 void ir_gate_offer(struct ir_gate *g, int64_t now, struct ir_work *w);
 /* Ends work that was started; does nothing for other work. */
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -126,8 +126,10 @@
 	uint64_t incarnation;
 	enum fleet_upstream_mode upstream_mode;
 	int64_t run_duration_us;
-	const char *rate_limit; /* named in each answer; NULL: none */
-	bool says_leaving;	/* in each answer */
+	uint32_t slots;		 /* in the host list; 0: none */
+	const char *upstream_id; /* in the host list; NULL: none */
+	const char *rate_limit;	 /* named in each answer; NULL: none */
+	bool says_leaving;	 /* in each answer */
 	/* When its answers first named a limit, said that it leaves. */
 	int64_t first_limit_us;
 	int64_t first_leaving_us;
--- a/test/support/fleet_store.c
+++ b/test/support/fleet_store.c
@@ -94,9 +94,15 @@
 	text = talloc_asprintf(f,
 	    "{\"name\":\"%s\",\"service\":\"%s\",\"region\":\"%s\","
 	    "\"zone\":\"%s\",\"address\":\"127.0.0.1\",\"peer_port\":%d,"
-	    "\"caller_port\":%d,\"state\":\"%s\"}",
+	    "\"caller_port\":%d,\"state\":\"%s\"",
 	    n->name, n->service, n->region, n->zone, 7000 + node, 8000 + node,
 	    state);
+	if (n->slots > 0)
+		text = talloc_asprintf_append(text, ",\"slots\":%u", n->slots);
+	if (n->upstream_id != NULL)
+		text = talloc_asprintf_append(
+		    text, ",\"upstream_id\":\"%s\"", n->upstream_id);
+	text = talloc_strdup_append(text, "}");
 	if (strcmp(state, "gone") == 0)
 		text[0] = '\0';
 	fleet_publish(f, name, text);
--- a/test/test_upstream_limit.c
+++ b/test/test_upstream_limit.c
@@ -17,6 +17,7 @@
 #define UPSTREAMS 4
 #define LIMITED 0
 #define ENTRIES 4
+#define SLOTS 36
 #define CALL_PERIOD_US (20 * IR_US_PER_MS)
 #define RUN_US (30 * IR_US_PER_MS)
 
@@ -35,6 +36,8 @@
 		int s = fleet_add_node(f, "s", regions[i], zones[i]);
 
 		f->nodes[s].run_duration_us = RUN_US;
+		f->nodes[s].slots = SLOTS;
+		fleet_publish_host(f, s, "live");
 	}
 	for (int i = 0; i < ENTRIES; i++)
 		(void)fleet_add_node(f, "t", regions[i], zones[i]);
@@ -67,6 +70,18 @@
 	}
 }
 
+/* Calls at one entry, the one in the zone of the limited upstream. */
+static void
+press_near(struct fleet *f, int64_t for_us)
+{
+	int64_t end_us = f->now_us + for_us;
+
+	while (f->now_us < end_us) {
+		(void)fleet_call(f, UPSTREAMS, &request);
+		fleet_run(f, CALL_PERIOD_US);
+	}
+}
+
 /* Requests from other hosts that the node's upstream got in the window. */
 static int
 runs_in_window(const struct fleet *f, int node, int64_t from_us)
@@ -131,14 +146,15 @@
 {
 	struct fleet *f = make_fleet(2);
 
-	press(f, 2 * IR_US_PER_S);
+	press_near(f, 2 * IR_US_PER_S);
 	f->nodes[LIMITED].rate_limit = "0.5";
-	press(f, 2 * IR_US_PER_S);
-	for (int i = 0; i < 4; i++) {
+	press_near(f, 2 * IR_US_PER_S);
+	f->nodes[LIMITED].run_duration_us = 400 * IR_US_PER_MS;
+	for (int i = 0; i < 8; i++) {
 		fleet_kill(f, LIMITED);
-		press(f, 100 * IR_US_PER_MS);
+		press_near(f, 100 * IR_US_PER_MS);
 		fleet_start(f, LIMITED);
-		press(f, 3 * IR_US_PER_S);
+		press_near(f, 1100 * IR_US_PER_MS);
 	}
 	assert_limit_kept(f, LIMITED, 0.5);
 	end_fleet(f);
