Upstream limit: who was told tells a gate that has started again

Cause of what the gate's cap left: a gate whose process starts again has heard nothing, and starts as many runs as there are slots before the first answer comes. The hosts that passed on an answer with a limit know it, as answers pass through them: they read it there, keep it with the upstream's id for 60 s, and send it as the first message of each new link (UPSTREAM_NOTICE), before any work. So a host either was told, and then the gate knows before its work arrives, or it was not. The gate follows its own upstream's answers as soon as it has one.

Weighed: few runs until the first answer of each new process (costs every restart of every gate a service time, also where no one names a limit); a status check first (priced, and it may not name the limit); a limit in the store (nothing of ours writes there); a share of the limit for each caller (3,100 shares of 4 a second). Cost: one message of under 200 bytes for each link that comes up to the host of a limited upstream, none otherwise. An older process neither gets nor sends notices: the greeting's flags say who takes them.

The codec's tests cover the new kind, their damaged messages as well.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -274,6 +274,21 @@
 	free_attempt(n, a);
 }
 
+/* Remembers what the host's upstream says of itself in its answer. */
+static void
+note_statement(struct ir_node *n, int64_t now, const char *host,
+    int64_t sent_us, const struct ir_reply *r)
+{
+	const struct ir_host *h = ir_view_host(node_view(n), host);
+	struct ir_statement s;
+
+	if (h == NULL || r->error != IR_OK)
+		return;
+	s = ir_statement_read(&n->settings.statement_headers,
+	    r->headers.headers_val, r->headers.headers_len);
+	ir_balancer_upstream_said(n->balancer, now, h, sent_us, &s);
+}
+
 static void
 answer_call(
     struct ir_node *n, int64_t now, struct call *c, const struct ir_reply *r)
@@ -340,6 +355,7 @@
 	ir_retry_quota_return(c->retry_quota, a->retry_tokens, r->tokens_left);
 	ir_balancer_request_done(
 	    n->balancer, now, p->name, c->account, &r->load, now - a->sent_us);
+	note_statement(n, now, p->name, a->sent_us, r);
 	free_attempt(n, a);
 	if (r->callee_refused && c->parent != NULL)
 		c->parent->callee_refused = true;
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -572,7 +572,7 @@
 	    (unsigned long long)v->list_revision, v->host_count);
 	update_leaving(n, now, self);
 	local_upstream_view_changed(n, now, self);
-	ir_balancer_apply_view(n->balancer, v);
+	ir_balancer_apply_view(n->balancer, now, v);
 	apply_own_service(n, now, v, self);
 	ir_issuer_set_view(n->issuer, now, v, self, send_handover, n);
 }
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -126,6 +126,8 @@
 	struct pending_message *pending; /* oldest first */
 	uint32_t pending_count;
 	bool hello_due;		   /* on the current connection; had no room */
+	bool takes_notices;	   /* its process handles UPSTREAM_NOTICE */
+	bool notice_due;	   /* had no room */
 	bool status_due;	   /* of some attempts; had no room */
 	uint32_t view_request_xid; /* of the unanswered VIEW_REQUEST, or 0 */
 	int64_t view_request_sent_us;
@@ -158,6 +160,7 @@
 struct local_upstream {
 	char id[IR_MAX_NAME + 1]; /* as listed last, or "" */
 	int64_t since_us;	  /* when it was first listed */
+	bool answered;		  /* since then, to this process */
 	struct ir_upstream_status status;
 };
 
@@ -428,6 +431,12 @@
 /* Follows what a complete answer, also one that refuses the run, says. */
 void local_upstream_answered(struct ir_node *n, int64_t now,
     const struct ir_record *r, const struct ir_run_result *res);
+/*
+ * UPSTREAM_NOTICE: a peer was told this by an earlier process of this host. It
+ * holds until an answer says otherwise.
+ */
+void local_upstream_handle_notice(
+    struct ir_node *n, int64_t now, const struct ir_upstream_notice *notice);
 /* Forgets what an upstream said when another one is listed in its place. */
 void local_upstream_view_changed(
     struct ir_node *n, int64_t now, const struct ir_host *self);
--- a/src/core/local_upstream.c
+++ b/src/core/local_upstream.c
@@ -36,6 +36,7 @@
 	/* A run that started earlier may have been another upstream's. */
 	if (r->work.started_us < n->upstream.since_us)
 		return;
+	n->upstream.answered = true;
 	s = ir_statement_read(
 	    &n->settings.statement_headers, res->headers, res->header_count);
 	if (!ir_upstream_status_apply(
@@ -55,6 +56,35 @@
 		return;
 	(void)snprintf(u->id, sizeof(u->id), "%s", self->upstream_id);
 	u->since_us = now;
+	u->answered = false;
 	memset(&u->status, 0, sizeof(u->status));
 	apply_to_gate(n, now);
 }
+
+/* Whether the notice is of the upstream listed now, or none is known yet. */
+static bool
+is_of_this_upstream(struct ir_node *n, const struct ir_upstream_notice *notice)
+{
+	const struct ir_host *self = node_self(n);
+
+	return self == NULL ||
+	       strcmp(self->upstream_id, notice->upstream_id) == 0;
+}
+
+void
+local_upstream_handle_notice(
+    struct ir_node *n, int64_t now, const struct ir_upstream_notice *notice)
+{
+	struct local_upstream *u = &n->upstream;
+	struct ir_statement s = {
+	    .limited = notice->limited, .rate_mt_per_s = notice->rate_mt_per_s};
+
+	/* What this process has heard itself is newer. */
+	if (u->answered || !is_of_this_upstream(n, notice))
+		return;
+	(void)snprintf(u->id, sizeof(u->id), "%s", notice->upstream_id);
+	if (!ir_upstream_status_apply(&u->status, now, now, &s))
+		return;
+	log_statement(n, "notice");
+	apply_to_gate(n, now);
+}
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -280,6 +280,18 @@
 	}
 }
 
+/* To be sent before work, as the host's process may have started since. */
+static void
+send_upstream_notice(struct ir_node *n, int64_t now, struct peer *p)
+{
+	struct ir_msg m = {.kind = IR_MSG_UPSTREAM_NOTICE};
+
+	p->notice_due = p->takes_notices &&
+			ir_balancer_upstream_notice(n->balancer, now, p->name,
+			    &m.ir_msg_u.upstream_notice) &&
+			peer_send(n, now, p, &m) == 0;
+}
+
 static void
 handle_hello_reply(struct ir_node *n, int64_t now, struct peer *p,
     const struct ir_hello_reply *r)
@@ -293,6 +305,8 @@
 	}
 	node_log(n, IR_EVENT_LINK_UP, "host=%s", p->name);
 	ir_balancer_set_reachable(n->balancer, now, p->name, true);
+	p->takes_notices = (r->accepted & IR_HELLO_TAKES_NOTICES) != 0;
+	send_upstream_notice(n, now, p);
 	attempt_link_up(n, now, p);
 	if (p->link.state == IR_LINK_UP)
 		send_pending(n, now, p);
@@ -327,7 +341,8 @@
 	r->incarnation = n->settings.incarnation;
 	if (strcmp(h->expected_host, n->settings.host) == 0 &&
 	    strcmp(h->host, n->settings.host) != 0)
-		r->accepted = IR_HELLO_ACCEPTED | IR_HELLO_SENDS_PARTS;
+		r->accepted = IR_HELLO_ACCEPTED | IR_HELLO_SENDS_PARTS |
+			      IR_HELLO_TAKES_NOTICES;
 	if (r->accepted != 0) {
 		close_previous_conns(n, h->host);
 		c = conn_find(n, conn);
@@ -411,6 +426,10 @@
 	case IR_MSG_CANCEL:
 		serve_cancel(n, now, &m->ir_msg_u.cancel);
 		break;
+	case IR_MSG_UPSTREAM_NOTICE:
+		local_upstream_handle_notice(
+		    n, now, &m->ir_msg_u.upstream_notice);
+		break;
 	default:
 		control_handle_message(n, now, conn, xid, from, NULL, m);
 		break;
@@ -522,6 +541,8 @@
 		send_hello(n, now, p);
 	if (p->link.state != IR_LINK_UP)
 		return;
+	if (p->notice_due)
+		send_upstream_notice(n, now, p);
 	if (p->status_due) {
 		p->status_due = false;
 		attempt_link_up(n, now, p);
--- a/src/link/peer.h
+++ b/src/link/peer.h
@@ -27,6 +27,7 @@
 #define IR_MAX_PART_BYTES 16384
 #define IR_HELLO_ACCEPTED 1
 #define IR_HELLO_SENDS_PARTS 2
+#define IR_HELLO_TAKES_NOTICES 4
 
 enum ir_msg_kind {
 	IR_MSG_HELLO = 1,
@@ -47,6 +48,7 @@
 	IR_MSG_HANDOVER_REPLY = 16,
 	IR_MSG_TAKE_PARTS = 17,
 	IR_MSG_PART = 18,
+	IR_MSG_UPSTREAM_NOTICE = 19,
 };
 typedef enum ir_msg_kind ir_msg_kind;
 
@@ -238,6 +240,14 @@
 };
 typedef struct ir_part ir_part;
 
+struct ir_upstream_notice {
+	char *upstream_id;
+	bool_t limited;
+	u_quad_t rate_mt_per_s;
+	bool_t leaving;
+};
+typedef struct ir_upstream_notice ir_upstream_notice;
+
 struct ir_msg {
 	ir_msg_kind kind;
 	union {
@@ -256,6 +266,7 @@
 		ir_view_msg view;
 		ir_handover handover;
 		ir_part part;
+		ir_upstream_notice upstream_notice;
 	} ir_msg_u;
 };
 typedef struct ir_msg ir_msg;
@@ -281,6 +292,7 @@
 extern  bool_t xdr_ir_view_msg (XDR *, ir_view_msg*);
 extern  bool_t xdr_ir_handover (XDR *, ir_handover*);
 extern  bool_t xdr_ir_part (XDR *, ir_part*);
+extern  bool_t xdr_ir_upstream_notice (XDR *, ir_upstream_notice*);
 extern  bool_t xdr_ir_msg (XDR *, ir_msg*);
 
 #else /* K&R C */
@@ -302,6 +314,7 @@
 extern bool_t xdr_ir_view_msg ();
 extern bool_t xdr_ir_handover ();
 extern bool_t xdr_ir_part ();
+extern bool_t xdr_ir_upstream_notice ();
 extern bool_t xdr_ir_msg ();
 
 #endif /* K&R C */
--- a/src/link/peer.x
+++ b/src/link/peer.x
@@ -18,6 +18,7 @@
 /* In ir_hello_reply.accepted; any value but 0 means accepted. */
 const IR_HELLO_ACCEPTED = 1;
 const IR_HELLO_SENDS_PARTS = 2;
+const IR_HELLO_TAKES_NOTICES = 4;
 
 enum ir_msg_kind {
 	IR_MSG_HELLO = 1,
@@ -41,7 +42,12 @@
 	 * to a host whose HELLO_REPLY had IR_HELLO_SENDS_PARTS.
 	 */
 	IR_MSG_TAKE_PARTS = 17,
-	IR_MSG_PART = 18
+	IR_MSG_PART = 18,
+	/*
+	 * Has no reply. Only sent to a host whose HELLO_REPLY had
+	 * IR_HELLO_TAKES_NOTICES, before any FORWARD on that connection.
+	 */
+	IR_MSG_UPSTREAM_NOTICE = 19
 };
 
 struct ir_attempt_id {
@@ -220,6 +226,17 @@
 	opaque data<IR_MAX_PART_BYTES>;
 };
 
+/*
+ * What answers of the receiver's upstream said of it, for a process that has
+ * started since.
+ */
+struct ir_upstream_notice {
+	string upstream_id<IR_MAX_NAME>;
+	bool limited;
+	unsigned hyper rate_mt_per_s;
+	bool leaving;
+};
+
 union ir_msg switch (ir_msg_kind kind) {
 case IR_MSG_HELLO:
 	ir_hello hello;
@@ -257,4 +274,6 @@
 	void;
 case IR_MSG_PART:
 	ir_part part;
+case IR_MSG_UPSTREAM_NOTICE:
+	ir_upstream_notice upstream_notice;
 };
--- a/src/link/peer_xdr.c
+++ b/src/link/peer_xdr.c
@@ -706,6 +706,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ir_upstream_notice (XDR *xdrs, ir_upstream_notice *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->upstream_id, IR_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->limited))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->rate_mt_per_s))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ir_msg (XDR *xdrs, ir_msg *objp)
 {
@@ -780,6 +796,10 @@
 		 if (!xdr_ir_part (xdrs, &objp->ir_msg_u.part))
 			 return FALSE;
 		break;
+	case IR_MSG_UPSTREAM_NOTICE:
+		 if (!xdr_ir_upstream_notice (xdrs, &objp->ir_msg_u.upstream_notice))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/zone/balancer.c
+++ b/src/zone/balancer.c
@@ -314,6 +314,28 @@
 		ir_host_status_set_load(s, now, load);
 }
 
+void
+ir_balancer_upstream_said(struct ir_balancer *b, int64_t now,
+    const struct ir_host *h, int64_t sent_us, const struct ir_statement *said)
+{
+	struct ir_host_status *s = ir_host_status_find(b->statuses, h->name);
+
+	if (s == NULL && (said->limited || said->leaving))
+		s = ir_host_status_find_or_add(b->statuses, h->name);
+	if (s != NULL)
+		ir_host_status_upstream_said(
+		    s, now, h->upstream_id, sent_us, said);
+}
+
+bool
+ir_balancer_upstream_notice(const struct ir_balancer *b, int64_t now,
+    const char *host, struct ir_upstream_notice *notice)
+{
+	const struct ir_host_status *s = ir_host_status_find(b->statuses, host);
+
+	return s != NULL && ir_host_status_upstream_notice(s, now, notice);
+}
+
 void
 ir_balancer_set_reachable(
     struct ir_balancer *b, int64_t now, const char *host, bool reachable)
@@ -330,9 +352,10 @@
 }
 
 void
-ir_balancer_apply_view(struct ir_balancer *b, const struct ir_view *v)
+ir_balancer_apply_view(
+    struct ir_balancer *b, int64_t now, const struct ir_view *v)
 {
-	ir_host_status_apply_view(b->statuses, v);
+	ir_host_status_apply_view(b->statuses, now, v);
 }
 
 const struct ir_load *
--- a/src/zone/balancer.h
+++ b/src/zone/balancer.h
@@ -13,6 +13,7 @@
 
 #include "host/view.h"
 #include "link/peer.h"
+#include "upstream/statement.h"
 
 struct ir_balancer;
 
@@ -69,11 +70,24 @@
 /* A heartbeat brought a load report. */
 void ir_balancer_load_reported(struct ir_balancer *b, int64_t now,
     const char *host, const struct ir_load *load);
+/*
+ * An answer of the host's upstream to a request sent at sent_us passed through
+ * this node, and said this of the upstream.
+ */
+void ir_balancer_upstream_said(struct ir_balancer *b, int64_t now,
+    const struct ir_host *h, int64_t sent_us, const struct ir_statement *said);
+/*
+ * Whether answers of the host's upstream said something that still holds; sets
+ * *notice to it, valid until the next call of another function.
+ */
+bool ir_balancer_upstream_notice(const struct ir_balancer *b, int64_t now,
+    const char *host, struct ir_upstream_notice *notice);
 /* The link to a host is up (true) or was lost (false). */
 void ir_balancer_set_reachable(
     struct ir_balancer *b, int64_t now, const char *host, bool reachable);
 /* Follows a new view: drops the status of hosts that it does not list. */
-void ir_balancer_apply_view(struct ir_balancer *b, const struct ir_view *v);
+void ir_balancer_apply_view(
+    struct ir_balancer *b, int64_t now, const struct ir_view *v);
 
 /*
  * Returns the load last reported by a host and sets *age_us to the time since
--- a/src/zone/host_status.c
+++ b/src/zone/host_status.c
@@ -1,6 +1,9 @@
 /* Status of the other hosts. */
+#include <string.h>
 #include <utlist.h>
 
+#include "core/unconst.h"
+
 #include "upstream/priority.h"
 #include "zone/host_status.h"
 
@@ -156,6 +159,46 @@
 	DL_APPEND(s->table->levels, l);
 }
 
+static void
+forget_upstream(struct ir_host_status *s)
+{
+	TALLOC_FREE(s->upstream_id);
+	memset(&s->upstream_status, 0, sizeof(s->upstream_status));
+}
+
+void
+ir_host_status_upstream_said(struct ir_host_status *s, int64_t now,
+    const char *upstream_id, int64_t sent_us, const struct ir_statement *said)
+{
+	if (s->upstream_id != NULL && strcmp(s->upstream_id, upstream_id) != 0)
+		forget_upstream(s);
+	if (s->upstream_id == NULL)
+		s->upstream_id = talloc_strdup(s, upstream_id);
+	(void)ir_upstream_status_apply(&s->upstream_status, now, sent_us, said);
+}
+
+static bool
+limit_holds(const struct ir_host_status *s, int64_t now)
+{
+	const struct ir_upstream_status *u = &s->upstream_status;
+
+	return s->upstream_id != NULL && u->said.limited &&
+	       now - u->limit_said_us < IR_UPSTREAM_STATUS_VALID_US;
+}
+
+bool
+ir_host_status_upstream_notice(const struct ir_host_status *s, int64_t now,
+    struct ir_upstream_notice *notice)
+{
+	memset(notice, 0, sizeof(*notice));
+	if (!limit_holds(s, now))
+		return false;
+	notice->upstream_id = s->upstream_id;
+	notice->limited = true;
+	notice->rate_mt_per_s = s->upstream_status.said.rate_mt_per_s;
+	return true;
+}
+
 void
 ir_host_status_set_unreachable(struct ir_host_status *s, int64_t now)
 {
@@ -260,11 +303,14 @@
 	if (s->listed_leaving && !h->leaving)
 		s->has_load = false;
 	s->listed_leaving = h->leaving;
+	if (s->upstream_id != NULL &&
+	    strcmp(s->upstream_id, h->upstream_id) != 0)
+		forget_upstream(s);
 }
 
 void
 ir_host_status_apply_view(
-    struct ir_host_status_table *t, const struct ir_view *v)
+    struct ir_host_status_table *t, int64_t now, const struct ir_view *v)
 {
 	const struct ir_host *h;
 	struct ir_host_status *s, *tmp;
@@ -276,6 +322,8 @@
 			apply_listed_state(s, h);
 			continue;
 		}
+		if (limit_holds(s, now))
+			continue;
 		HASH_DEL(t->hosts, s);
 		talloc_free(s);
 	}
--- a/src/zone/host_status.h
+++ b/src/zone/host_status.h
@@ -14,6 +14,7 @@
 #include "host/view.h"
 #include "ibisrail/limits.h"
 #include "link/peer.h"
+#include "upstream/statement.h"
 
 /* Shed levels for an account are freed when they are older. */
 #define IR_ACCOUNT_LEVEL_MAX_AGE_US (200 * IR_US_PER_MS)
@@ -21,6 +22,12 @@
 struct ir_host_status_table;
 struct ir_host_status;
 
+/*
+ * What answers of a host's upstream say is remembered for this long, also
+ * while the host is not listed.
+ */
+#define IR_UPSTREAM_STATUS_VALID_US (60 * IR_US_PER_S)
+
 /* The shed level of one host for one account. */
 struct ir_account_shed_level {
 	struct ir_host_status *host;
@@ -41,6 +48,8 @@
 	struct ir_load load; /* last report */
 	int64_t load_received_us;
 	struct ir_account_shed_level *account_levels; /* hashed by account */
+	char *upstream_id; /* that upstream_status is of; NULL: none */
+	struct ir_upstream_status upstream_status;
 	bool listed_leaving; /* "leaving" in the view last applied */
 	bool unreachable;
 	int64_t retry_us; /* when unreachable: time of the next attempt */
@@ -73,6 +82,19 @@
 void ir_host_status_set_account_level(
     struct ir_host_status *s, int64_t now, const char *account, uint32_t level);
 
+/*
+ * An answer of the host's upstream, of that id, to a request that was sent at
+ * sent_us passed through this node.
+ */
+void ir_host_status_upstream_said(struct ir_host_status *s, int64_t now,
+    const char *upstream_id, int64_t sent_us, const struct ir_statement *said);
+/*
+ * Whether answers said something of the host's upstream that still holds. Sets
+ * *notice to it; its strings are those of s.
+ */
+bool ir_host_status_upstream_notice(const struct ir_host_status *s, int64_t now,
+    struct ir_upstream_notice *notice);
+
 /*
  * The link to the host was lost. Discards the reported load and doubles the
  * backoff until the next attempt, within 200 ms and 2 s.
@@ -108,9 +130,10 @@
 /*
  * Follows a new view: removes hosts and accounts that it does not list, and
  * discards the load of a host whose listed state returned from leaving to
- * live.
+ * live. What an upstream said is kept until another one is listed at its host,
+ * or for IR_UPSTREAM_STATUS_VALID_US.
  */
 void ir_host_status_apply_view(
-    struct ir_host_status_table *t, const struct ir_view *v);
+    struct ir_host_status_table *t, int64_t now, const struct ir_view *v);
 
 #endif
--- a/test/test_balancer.c
+++ b/test/test_balancer.c
@@ -442,12 +442,12 @@
 	assert_int_equal(f->shed, 0);
 	report(f, 0, 10, 0, high);
 	f->view.account_count = 0;
-	ir_balancer_apply_view(f->balancer, &f->view);
+	ir_balancer_apply_view(f->balancer, f->now, &f->view);
 	assert_non_null(load_of(f));
 	pick(f, 100);
 	assert_int_equal(f->shed, 0);
 	f->view.host_count = 0;
-	ir_balancer_apply_view(f->balancer, &f->view);
+	ir_balancer_apply_view(f->balancer, f->now, &f->view);
 	assert_null(load_of(f));
 	ir_balancer_request_done(f->balancer, f->now, "h00", "a", NULL, 0);
 }
@@ -479,11 +479,11 @@
 	/* The host list had it as leaving, too, and now as live. */
 	ir_balancer_load_reported(f->balancer, f->now, "h00", &load);
 	f->hosts[0].leaving = true;
-	ir_balancer_apply_view(f->balancer, &f->view);
+	ir_balancer_apply_view(f->balancer, f->now, &f->view);
 	ir_balancer_load_reported(f->balancer, f->now, "h00", &load);
 	f->hosts[0].leaving = false;
 	assert_int_equal(pick(f, 1), IR_PICK_NO_HOST);
-	ir_balancer_apply_view(f->balancer, &f->view);
+	ir_balancer_apply_view(f->balancer, f->now, &f->view);
 	assert_int_equal(pick(f, 1), IR_PICK_OK);
 	/* Its link was lost, so it may have restarted. */
 	ir_balancer_load_reported(f->balancer, f->now, "h00", &load);
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -100,6 +100,10 @@
 		m.ir_msg_u.part.data.data_len = 3;
 		m.ir_msg_u.part.data.data_val = text("xyz");
 		break;
+	case IR_MSG_UPSTREAM_NOTICE:
+		m.ir_msg_u.upstream_notice.upstream_id = text("i-1");
+		m.ir_msg_u.upstream_notice.rate_mt_per_s = 4200;
+		break;
 	case IR_MSG_HANDOVER:
 		m.ir_msg_u.handover.account = text("acme");
 		m.ir_msg_u.handover.available_mt = UINT64_MAX;
@@ -124,7 +128,7 @@
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
 
-	for (int kind = IR_MSG_HELLO; kind <= IR_MSG_PART; kind++) {
+	for (int kind = IR_MSG_HELLO; kind <= IR_MSG_UPSTREAM_NOTICE; kind++) {
 		struct ir_msg m = sample_message(kind), decoded;
 		const char *error;
 		uint8_t *encoded, *encoded_again;
@@ -162,7 +166,7 @@
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
 
-	for (int kind = IR_MSG_HELLO; kind <= IR_MSG_HANDOVER_REPLY; kind++) {
+	for (int kind = IR_MSG_HELLO; kind <= IR_MSG_UPSTREAM_NOTICE; kind++) {
 		struct ir_msg m = sample_message(kind);
 		uint8_t *data;
 		size_t size = encode(mem, &m, &data);
@@ -288,7 +292,8 @@
 
 	for (int round = 0; round < FLIP_ROUNDS; round++) {
 		struct ir_msg m = sample_message(
-				  IR_MSG_HELLO + next_random(&seed) % 16),
+				  IR_MSG_HELLO +
+				  next_random(&seed) % IR_MSG_UPSTREAM_NOTICE),
 			      decoded;
 		const char *error;
 		uint8_t *data, *reencoded;
