Upstream leaving: what its answers say binds its gate and all who heard it

Its gate now refuses new work as one of a listed leaving host does, and tells so with each report of its load. Who passed on such an answer keeps it with the upstream's id, also while the host is not listed, sends no work there, and tells a gate that has started again. It ends when another upstream is listed at the host, or 60 s after it was last said: an instance may start again under its id, and the list's born is not among what hosts know of each other (a new key of a host section would be refused by older processes).

A host whose upstream was replaced reports no more while no one sends there: its last report, that it leaves, ends with the id in the list.

Checks of test_balancer as they were; its hosts have ids as parsed ones do.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -286,6 +286,8 @@
 		return;
 	s = ir_statement_read(&n->settings.statement_headers,
 	    r->headers.headers_val, r->headers.headers_len);
+	/* Another upstream may have taken its place at the host by now. */
+	s.leaving = s.leaving && r->load.leaving;
 	ir_balancer_upstream_said(n->balancer, now, h, sent_us, &s);
 }
 
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -437,6 +437,8 @@
  */
 void local_upstream_handle_notice(
     struct ir_node *n, int64_t now, const struct ir_upstream_notice *notice);
+/* Whether its answers say that it leaves. */
+bool local_upstream_is_leaving(const struct ir_node *n, int64_t now);
 /* Forgets what an upstream said when another one is listed in its place. */
 void local_upstream_view_changed(
     struct ir_node *n, int64_t now, const struct ir_host *self);
--- a/src/core/local_upstream.c
+++ b/src/core/local_upstream.c
@@ -76,8 +76,9 @@
     struct ir_node *n, int64_t now, const struct ir_upstream_notice *notice)
 {
 	struct local_upstream *u = &n->upstream;
-	struct ir_statement s = {
-	    .limited = notice->limited, .rate_mt_per_s = notice->rate_mt_per_s};
+	struct ir_statement s = {.limited = notice->limited,
+	    .rate_mt_per_s = notice->rate_mt_per_s,
+	    .leaving = notice->leaving};
 
 	/* What this process has heard itself is newer. */
 	if (u->answered || !is_of_this_upstream(n, notice))
@@ -88,3 +89,9 @@
 	log_statement(n, "notice");
 	apply_to_gate(n, now);
 }
+
+bool
+local_upstream_is_leaving(const struct ir_node *n, int64_t now)
+{
+	return ir_upstream_status_leaving(&n->upstream.status, now);
+}
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -272,7 +272,8 @@
 	const struct ir_service *s;
 	const struct ir_route *route = NULL;
 
-	if (n->stopping || (self != NULL && self->leaving))
+	if (n->stopping || (self != NULL && self->leaving) ||
+	    local_upstream_is_leaving(n, now))
 		return IR_E_STOPPING;
 	if (strcmp(f->service, n->settings.service) != 0 || self == NULL)
 		return IR_E_WRONG_GATE;
--- a/src/upstream/statement.c
+++ b/src/upstream/statement.c
@@ -84,3 +84,17 @@
 	       before.rate_mt_per_s != u->said.rate_mt_per_s ||
 	       before.leaving != u->said.leaving;
 }
+
+bool
+ir_upstream_status_limited(const struct ir_upstream_status *u, int64_t now)
+{
+	return u->said.limited &&
+	       now - u->limit_said_us < IR_UPSTREAM_STATUS_VALID_US;
+}
+
+bool
+ir_upstream_status_leaving(const struct ir_upstream_status *u, int64_t now)
+{
+	return u->said.leaving &&
+	       now - u->leaving_said_us < IR_UPSTREAM_STATUS_VALID_US;
+}
--- a/src/upstream/statement.h
+++ b/src/upstream/statement.h
@@ -9,9 +9,13 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "ibisrail/limits.h"
 #include "ibisrail/node.h"
 #include "link/peer.h"
 
+/* A status counts for this long after it was last said. */
+#define IR_UPSTREAM_STATUS_VALID_US (60 * IR_US_PER_S)
+
 /* What one answer says. */
 struct ir_statement {
 	bool limited;
@@ -43,4 +47,10 @@
 bool ir_upstream_status_apply(struct ir_upstream_status *u, int64_t now,
     int64_t run_started_us, const struct ir_statement *s);
 
+/* Whether the upstream said so no longer ago than a status counts. */
+bool ir_upstream_status_limited(
+    const struct ir_upstream_status *u, int64_t now);
+bool ir_upstream_status_leaving(
+    const struct ir_upstream_status *u, int64_t now);
+
 #endif
--- a/src/zone/host_status.c
+++ b/src/zone/host_status.c
@@ -177,26 +177,18 @@
 	(void)ir_upstream_status_apply(&s->upstream_status, now, sent_us, said);
 }
 
-static bool
-limit_holds(const struct ir_host_status *s, int64_t now)
-{
-	const struct ir_upstream_status *u = &s->upstream_status;
-
-	return s->upstream_id != NULL && u->said.limited &&
-	       now - u->limit_said_us < IR_UPSTREAM_STATUS_VALID_US;
-}
-
 bool
 ir_host_status_upstream_notice(const struct ir_host_status *s, int64_t now,
     struct ir_upstream_notice *notice)
 {
 	memset(notice, 0, sizeof(*notice));
-	if (!limit_holds(s, now))
+	if (s->upstream_id == NULL)
 		return false;
 	notice->upstream_id = s->upstream_id;
-	notice->limited = true;
+	notice->limited = ir_upstream_status_limited(&s->upstream_status, now);
 	notice->rate_mt_per_s = s->upstream_status.said.rate_mt_per_s;
-	return true;
+	notice->leaving = ir_upstream_status_leaving(&s->upstream_status, now);
+	return notice->limited || notice->leaving;
 }
 
 void
@@ -236,6 +228,8 @@
 		return true;
 	if (s->has_load && s->load.leaving)
 		return false;
+	if (ir_upstream_status_leaving(&s->upstream_status, now))
+		return false;
 	return !s->unreachable || now >= s->retry_us;
 }
 
@@ -295,14 +289,19 @@
 
 /*
  * A host that reported itself leaving gets no requests and so sends no new
- * reports: the host list is what shows that it is live again.
+ * reports: the host list is what shows that it, or another upstream at it, is
+ * live.
  */
 static void
 apply_listed_state(struct ir_host_status *s, const struct ir_host *h)
 {
-	if (s->listed_leaving && !h->leaving)
+	uint64_t upstream = XXH64(h->upstream_id, strlen(h->upstream_id), 0);
+
+	if ((s->listed_leaving && !h->leaving) ||
+	    s->listed_upstream != upstream)
 		s->has_load = false;
 	s->listed_leaving = h->leaving;
+	s->listed_upstream = upstream;
 	if (s->upstream_id != NULL &&
 	    strcmp(s->upstream_id, h->upstream_id) != 0)
 		forget_upstream(s);
@@ -314,6 +313,7 @@
 {
 	const struct ir_host *h;
 	struct ir_host_status *s, *tmp;
+	struct ir_upstream_notice notice;
 
 	HASH_ITER (hh, t->hosts, s, tmp) {
 		h = ir_view_host(v, s->host);
@@ -322,7 +322,7 @@
 			apply_listed_state(s, h);
 			continue;
 		}
-		if (limit_holds(s, now))
+		if (ir_host_status_upstream_notice(s, now, &notice))
 			continue;
 		HASH_DEL(t->hosts, s);
 		talloc_free(s);
--- a/src/zone/host_status.h
+++ b/src/zone/host_status.h
@@ -22,12 +22,6 @@
 struct ir_host_status_table;
 struct ir_host_status;
 
-/*
- * What answers of a host's upstream say is remembered for this long, also
- * while the host is not listed.
- */
-#define IR_UPSTREAM_STATUS_VALID_US (60 * IR_US_PER_S)
-
 /* The shed level of one host for one account. */
 struct ir_account_shed_level {
 	struct ir_host_status *host;
@@ -50,7 +44,8 @@
 	struct ir_account_shed_level *account_levels; /* hashed by account */
 	char *upstream_id; /* that upstream_status is of; NULL: none */
 	struct ir_upstream_status upstream_status;
-	bool listed_leaving; /* "leaving" in the view last applied */
+	bool listed_leaving;	  /* "leaving" in the view last applied */
+	uint64_t listed_upstream; /* hash of the upstream's id in that view */
 	bool unreachable;
 	int64_t retry_us; /* when unreachable: time of the next attempt */
 	int64_t backoff_us;
--- a/test/test_balancer.c
+++ b/test/test_balancer.c
@@ -46,6 +46,7 @@
 		h->service = "s";
 		h->region = region[i / PER_ZONE];
 		h->zone = zone[i / PER_ZONE];
+		h->upstream_id = "";
 	}
 	for (int i = 0; i < 4; i++) {
 		f->zones[i] = (struct ir_zone){.name = zone[i],
