Host status: a replaced upstream's report is told from one of the view's first

A report is now dropped with the first view only where it says that the host leaves and the list says that it does not.

--- a/src/zone/host_status.c
+++ b/src/zone/host_status.c
@@ -296,9 +296,12 @@
 apply_listed_state(struct ir_host_status *s, const struct ir_host *h)
 {
 	uint64_t upstream = XXH64(h->upstream_id, strlen(h->upstream_id), 0);
+	/* Before the first view the report's upstream is not known. */
+	bool replaced = s->listed_upstream == 0
+			    ? s->load.leaving
+			    : s->listed_upstream != upstream;
 
-	if ((s->listed_leaving && !h->leaving) ||
-	    s->listed_upstream != upstream)
+	if (!h->leaving && (s->listed_leaving || replaced))
 		s->has_load = false;
 	s->listed_leaving = h->leaving;
 	s->listed_upstream = upstream;
