Upstream: its end is told from that of one connection, logged and counted

One check serves all runs that broke meanwhile. To callers both are the same: the request may have run.

test_end_of_the_upstream_is_told_from_a_broken_connection. Ruled out: the close of all connections at once (a cut of the network looks the same), the host list (it lags by seconds).

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -89,7 +89,8 @@
 	IR_RUN_SHED,	      /* refused by the upstream, not run */
 	IR_RUN_NOT_CONNECTED, /* no connection: not run */
 	IR_RUN_NO_ROOM,	      /* no memory in this process: not run */
-	IR_RUN_BROKEN	      /* connection broke, or answer incomplete */
+	IR_RUN_BROKEN,	      /* connection broke, or answer incomplete */
+	IR_RUN_UPSTREAM_ENDED /* so did all: it accepts none any more */
 };
 
 struct ir_run_result {
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -3,6 +3,9 @@
 #include <string.h>
 
 #include "core/internal.h"
+
+/* Characters of a path that a log line shows. */
+#define MAX_LOGGED_PATH 256
 #include "upstream/priority.h"
 
 /* Work queued before this host began to leave may start for this long. */
@@ -179,6 +182,20 @@
 	return e == IR_E_UPSTREAM_SHED || e == IR_E_OVERLOAD;
 }
 
+static void
+log_crashed(struct ir_node *n, int64_t now, const struct ir_record *r)
+{
+	const struct ir_forward *f = r->forward;
+	char id[NODE_LOG_ID_BYTES];
+
+	ir_counters_add(&n->counters, IR_COUNTER_RUNS_CRASHED, 1);
+	node_log(n, IR_EVENT_RUN_CRASHED,
+	    "id=%s attempt=%s method=%s path=%.*s account=%s ms=%lld",
+	    node_log_id(id, f->caller_attempt, &f->request), r->attempt_text,
+	    f->method, MAX_LOGGED_PATH, f->path, f->account,
+	    (long long)((now - r->work.started_us) / IR_US_PER_MS));
+}
+
 void
 ir_node_run_ended(struct ir_node *n, int64_t now, uint64_t run,
     const struct ir_run_result *res)
@@ -195,6 +212,8 @@
 		    "attempt=%s reason=answer-not-kept", r->attempt_text);
 	}
 	serve_log_run_ended(n, now, r, e, res->status);
+	if (res->end == IR_RUN_UPSTREAM_ENDED)
+		log_crashed(n, now, r);
 	local_upstream_answered(n, now, r, res);
 	r->wasted = sample_of_run(r, res) == IR_SAMPLE_CALLEE_REFUSED;
 	ir_throttle_run_ended(n->callee_throttle, now, r->route_hash, r->wasted,
--- a/src/io/upstream/upstream.c
+++ b/src/io/upstream/upstream.c
@@ -4,6 +4,7 @@
 #include "io/admin/io_log.h"
 #include "io/clock.h"
 #include "io/event_loop.h"
+#include "io/upstream/upstream_check.h"
 #include "io/upstream/upstream_conn.h"
 
 #define OUTBOX_RETRY_US 1000
@@ -18,6 +19,7 @@
 free_transfer(struct transfer *t)
 {
 	HASH_DEL(t->upstream->transfers, t);
+	ir_upstream_check_remove(t);
 	if (t->conn != NULL)
 		ir_upstream_conn_close(t->conn);
 	ir_upstream_memory_release(&t->memory, t->memory.reserved_bytes);
@@ -52,6 +54,8 @@
 static enum ir_run_end
 end_of_failed(const struct transfer *t)
 {
+	if (t->upstream_ended)
+		return IR_RUN_UPSTREAM_ENDED;
 	if (t->send_started)
 		return IR_RUN_BROKEN;
 	return t->memory.reserve_failed ? IR_RUN_NO_ROOM : IR_RUN_NOT_CONNECTED;
@@ -66,8 +70,7 @@
 
 	if (reason != NULL)
 		r->end = end_of_failed(t);
-	if (r->end == IR_RUN_BROKEN || r->end == IR_RUN_NOT_CONNECTED ||
-	    r->end == IR_RUN_NO_ROOM)
+	if (r->end != IR_RUN_ANSWERED && r->end != IR_RUN_SHED)
 		discard_answer(t, reason);
 	t->answer.message = NULL;
 	m->id = t->id;
@@ -189,6 +192,7 @@
 	}
 	while (u->idle_conns != NULL)
 		ir_upstream_conn_close(u->idle_conns);
+	ir_upstream_check_stop(u);
 	ir_outbox_clear(&u->outbox);
 	return 0;
 }
@@ -202,6 +206,7 @@
 
 	if (u == NULL)
 		return NULL;
+	u->check_fd = -1;
 	talloc_set_destructor(u, free_upstream);
 	u->channel = channel;
 	u->memory = memory;
--- a/src/io/upstream/upstream_conn.c
+++ b/src/io/upstream/upstream_conn.c
@@ -14,6 +14,7 @@
 #include "io/clock.h"
 #include "io/listen.h"
 #include "io/receive_buffer.h"
+#include "io/upstream/upstream_check.h"
 #include "io/upstream/upstream_conn.h"
 
 #define READ_BYTES 16384
@@ -87,6 +88,19 @@
 		ir_upstream_finish(t, reason);
 }
 
+/* The upstream closed or reset the connection, or it could not be read. */
+static void
+break_conn(struct upstream_conn *c, const char *reason)
+{
+	struct transfer *t = c->transfer;
+
+	ir_upstream_conn_close(c);
+	if (t != NULL && t->send_started)
+		ir_upstream_check_finish(t, reason);
+	else if (t != NULL)
+		ir_upstream_finish(t, reason);
+}
+
 /* Sets max_idle_us from the "timeout=N" of a Keep-Alive header, in seconds. */
 static void
 parse_keep_alive(struct upstream_conn *c, const char *value)
@@ -285,7 +299,7 @@
 			return;
 		}
 	}
-	fail_conn(c, "closed");
+	break_conn(c, "closed");
 }
 
 /*
@@ -365,7 +379,7 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return true;
 	if (n < 0) {
-		fail_conn(c, strerror(errno));
+		break_conn(c, strerrorname_np(errno));
 		return false;
 	}
 	if (n == 0) {
@@ -386,7 +400,7 @@
 fail_after_send_error(struct upstream_conn *c, const char *reason)
 {
 	if (read_some(c))
-		fail_conn(c, reason);
+		break_conn(c, reason);
 }
 
 static void
@@ -417,7 +431,7 @@
 			return true;
 		}
 		if (n < 0) {
-			fail_after_send_error(c, strerror(errno));
+			fail_after_send_error(c, strerrorname_np(errno));
 			return false;
 		}
 		c->transfer->send_started = true;
--- a/src/io/upstream/upstream_conn.h
+++ b/src/io/upstream/upstream_conn.h
@@ -27,6 +27,12 @@
 	bool send_started; /* bytes of the request were given to a socket */
 	struct ir_upstream_memory memory;
 	struct ir_upstream_answer answer;
+	/* Its connection broke; see upstream_check.h. */
+	bool checked;
+	bool upstream_ended;
+	const char *check_reason;
+	struct transfer *checked_prev;
+	struct transfer *checked_next;
 	UT_hash_handle hh;
 };
 
@@ -70,7 +76,11 @@
 	struct upstream_conn *busy_conns;
 	struct transfer *transfers;	  /* hashed by id */
 	struct transfer *exempt_transfer; /* from the memory bound; or NULL */
-	uint32_t paused_count;		  /* connections with read_paused */
+	struct transfer *checked;	  /* wait for the check */
+	int check_fd;			  /* -1: no check is going on */
+	struct tevent_fd *check_event;
+	struct tevent_timer *check_timer;
+	uint32_t paused_count; /* connections with read_paused */
 	bool sweep_scheduled;
 	bool stopping;
 };
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -225,6 +225,13 @@
 	"What the local upstream says of itself has changed.",
 	"limited: look at the upstream's own log for what it lacks. leaving: "
 	"nothing if its stop is planned."},
+    {IR_EVENT_RUN_CRASHED,
+	"id; attempt; method, path, account: of the request; ms: since the run "
+	"was started",
+	"The local upstream ended during this run, and accepts no connections. "
+	"One of the runs with this event at that time may have ended it.",
+	"Look at the upstream's own log. The same method, path and account at "
+	"several ends name the request that causes them."},
     {IR_EVENT_BUCKET_HANDED,
 	"account: its name; bucket: its number; to: the host",
 	"A token bucket of an account was handed over to another host.",
--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -58,7 +58,8 @@
 
 /*
  * What the server sends for each request of a connection, in order. It closes
- * the connection at the end of the list (NULL), or resets it at "!".
+ * the connection at the end of the list (NULL), or resets it at "!". At "end"
+ * it also stops listening.
  */
 struct script {
 	const char *answers[4];
@@ -119,6 +120,11 @@
 			reset_on_close(fd);
 			return;
 		}
+		if (strcmp(a, "end") == 0) {
+			shutdown(f->listen_fd, SHUT_RDWR);
+			reset_on_close(fd);
+			return;
+		}
 		if (send(fd, a, strlen(a), MSG_NOSIGNAL) < 0)
 			return;
 		if (s->early && read(fd, f->request, 1) <= 0)
@@ -376,6 +382,15 @@
 }
 
 /* The orderly end of the connection ends the answer; a reset does not. */
+static void
+test_end_of_the_upstream_is_told_from_a_broken_connection(void **state)
+{
+	expect_run_end(*state, "!", IR_RUN_BROKEN);
+	expect_run_end(*state, "HTTP/1.1 200 OK\r\nContent-Le", IR_RUN_BROKEN);
+	expect_run_end(*state, "end", IR_RUN_UPSTREAM_ENDED);
+	expect_run_end(*state, "", IR_RUN_NOT_CONNECTED);
+}
+
 static void
 test_answer_without_length_ends_with_connection(void **state)
 {
@@ -505,6 +520,8 @@
 	    WITH_UPSTREAM(test_second_answer_closes_connection),
 	    WITH_UPSTREAM(test_answer_to_another_request_is_broken),
 	    WITH_UPSTREAM(test_incomplete_and_unsigned_answers_are_broken),
+	    WITH_UPSTREAM(
+		test_end_of_the_upstream_is_told_from_a_broken_connection),
 	    WITH_UPSTREAM(test_answer_without_length_ends_with_connection),
 	    WITH_UPSTREAM(test_only_not_run_answers_are_shed),
 	    WITH_UPSTREAM(
