--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -110,6 +110,8 @@
 	int64_t at_us;
 };
 
+/* How long an upstream that ended takes to start again. */
+#define FLEET_UPSTREAM_RESTART_US (3 * IR_US_PER_S)
 #define FLEET_REWRITE_PAUSE_US (2 * IR_US_PER_S)
 
 struct fleet_node {
@@ -126,10 +128,12 @@
 	uint64_t incarnation;
 	enum fleet_upstream_mode upstream_mode;
 	int64_t run_duration_us;
-	uint32_t slots;		 /* in the host list; 0: none */
-	const char *upstream_id; /* in the host list; NULL: none */
-	const char *rate_limit;	 /* named in each answer; NULL: none */
-	bool says_leaving;	 /* in each answer */
+	uint32_t slots;			/* in the host list; 0: none */
+	const char *upstream_id;	/* in the host list; NULL: none */
+	int64_t upstream_down_until_us; /* it ended, and is started again */
+	int crashes;			/* ends of its upstream */
+	const char *rate_limit;		/* named in each answer; NULL: none */
+	bool says_leaving;		/* in each answer */
 	/* When its answers first named a limit, said that it leaves. */
 	int64_t first_limit_us;
 	int64_t first_leaving_us;
@@ -261,7 +265,12 @@
 	bool first_attempt;
 	uint32_t deadline_ms;
 	int repeat_of; /* call number plus one; 0: not a repeat */
+	/* Last part of the path, the same for many calls; NULL: the marker. */
+	const char *path_end;
 };
+
+/* The path_end of a request that ends each upstream that begins to run it. */
+extern const char fleet_deadly[];
 /* Returns the call's number; -1 if the node is dead or calls are used up. */
 int fleet_call(struct fleet *f, int node, const struct fleet_request *r);
 /* The caller leaves; does nothing once the call is answered. */
--- a/test/support/fleet_calls.c
+++ b/test/support/fleet_calls.c
@@ -8,6 +8,8 @@
 #include "core/unconst.h"
 #include "support/fleet_priv.h"
 
+const char fleet_deadly[] = "deadly";
+
 struct fleet_call *
 fleet_find_call(struct fleet *f, const char *marker)
 {
@@ -175,17 +177,55 @@
 	fleet_schedule(f, ev);
 }
 
+static void
+schedule_unrun_end(struct fleet *f, int node, uint64_t run, enum ir_run_end end)
+{
+	struct fleet_event *ev =
+	    fleet_event(f, EVENT_RUN_ENDED, node, f->now_us + f->delay_us);
+
+	ev->run = run;
+	ev->result.end = end;
+	fleet_schedule(f, ev);
+}
+
+/* The upstream ends, and with it all its runs. */
+static void
+crash_upstream(struct fleet *f, int node, uint64_t run)
+{
+	struct fleet_node *n = &f->nodes[node];
+	struct fleet_event *ev, *tmp;
+
+	n->crashes++;
+	n->upstream_down_until_us = f->now_us + FLEET_UPSTREAM_RESTART_US;
+	DL_FOREACH_SAFE (f->events, ev, tmp) {
+		if (ev->kind != EVENT_RUN_ENDED || ev->node != node)
+			continue;
+		schedule_unrun_end(f, node, ev->run, IR_RUN_UPSTREAM_ENDED);
+		DL_DELETE(f->events, ev);
+		talloc_free(ev);
+	}
+	schedule_unrun_end(f, node, run, IR_RUN_UPSTREAM_ENDED);
+}
+
+/* The call that a run is of: its marker ends the path or is its attempt id. */
+static struct fleet_call *
+find_call_of_run(struct fleet *f, const struct ir_run *r)
+{
+	const char *end = strrchr(r->path, '/');
+
+	if (r->caller_attempt != NULL && r->caller_attempt[0] != '\0')
+		return fleet_find_call(f, r->caller_attempt);
+	return end != NULL ? fleet_find_call(f, end + 1) : NULL;
+}
+
 static void
 op_run(void *ctx, const struct ir_run *r)
 {
 	struct fleet_node *n = ctx;
 	struct fleet *f = n->fleet;
 	int node = (int)(n - f->nodes);
-	const char *marker = strrchr(r->path, '/');
-	struct fleet_call *c;
+	struct fleet_call *c = find_call_of_run(f, r);
 	struct fleet_event *ev;
-
-	c = marker != NULL ? fleet_find_call(f, marker + 1) : NULL;
 	if (c == NULL) {
 		fleet_fail(f, "run with unexpected path %s", r->path);
 		return;
@@ -193,6 +233,10 @@
 	fleet_report_step(f, STEP_RUN_STARTED, node, -1, 0);
 	if (!n->alive)
 		return;
+	if (f->now_us < n->upstream_down_until_us) {
+		schedule_unrun_end(f, node, r->id, IR_RUN_NOT_CONNECTED);
+		return;
+	}
 	c->upstream_attempts++;
 	if (f->run_count < FLEET_MAX_ATTEMPTS)
 		f->runs[f->run_count++] = (struct fleet_run){.node = node,
@@ -201,14 +245,14 @@
 		    .at_us = f->now_us};
 	record_run_start(f, node, r->attempt);
 	if (n->upstream_mode == UPSTREAM_SHEDS) {
-		ev = fleet_event(
-		    f, EVENT_RUN_ENDED, node, f->now_us + f->delay_us);
-		ev->run = r->id;
-		ev->result.end = IR_RUN_SHED;
-		fleet_schedule(f, ev);
+		schedule_unrun_end(f, node, r->id, IR_RUN_SHED);
 		return;
 	}
 	check_run(f, node, r, c);
+	if (strstr(r->path, fleet_deadly) != NULL) {
+		crash_upstream(f, node, r->id);
+		return;
+	}
 	if (n->callee_service == NULL || c->egress)
 		schedule_run_end(f, node, r->id, c->marker, 200);
 	if (n->callee_service != NULL && !c->egress) {
@@ -382,7 +426,9 @@
 	fleet_report_step(f, STEP_CALL_RECEIVED, node, -1, 0);
 	if (!f->nodes[node].alive)
 		return f->call_count - 1;
-	(void)snprintf(path, sizeof(path), "/%s/%s", r->route, c->marker);
+	(void)snprintf(path, sizeof(path), "/%s/%s", r->route,
+	    r->path_end != NULL ? r->path_end : c->marker);
+	in.caller_attempt = r->path_end != NULL ? c->marker : NULL;
 	in.id = c->id;
 	in.service = r->service;
 	in.method = write ? "POST" : "GET";
--- a/test/support/matrix_fault.c
+++ b/test/support/matrix_fault.c
@@ -284,7 +284,7 @@
 cross_answers(struct matrix *m)
 {
 	static const struct fleet_request r = {
-	    "s", "write", true, NULL, false, 0, 0};
+	    "s", "write", true, NULL, false, 0, 0, NULL};
 
 	for (int i = 0; i < m->f->node_count; i++)
 		m->f->nodes[i].run_duration_us = IR_US_PER_MS;
@@ -296,7 +296,7 @@
 send_surge(struct matrix *m)
 {
 	static const char *const routes[] = {"open", "read", "write"};
-	struct fleet_request r = {"t", NULL, true, NULL, false, 0, 0};
+	struct fleet_request r = {"t", NULL, true, NULL, false, 0, 0, NULL};
 
 	m->surge_first = m->f->call_count;
 	for (int i = 0; i < 3 * SURGE_CALLS; i++) {
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -52,11 +52,11 @@
 }
 
 static const struct fleet_request read_request = {
-    "s", "read", true, NULL, false, 0, 0};
+    "s", "read", true, NULL, false, 0, 0, NULL};
 static const struct fleet_request write_request = {
-    "s", "write", true, NULL, false, 0, 0};
+    "s", "write", true, NULL, false, 0, 0, NULL};
 static const struct fleet_request leaf_request = {
-    "t", "read", true, NULL, false, 0, 0};
+    "t", "read", true, NULL, false, 0, 0, NULL};
 
 static enum ir_error
 call_and_wait(struct fleet *f, int node, const struct fleet_request *r)
--- a/test/test_matrix.c
+++ b/test/test_matrix.c
@@ -101,7 +101,7 @@
 static struct fleet_request
 request_for_route(int route)
 {
-	struct fleet_request r = {"s", "write", true, NULL, false, 0, 0};
+	struct fleet_request r = {"s", "write", true, NULL, false, 0, 0, NULL};
 
 	if (route == 2)
 		r.route = "read";
@@ -120,7 +120,7 @@
 	struct fleet *f = run->m.f;
 	uint32_t n = run->traffic_count++;
 	struct fleet_request r = {n % 2 == 0 ? "s" : "t", routes[n % 3],
-	    n % 4 != 3, NULL, false, 0, 0};
+	    n % 4 != 3, NULL, false, 0, 0, NULL};
 
 	run->next_traffic_us = f->now_us + TRAFFIC_US;
 	(void)fleet_call(f, 1 + (int)(n % 6), &r);
--- a/test/test_send_room.c
+++ b/test/test_send_room.c
@@ -16,9 +16,9 @@
 #define NO_ROOM_US (300 * IR_US_PER_MS)
 
 static const struct fleet_request write_request = {
-    "t", "write", true, NULL, false, 0, 0};
+    "t", "write", true, NULL, false, 0, 0, NULL};
 static const struct fleet_request open_request = {
-    "t", "open", false, NULL, false, 0, 0};
+    "t", "open", false, NULL, false, 0, 0, NULL};
 
 /* Host 0 has no upstream of service t; gates are the hosts after it. */
 static struct fleet *
--- a/test/test_upstream_leaving.c
+++ b/test/test_upstream_leaving.c
@@ -18,7 +18,7 @@
 #define RUN_US (30 * IR_US_PER_MS)
 
 static const struct fleet_request request = {
-    "s", "read", true, NULL, false, 0, 0};
+    "s", "read", true, NULL, false, 0, 0, NULL};
 
 /* Four upstreams of s and four other hosts, all in one zone. */
 static struct fleet *
--- a/test/test_upstream_limit.c
+++ b/test/test_upstream_limit.c
@@ -22,7 +22,7 @@
 #define RUN_US (30 * IR_US_PER_MS)
 
 static const struct fleet_request request = {
-    "s", "read", true, NULL, false, 0, 0};
+    "s", "read", true, NULL, false, 0, 0, NULL};
 
 /* Four upstreams of s, each in a zone of its own, and four other hosts. */
 static struct fleet *
