Gate: an upstream that ended is tried five times a second, attempts go elsewhere

A gate that saw its upstream end now starts a run each 200 ms until one is answered, reports itself as full meanwhile, and passes attempts on as not seen by an upstream. An upstream that answers 421 while another was listed is not yet the one that is expected.

test_others_go_on_while_upstreams_are_down: 60 requests that no upstream ran were not served before, 0 after. Tried and not kept: refusing a request after two ends (in the same simulation at 300 calls a second, runs of 200 ms: 3 ends and 15 ordinary requests refused with either).

--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -163,7 +163,9 @@
 struct local_upstream {
 	char id[IR_MAX_NAME + 1]; /* as listed last, or "" */
 	int64_t since_us;	  /* when it was first listed */
-	bool answered;		  /* since then, to this process */
+	bool ended;		  /* and has not answered since */
+	int64_t ended_us;
+	bool answered; /* since then, to this process */
 	struct ir_upstream_status status;
 	uint64_t crash_count; /* its ends, since this process started */
 	int64_t crashed_us;   /* last time */
@@ -434,8 +436,11 @@
 void serve_start_runs(struct ir_node *n, int64_t now);
 
 /* local_upstream.c */
-/* Follows what a complete answer, also one that refuses the run, says. */
-void local_upstream_answered(struct ir_node *n, int64_t now,
+/*
+ * Follows whether the upstream runs, and what a complete answer of it, also one
+ * that refuses the run, says.
+ */
+void local_upstream_run_ended(struct ir_node *n, int64_t now,
     const struct ir_record *r, const struct ir_run_result *res);
 /*
  * UPSTREAM_NOTICE: a peer was told this by an earlier process of this host. It
--- a/src/core/local_upstream.c
+++ b/src/core/local_upstream.c
@@ -4,15 +4,56 @@
 
 #include "core/internal.h"
 
+#define HTTP_MISDIRECTED 421
+/* Runs that try whether an upstream that ended accepts connections again. */
+#define TRIAL_RATE_MT_PER_S 5000
+
 static void
 apply_to_gate(struct ir_node *n, int64_t now)
 {
 	const struct ir_statement *s = &n->upstream.status.said;
+	uint64_t rate = s->limited ? s->rate_mt_per_s : UINT64_MAX;
 
-	if (s->limited)
-		ir_gate_set_rate_cap(n->gate, now, s->rate_mt_per_s);
-	else
+	if (n->upstream.ended && rate > TRIAL_RATE_MT_PER_S)
+		rate = TRIAL_RATE_MT_PER_S;
+	if (rate == UINT64_MAX)
 		ir_gate_clear_rate_cap(n->gate);
+	else
+		ir_gate_set_rate_cap(n->gate, now, rate);
+}
+
+static void
+set_ended(struct ir_node *n, int64_t now, bool ended)
+{
+	if (n->upstream.ended == ended)
+		return;
+	n->upstream.ended = ended;
+	apply_to_gate(n, now);
+}
+
+/* Follows whether the upstream has ended, or has started again. */
+static void
+follow_end(struct ir_node *n, int64_t now, const struct ir_record *r,
+    const struct ir_run_result *res)
+{
+	switch (res->end) {
+	case IR_RUN_UPSTREAM_ENDED:
+		n->upstream.ended_us = now;
+		set_ended(n, now, true);
+		break;
+	case IR_RUN_SHED:
+		/* Of another upstream: the list does not show it yet. */
+		if (res->status == HTTP_MISDIRECTED)
+			break;
+		/* FALLTHROUGH */
+	case IR_RUN_ANSWERED:
+	case IR_RUN_BROKEN:
+		if (r->work.started_us > n->upstream.ended_us)
+			set_ended(n, now, false);
+		break;
+	default:
+		break;
+	}
 }
 
 static void
@@ -26,11 +67,12 @@
 }
 
 void
-local_upstream_answered(struct ir_node *n, int64_t now,
+local_upstream_run_ended(struct ir_node *n, int64_t now,
     const struct ir_record *r, const struct ir_run_result *res)
 {
 	struct ir_statement s;
 
+	follow_end(n, now, r, res);
 	if (res->end != IR_RUN_ANSWERED && res->end != IR_RUN_SHED)
 		return;
 	/* A run that started earlier may have been another upstream's. */
@@ -57,6 +99,7 @@
 	(void)snprintf(u->id, sizeof(u->id), "%s", self->upstream_id);
 	u->since_us = now;
 	u->answered = false;
+	u->ended = false;
 	memset(&u->status, 0, sizeof(u->status));
 	apply_to_gate(n, now);
 }
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -144,14 +144,17 @@
 }
 
 static enum ir_error
-error_of_run(const struct ir_run_result *res)
+error_of_run(const struct ir_node *n, const struct ir_run_result *res)
 {
 	switch (res->end) {
 	case IR_RUN_ANSWERED:
 		return IR_OK;
-	case IR_RUN_SHED:
 	case IR_RUN_NOT_CONNECTED:
-		return IR_E_UPSTREAM_SHED;
+		/* No upstream has seen the attempt: it may be sent on freely.
+		 */
+		return n->upstream.ended ? IR_E_STOPPING : IR_E_UPSTREAM_SHED;
+	case IR_RUN_SHED:
+		return n->upstream.ended ? IR_E_WRONG_GATE : IR_E_UPSTREAM_SHED;
 	case IR_RUN_NO_ROOM:
 		return IR_E_OVERLOAD;
 	default:
@@ -205,7 +208,7 @@
     const struct ir_run_result *res)
 {
 	struct ir_record *r = ir_records_by_run(n->records, run);
-	enum ir_error e = error_of_run(res);
+	enum ir_error e = error_of_run(n, res);
 
 	n->now_us = now;
 	if (r == NULL)
@@ -219,7 +222,7 @@
 	if (res->end == IR_RUN_UPSTREAM_ENDED)
 		log_crashed(n, now, r);
 	suspects_run_ended(n, now, r, res->end);
-	local_upstream_answered(n, now, r, res);
+	local_upstream_run_ended(n, now, r, res);
 	r->wasted = sample_of_run(r, res) == IR_SAMPLE_CALLEE_REFUSED;
 	ir_throttle_run_ended(n->callee_throttle, now, r->route_hash, r->wasted,
 	    now - r->work.started_us);
--- a/test/test_upstream_crash.c
+++ b/test/test_upstream_crash.c
@@ -169,6 +169,35 @@
 	end_fleet(f);
 }
 
+/* Ordinary requests that were not served, though no upstream ran them. */
+static int
+count_not_run(const struct fleet *f, int from_call)
+{
+	int count = 0;
+
+	for (int i = from_call; i < f->call_count; i++) {
+		const struct fleet_call *c = &f->calls[i];
+
+		count += c->runs == 0 && c->answer.error != IR_OK &&
+			 c->answer.error != IR_E_CRASHES_UPSTREAM;
+	}
+	return count;
+}
+
+static void
+test_others_go_on_while_upstreams_are_down(void **state)
+{
+	struct fleet *f = make_fleet(6);
+	int first = f->call_count;
+
+	press_until_settled(f, &ordinary, &deadly_read);
+	press(f, 4 * IR_US_PER_S, &ordinary, &deadly_read);
+	fleet_run(f, IR_US_PER_S);
+	assert_in_range(count_crashes(f), ENDS_BEFORE, UPSTREAMS - 1);
+	assert_int_equal(count_not_run(f, first), 0);
+	end_fleet(f);
+}
+
 static void
 cut_regions(struct fleet *f, bool cut)
 {
@@ -220,6 +249,7 @@
 		test_deadly_request_stays_stopped_after_restarts_of_all_gates),
 	    cmocka_unit_test(
 		test_deadly_request_is_stopped_in_a_cut_between_regions),
+	    cmocka_unit_test(test_others_go_on_while_upstreams_are_down),
 	    cmocka_unit_test(
 		test_popular_request_beside_a_deadly_one_is_served),
 	};
