--- a/src/upstream/suspects.c
+++ b/src/upstream/suspects.c
@@ -236,7 +236,7 @@
 {
 	struct entry *e, *tmp;
 
-	DL_FOREACH_SAFE (t->by_change, e, tmp) {
+	HASH_ITER (hh, t->entries, e, tmp) {
 		if (now - e->crashed_us >= KEEP_US)
 			free_entry(t, e);
 	}
