Gate: one request waits for a limited upstream's next run, others go elsewhere

The gate now queues what starts within its usual 100 ms, at least one request.

Where all are limited the rest is refused at once, as not run.

--- a/src/upstream/gate.c
+++ b/src/upstream/gate.c
@@ -14,8 +14,6 @@
  * at least as many requests as may run, and QUEUE_PER_FLOW for each flow in it.
  */
 #define QUEUE_WAIT_US (100 * IR_US_PER_MS)
-/* The same where the upstream names a rate limit: callers have other hosts. */
-#define CAPPED_QUEUE_WAIT_US (500 * IR_US_PER_MS)
 #define MIN_QUEUE 8
 #define MAX_QUEUE 1024
 #define MAX_QUEUE_PLAIN 100000
@@ -164,7 +162,7 @@
 	       (now < w->deadline_us && below_probe_limit(g));
 }
 
-/* Number of runs that the rate cap lets start within CAPPED_QUEUE_WAIT_US. */
+/* Number of runs, at least 1, that the rate cap lets start in QUEUE_WAIT_US. */
 static uint32_t
 capped_queue_bound(const struct ir_gate *g)
 {
@@ -172,7 +170,7 @@
 
 	if (g->rate_cap.interval_us == 0)
 		return MAX_QUEUE;
-	n = CAPPED_QUEUE_WAIT_US / g->rate_cap.interval_us;
+	n = QUEUE_WAIT_US / g->rate_cap.interval_us;
 	if (n < 1)
 		return 1;
 	return n < MAX_QUEUE ? (uint32_t)n : MAX_QUEUE;
--- a/test/test_gate.c
+++ b/test/test_gate.c
@@ -574,6 +574,43 @@
 }
 
 /* Random operations, checked in the callbacks and after each step. */
+static bool
+looks_full(const struct fixture *f)
+{
+	struct ir_load l = ir_gate_load(f->gate, f->now, "");
+
+	return l.running + l.queued >= l.limit;
+}
+
+static void
+test_gate_of_a_limited_upstream_keeps_one_request_waiting(void **state)
+{
+	struct fixture *f = *state;
+	struct item *first, *second, *important;
+
+	ir_gate_set_reported_slots(f->gate, 36);
+	ir_gate_set_rate_cap(f->gate, f->now, 4000);
+	assert_true(looks_full(f));
+	first = offer(f, 0);
+	assert_int_equal(first->phase, QUEUED);
+	second = offer(f, 0);
+	assert_int_equal(
+	    (first->phase == REFUSED) + (second->phase == REFUSED), 1);
+	important = offer(f, ir_priority(3, false, 0));
+	assert_int_equal(important->phase, QUEUED);
+	assert_int_equal(second->phase, REFUSED);
+	assert_int_equal(first->phase, REFUSED);
+	f->now += 250 * MS;
+	ir_gate_tick(f->gate, f->now);
+	assert_int_equal(important->phase, RUNNING);
+	assert_true(looks_full(f));
+	f->now += 250 * MS;
+	assert_false(looks_full(f));
+	ir_gate_clear_rate_cap(f->gate);
+	assert_int_equal(offer(f, 0)->phase, RUNNING);
+	assert_int_equal(offer(f, 0)->phase, RUNNING);
+}
+
 static void
 test_random_against_oracle(void **state)
 {
@@ -645,6 +682,8 @@
 	    GATE_TEST(test_retry_after_spreads_and_grows),
 	    GATE_TEST(test_plain_policy_queues_everything),
 	    GATE_TEST(test_weighted_shares_under_overload),
+	    GATE_TEST(
+		test_gate_of_a_limited_upstream_keeps_one_request_waiting),
 	    GATE_TEST(test_random_against_oracle),
 	};
 
