--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -263,6 +263,8 @@
 	/* As named by the upstream, in thousandths; -1: none. */
 	int64_t upstream_rate_limit_mt_per_s;
 	int64_t upstream_leaving; /* 1: it says so */
+	int64_t upstream_ended;	  /* 1: and has not answered since */
+	int64_t suspects;	  /* requests during which upstreams ended */
 	int64_t hosts;		  /* in the host list */
 	int64_t config_revision;
 	int64_t list_revision;
--- a/src/core/dump.c
+++ b/src/core/dump.c
@@ -61,6 +61,12 @@
 	add_int(o, "shed_level", l.shed_level);
 	add_int(o, "service_time_us", l.service_time_us);
 	add_bool(o, "leaving", l.leaving);
+	add_bool(o, "upstream_limited", n->upstream.status.said.limited);
+	add_int(o, "upstream_rate_mt_per_s",
+	    (int64_t)n->upstream.status.said.rate_mt_per_s);
+	add_bool(o, "upstream_leaving", local_upstream_is_leaving(n, now));
+	add_bool(o, "upstream_ended", n->upstream.ended);
+	add_int(o, "suspects", (int64_t)ir_suspects_count(n->suspects));
 	add_int(o, "records", (int64_t)ir_records_count(n->records));
 	add_int(o, "records_open", (int64_t)ir_records_open_count(n->records));
 	return o;
@@ -179,6 +185,8 @@
 		? (int64_t)n->upstream.status.said.rate_mt_per_s
 		: -1;
 	out->upstream_leaving = n->upstream.status.said.leaving;
+	out->upstream_ended = n->upstream.ended;
+	out->suspects = (int64_t)ir_suspects_count(n->suspects);
 	out->records = (int64_t)ir_records_count(n->records);
 	out->hosts = (int64_t)node_view(n)->host_count;
 	out->config_revision = (int64_t)ir_position_revision(config);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -189,6 +189,7 @@
 	struct ir_records *records;
 	struct local_upstream upstream;
 	struct ir_suspects *suspects;
+	int64_t suspects_expired_us;
 	uint64_t random_state;
 	uint64_t next_attempt_sequence;
 	uint64_t next_run_id;
--- a/src/core/suspect_reports.c
+++ b/src/core/suspect_reports.c
@@ -10,8 +10,8 @@
 
 /* Runs that break within this time are of the same end of the upstream. */
 #define SAME_CRASH_US (300 * IR_US_PER_MS)
-/* Entries of one report. */
-#define REPORT_ENTRIES 64
+#define REPORT_ENTRIES IR_MAX_SUSPECTS
+#define EXPIRE_PERIOD_US IR_US_PER_S
 /*
  * Hosts that a host tells: those after it by name. They tell the next, so that
  * a service of any size is reached.
@@ -113,9 +113,12 @@
 	    ir_view_service(node_view(n), n->settings.service);
 	size_t told = 0, first;
 
-	ir_suspects_expire(n->suspects, now);
 	if (s == NULL || ir_suspects_is_empty(n->suspects))
 		return;
+	if (now - n->suspects_expired_us >= EXPIRE_PERIOD_US) {
+		n->suspects_expired_us = now;
+		ir_suspects_expire(n->suspects, now);
+	}
 	first = position_of_self(n, s);
 	for (size_t i = 0; i < s->host_count && told < MAX_TOLD_HOSTS; i++) {
 		const struct ir_host *h = s->hosts[(first + i) % s->host_count];
--- a/test/test_upstream_crash.c
+++ b/test/test_upstream_crash.c
@@ -159,10 +159,10 @@
 
 	press_until_settled(f, &ordinary, &deadly_read);
 	settled = count_crashes(f);
-	for (int i = 0; i < UPSTREAMS; i++) {
-		fleet_kill(f, i);
+	for (int i = 0; i < 2 * UPSTREAMS; i++) {
+		fleet_kill(f, i % UPSTREAMS);
 		press(f, 200 * IR_US_PER_MS, &ordinary, &deadly_read);
-		fleet_start(f, i);
+		fleet_start(f, i % UPSTREAMS);
 		press(f, 4 * IR_US_PER_S, &ordinary, &deadly_read);
 	}
 	assert_true(count_crashes(f) - settled <= ALLOWED_RUNS);
@@ -224,14 +224,29 @@
 	talloc_free(f);
 }
 
+/* Each upstream runs the popular request when the deadly one ends one. */
+static void
+crash_beside_popular(struct fleet *f)
+{
+	for (int i = 0; i < 8 * UPSTREAMS; i++)
+		(void)fleet_call(f, UPSTREAMS + i % ENTRIES, &popular);
+	fleet_run(f, 2 * CALL_PERIOD_US);
+	(void)fleet_call(f, UPSTREAMS, &deadly_read);
+	fleet_run(f, IR_US_PER_S);
+	press(f, SETTLE_US, &popular, NULL);
+}
+
 static void
 test_popular_request_beside_a_deadly_one_is_served(void **state)
 {
 	struct fleet *f = make_fleet(5);
 	int first;
 
-	press_until_settled(f, &popular, &deadly_read);
-	press(f, 4 * IR_US_PER_S, &popular, &deadly_read);
+	for (int i = 0; i < UPSTREAMS; i++)
+		f->nodes[i].run_duration_us = 10 * RUN_US;
+	for (int i = 0; i < ENDS_BEFORE; i++)
+		crash_beside_popular(f);
+	assert_true(has_crashed(f, NULL));
 	first = f->call_count;
 	press(f, 4 * IR_US_PER_S, &popular, NULL);
 	fleet_run(f, IR_US_PER_S);
