Tests: the three programs of upstreams' state share their steps

Start, steady calls, count of what failed and the end stood in each of them; support/fleet_press has them.

--- a/test/test_upstream_crash.c
+++ b/test/test_upstream_crash.c
@@ -6,7 +6,7 @@
 #include <cmocka.h>
 
 #include "core/internal.h"
-#include "support/fleet.h"
+#include "support/fleet_press.h"
 
 /*
  * The bound of the users' rule: runs of the request later than SETTLE_US after
@@ -47,24 +47,10 @@
 		f->nodes[n].slots = 36;
 		fleet_publish_host(f, n, "live");
 	}
-	fleet_publish_defaults(f);
-	for (int i = 0; i < f->node_count; i++)
-		fleet_start(f, i);
-	assert_true(fleet_wait_ready(f));
-	fleet_run(f, 6 * IR_US_PER_S);
+	fleet_start_all(f);
 	return f;
 }
 
-static void
-end_fleet(struct fleet *f)
-{
-	fleet_run(f, IR_US_PER_S);
-	fleet_check_end(f);
-	if (f->failure != NULL)
-		fail_msg("%s", f->failure);
-	talloc_free(f);
-}
-
 /* Calls at the entries in turn; each CALLS_PER_DEADLY-th one is the deadly. */
 static void
 press(struct fleet *f, int64_t for_us, const struct fleet_request *often,
@@ -99,17 +85,6 @@
 	return count_crashes(f) >= ENDS_BEFORE;
 }
 
-static int
-count_failed(const struct fleet *f, int from_call)
-{
-	int failed = 0;
-
-	for (int i = from_call; i < f->call_count; i++)
-		failed +=
-		    !f->calls[i].abandoned && f->calls[i].answer.error != IR_OK;
-	return failed;
-}
-
 /* Presses until the third upstream has ended, and SETTLE_US more. */
 static void
 press_until_settled(struct fleet *f, const struct fleet_request *often,
@@ -135,8 +110,8 @@
 	first = f->call_count;
 	press(f, 2 * IR_US_PER_S, &ordinary, NULL);
 	fleet_run(f, IR_US_PER_S);
-	assert_int_equal(count_failed(f, first), 0);
-	end_fleet(f);
+	assert_int_equal(fleet_count_failed(f, first), 0);
+	fleet_finish(f);
 }
 
 static void
@@ -166,7 +141,7 @@
 		press(f, 4 * IR_US_PER_S, &ordinary, &deadly_read);
 	}
 	assert_true(count_crashes(f) - settled <= ALLOWED_RUNS);
-	end_fleet(f);
+	fleet_finish(f);
 }
 
 /* Ordinary requests that were not served, though no upstream ran them. */
@@ -195,7 +170,7 @@
 	fleet_run(f, IR_US_PER_S);
 	assert_in_range(count_crashes(f), ENDS_BEFORE, UPSTREAMS - 1);
 	assert_int_equal(count_not_run(f, first), 0);
-	end_fleet(f);
+	fleet_finish(f);
 }
 
 static void
@@ -250,8 +225,8 @@
 	first = f->call_count;
 	press(f, 4 * IR_US_PER_S, &popular, NULL);
 	fleet_run(f, IR_US_PER_S);
-	assert_int_equal(count_failed(f, first), 0);
-	end_fleet(f);
+	assert_int_equal(fleet_count_failed(f, first), 0);
+	fleet_finish(f);
 }
 
 int
--- a/test/test_upstream_leaving.c
+++ b/test/test_upstream_leaving.c
@@ -6,7 +6,7 @@
 #include <cmocka.h>
 
 #include "core/internal.h"
-#include "support/fleet.h"
+#include "support/fleet_press.h"
 
 /* The bound of the users' rule, from when a host passed on such an answer. */
 #define DRAIN_US (2 * IR_US_PER_S)
@@ -36,33 +36,14 @@
 	}
 	for (int i = 0; i < ENTRIES; i++)
 		(void)fleet_add_node(f, "t", "r1", "z1");
-	fleet_publish_defaults(f);
-	for (int i = 0; i < f->node_count; i++)
-		fleet_start(f, i);
-	assert_true(fleet_wait_ready(f));
-	fleet_run(f, 6 * IR_US_PER_S);
+	fleet_start_all(f);
 	return f;
 }
 
-static void
-end_fleet(struct fleet *f)
-{
-	fleet_run(f, IR_US_PER_S);
-	fleet_check_end(f);
-	if (f->failure != NULL)
-		fail_msg("%s", f->failure);
-	talloc_free(f);
-}
-
 static void
 press(struct fleet *f, int64_t for_us)
 {
-	int64_t end_us = f->now_us + for_us;
-
-	for (int i = 0; f->now_us < end_us; i++) {
-		(void)fleet_call(f, UPSTREAMS + i % ENTRIES, &request);
-		fleet_run(f, CALL_PERIOD_US);
-	}
+	fleet_press(f, UPSTREAMS, ENTRIES, CALL_PERIOD_US, for_us, &request);
 }
 
 /* When the entry first passed on an answer that says so; INT64_MAX: never. */
@@ -113,17 +94,6 @@
 	assert_true(told > 0);
 }
 
-static int
-count_failed(const struct fleet *f, int from_call)
-{
-	int failed = 0;
-
-	for (int i = from_call; i < f->call_count; i++)
-		failed +=
-		    !f->calls[i].abandoned && f->calls[i].answer.error != IR_OK;
-	return failed;
-}
-
 static void
 test_upstream_that_says_it_leaves_gets_no_work_and_others_go_on(void **state)
 {
@@ -136,8 +106,8 @@
 	press(f, 8 * IR_US_PER_S);
 	fleet_run(f, IR_US_PER_S);
 	assert_gets_no_work(f);
-	assert_int_equal(count_failed(f, first), 0);
-	end_fleet(f);
+	assert_int_equal(fleet_count_failed(f, first), 0);
+	fleet_finish(f);
 }
 
 static void
@@ -155,7 +125,7 @@
 		press(f, 3 * IR_US_PER_S);
 	}
 	assert_gets_no_work(f);
-	end_fleet(f);
+	fleet_finish(f);
 }
 
 static void
@@ -173,7 +143,7 @@
 	fleet_start(f, LEAVING);
 	press(f, 4 * IR_US_PER_S);
 	assert_gets_no_work(f);
-	end_fleet(f);
+	fleet_finish(f);
 }
 
 static void
@@ -194,7 +164,7 @@
 	for (int e = UPSTREAMS; e < UPSTREAMS + ENTRIES; e++)
 		runs += runs_after(f, e, since_us);
 	assert_true(runs > 20);
-	end_fleet(f);
+	fleet_finish(f);
 }
 
 int
--- a/test/test_upstream_limit.c
+++ b/test/test_upstream_limit.c
@@ -6,7 +6,7 @@
 #include <cmocka.h>
 
 #include "core/internal.h"
-#include "support/fleet.h"
+#include "support/fleet_press.h"
 
 /* The bound of the users' rule, from SETTLE_US after the limit was named. */
 #define SETTLE_US (3 * IR_US_PER_S)
@@ -41,45 +41,22 @@
 	}
 	for (int i = 0; i < ENTRIES; i++)
 		(void)fleet_add_node(f, "t", regions[i], zones[i]);
-	fleet_publish_defaults(f);
-	for (int i = 0; i < f->node_count; i++)
-		fleet_start(f, i);
-	assert_true(fleet_wait_ready(f));
-	fleet_run(f, 6 * IR_US_PER_S);
+	fleet_start_all(f);
 	return f;
 }
 
-static void
-end_fleet(struct fleet *f)
-{
-	fleet_check_end(f);
-	if (f->failure != NULL)
-		fail_msg("%s", f->failure);
-	talloc_free(f);
-}
-
 /* Calls at the entries in turn, where they are alive. */
 static void
 press(struct fleet *f, int64_t for_us)
 {
-	int64_t end_us = f->now_us + for_us;
-
-	for (int i = 0; f->now_us < end_us; i++) {
-		(void)fleet_call(f, UPSTREAMS + i % ENTRIES, &request);
-		fleet_run(f, CALL_PERIOD_US);
-	}
+	fleet_press(f, UPSTREAMS, ENTRIES, CALL_PERIOD_US, for_us, &request);
 }
 
 /* Calls at one entry, the one in the zone of the limited upstream. */
 static void
 press_near(struct fleet *f, int64_t for_us)
 {
-	int64_t end_us = f->now_us + for_us;
-
-	while (f->now_us < end_us) {
-		(void)fleet_call(f, UPSTREAMS, &request);
-		fleet_run(f, CALL_PERIOD_US);
-	}
+	fleet_press(f, UPSTREAMS, 1, CALL_PERIOD_US, for_us, &request);
 }
 
 /* Requests from other hosts that the node's upstream got in the window. */
@@ -114,17 +91,6 @@
 	}
 }
 
-static int
-count_failed(const struct fleet *f, int from_call)
-{
-	int failed = 0;
-
-	for (int i = from_call; i < f->call_count; i++)
-		failed +=
-		    !f->calls[i].abandoned && f->calls[i].answer.error != IR_OK;
-	return failed;
-}
-
 static void
 test_named_limit_binds_all_hosts_and_others_go_on(void **state)
 {
@@ -137,8 +103,8 @@
 	press(f, 12 * IR_US_PER_S);
 	fleet_run(f, IR_US_PER_S);
 	assert_limit_kept(f, LIMITED, 4.2);
-	assert_int_equal(count_failed(f, first), 0);
-	end_fleet(f);
+	assert_int_equal(fleet_count_failed(f, first), 0);
+	fleet_finish(f);
 }
 
 static void
@@ -157,7 +123,7 @@
 		press_near(f, 1100 * IR_US_PER_MS);
 	}
 	assert_limit_kept(f, LIMITED, 0.5);
-	end_fleet(f);
+	fleet_finish(f);
 }
 
 static void
@@ -191,7 +157,7 @@
 	lifted_us = f->now_us + 4 * IR_US_PER_S;
 	press(f, 8 * IR_US_PER_S);
 	assert_true(runs_in_window(f, LIMITED, lifted_us) > 20);
-	end_fleet(f);
+	fleet_finish(f);
 }
 
 static void
@@ -209,9 +175,9 @@
 	fleet_run(f, IR_US_PER_S);
 	for (int i = 0; i < UPSTREAMS; i++)
 		assert_limit_kept(f, i, 5);
-	served = f->call_count - first - count_failed(f, first);
+	served = f->call_count - first - fleet_count_failed(f, first);
 	assert_true(served >= 0.9 * UPSTREAMS * 5 * 10);
-	end_fleet(f);
+	fleet_finish(f);
 }
 
 int
