--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -26,6 +26,7 @@
 #include "io/upstream/upstream.h"
 #include "platform/platform.h"
 #include "support/core_side.h"
+#include "upstream/statement.h"
 
 #define RING_SLOTS 64
 #define CONNECTIONS 4
@@ -382,6 +383,39 @@
 }
 
 /* The orderly end of the connection ends the answer; a reset does not. */
+static struct ir_statement
+run_and_read_statement(struct fixture *f, const char *answer)
+{
+	struct script *s = talloc_zero(f, struct script);
+	struct ir_to_core *m;
+	struct ir_statement said;
+
+	s->answers[0] = answer;
+	use_script(f, s);
+	m = run_request(f, "1");
+	said = ir_statement_read(&platform_dialect.headers.statement,
+	    m->u.result.headers, m->u.result.header_count);
+	talloc_free(m);
+	return said;
+}
+
+static void
+test_answers_and_refusals_carry_what_the_upstream_says_of_itself(void **state)
+{
+	struct ir_statement s;
+
+	s = run_and_read_statement(*state,
+	    SIGNED_HEAD "Server-Limit: 4.2\r\nContent-Length: 0\r\n"
+			"Connection: close\r\n\r\n");
+	assert_true(s.limited && !s.leaving);
+	assert_int_equal(s.rate_mt_per_s, 4200);
+	s = run_and_read_statement(*state,
+	    "HTTP/1.1 503 Busy\r\nX-Ibisrail-Not-Executed: 1\r\n"
+	    "Server-Leaving: 1\r\nContent-Length: 0\r\n"
+	    "Connection: close\r\n\r\n");
+	assert_true(s.leaving && !s.limited);
+}
+
 static void
 test_end_of_the_upstream_is_told_from_a_broken_connection(void **state)
 {
@@ -520,6 +554,8 @@
 	    WITH_UPSTREAM(test_second_answer_closes_connection),
 	    WITH_UPSTREAM(test_answer_to_another_request_is_broken),
 	    WITH_UPSTREAM(test_incomplete_and_unsigned_answers_are_broken),
+	    WITH_UPSTREAM(
+		test_answers_and_refusals_carry_what_the_upstream_says_of_itself),
 	    WITH_UPSTREAM(
 		test_end_of_the_upstream_is_told_from_a_broken_connection),
 	    WITH_UPSTREAM(test_answer_without_length_ends_with_connection),
