Suspects: two ends refuse a request

It also leaves more room below the users' bound where one side of a cut, or another service of a split route, counts by itself.

--- a/src/upstream/suspects.h
+++ b/src/upstream/suspects.h
@@ -21,7 +21,7 @@
 #include "ibisrail/limits.h"
 #include "link/peer.h"
 
-#define IR_SUSPECT_CRASHES 3
+#define IR_SUSPECT_CRASHES 2
 #define IR_SUSPECT_REFUSED_US (600 * IR_US_PER_S)
 
 struct ir_suspects;
