View: cold upstreams, allowed regions and evacuated zones are published

Cause: nothing in the product knew the cold flag and cold rate of upstreams, the regions in which a route or an account may be served, or the zones that operators evacuate, so that no decision could follow them.

No decision uses them yet.

Ruled out: one section of evacuations in the group of the configuration, as its versions are generations and an older store copy is left out as a whole.

--- a/src/conf/collect.c
+++ b/src/conf/collect.c
@@ -285,7 +285,7 @@
 {
 	enum ir_section_kind kind = ir_section_kind_of(s->name);
 
-	return kind != IR_SECTION_UNKNOWN && kind != IR_SECTION_HOST;
+	return kind != IR_SECTION_UNKNOWN && !ir_section_is_of_host_list(kind);
 }
 
 static uint64_t
--- a/src/conf/publication.c
+++ b/src/conf/publication.c
@@ -112,12 +112,47 @@
 	a->key_digest_count = n;
 }
 
+/*
+ * An optional list of region names, as an array that ends with NULL. Returns
+ * NULL if it is absent or empty.
+ */
+static const char *const *
+read_regions(
+    struct ir_json_reader *in, struct json_object *obj, const char *path)
+{
+	struct json_object *list = NULL;
+	const char **regions;
+	size_t n;
+
+	if (ir_json_has(obj, "regions"))
+		list = ir_json_array(
+		    in, obj, path, "regions", IR_MAX_ALLOWED_REGIONS);
+	n = list == NULL ? 0 : json_object_array_length(list);
+	if (n == 0)
+		return NULL;
+	regions = talloc_zero_array(in->mem, const char *, n + 1);
+	for (size_t i = 0; i < n; i++) {
+		struct json_object *v = json_object_array_get_idx(list, i);
+		const char *s = "";
+
+		if (json_object_is_type(v, json_type_string))
+			s = json_object_get_string(v);
+		if (!ir_is_label(s))
+			ir_json_error(in,
+			    element_path(in->mem,
+				member_path(in->mem, path, "regions"), i),
+			    "must be the name of a region");
+		regions[i] = talloc_strdup(regions, s);
+	}
+	return regions;
+}
+
 static void
 read_account(struct ir_json_reader *in, struct json_object *obj,
     const char *path, struct ir_account *a)
 {
 	static const char *const known_keys[] = {"name", "rate_per_s", "burst",
-	    "weight", "importance", "key_digests", NULL};
+	    "weight", "importance", "key_digests", "regions", NULL};
 	double rate = 1, burst = 1;
 
 	if (!json_object_is_type(obj, json_type_object)) {
@@ -141,6 +176,7 @@
 	a->burst_mt = (uint64_t)llround(burst * MT_PER_TOKEN);
 	a->weight = (uint32_t)ir_json_int(in, obj, path, "weight", 1, 1000);
 	read_digests(in, obj, path, a);
+	a->allowed_regions = read_regions(in, obj, path);
 }
 
 /* Compares structs whose first member is their name or digest. */
@@ -387,7 +423,7 @@
 {
 	static const char *const known_keys[] = {"authority", "path",
 	    "importance", "deadline_ms", "target_ms", "idempotent", "open",
-	    "retries", "parts", NULL};
+	    "retries", "parts", "regions", NULL};
 
 	if (!json_object_is_type(obj, json_type_object)) {
 		ir_json_error(in, path, "must be an object");
@@ -411,6 +447,7 @@
 	r->open = ir_json_bool(in, obj, path, "open");
 	r->retries = (uint8_t)ir_json_int(in, obj, path, "retries", 0, 10);
 	read_route_services(in, obj, path, r);
+	r->allowed_regions = read_regions(in, obj, path);
 }
 
 static int
@@ -478,8 +515,8 @@
 ir_service_parse(struct ir_json_reader *in, const char *name, const char *text,
     size_t size_bytes)
 {
-	static const char *const known_keys[] = {
-	    "generation", "name", "slots", "routes", NULL};
+	static const char *const known_keys[] = {"generation", "name", "slots",
+	    "routes", "cold_rate_per_s", "check_path", NULL};
 	struct ir_service *s = talloc_zero(in->mem, struct ir_service);
 	struct json_object *top = ir_json_parse(in, text, size_bytes);
 
@@ -489,6 +526,14 @@
 	check_name(in, name, s->name);
 	if (ir_json_has(top, "slots"))
 		s->slots = (uint32_t)ir_json_int(in, top, "", "slots", 1, 4096);
+	if (ir_json_has(top, "cold_rate_per_s"))
+		s->cold_rate_mt_per_s = (uint64_t)llround(
+		    MT_PER_TOKEN * ir_json_number(in, top, "",
+				       "cold_rate_per_s", 0.001,
+				       IR_MAX_COLD_RATE_PER_S));
+	if (ir_json_has(top, "check_path"))
+		s->check_path = ir_json_string(
+		    in, top, "", "check_path", 1, IR_MAX_ROUTE_PATH_BYTES);
 	read_routes(in, top, s);
 	return finish_parse(in, top, s);
 }
@@ -518,7 +563,7 @@
 {
 	static const char *const known_keys[] = {"name", "service", "region",
 	    "zone", "address", "peer_port", "caller_port", "state", "slots",
-	    "upstream_id", NULL};
+	    "upstream_id", "cold", NULL};
 	struct ir_host *h = talloc_zero(in->mem, struct ir_host);
 	struct json_object *top = ir_json_parse(in, text, size_bytes);
 
@@ -540,6 +585,23 @@
 	if (ir_json_has(top, "upstream_id"))
 		h->upstream_id =
 		    ir_json_string(in, top, "", "upstream_id", 1, IR_MAX_NAME);
+	if (ir_json_has(top, "cold"))
+		h->cold = ir_json_bool(in, top, "", "cold");
 	h->hash = XXH64(h->name, strlen(h->name), 0);
 	return finish_parse(in, top, h);
 }
+
+struct ir_zone_state *
+ir_zone_parse(struct ir_json_reader *in, const char *name, const char *text,
+    size_t size_bytes)
+{
+	static const char *const known_keys[] = {"name", "evacuated", NULL};
+	struct ir_zone_state *z = talloc_zero(in->mem, struct ir_zone_state);
+	struct json_object *top = ir_json_parse(in, text, size_bytes);
+
+	ir_json_check_keys(in, top, "", known_keys);
+	z->name = ir_json_label(in, top, "", "name");
+	check_name(in, name, z->name);
+	z->evacuated = ir_json_bool(in, top, "", "evacuated");
+	return finish_parse(in, top, z);
+}
--- a/src/conf/publication.h
+++ b/src/conf/publication.h
@@ -19,6 +19,8 @@
 /* Bound on fleet routes; more do not fit into IR_JSON_MAX_BYTES. */
 #define IR_MAX_FLEET_ROUTES 16384
 #define IR_MAX_ROUTE_SERVICES 64
+#define IR_MAX_ALLOWED_REGIONS 64
+#define IR_MAX_COLD_RATE_PER_S 1e6
 #define IR_MAX_ROUTE_PATH_BYTES 1024
 #define IR_MAX_RATE_PER_S 1e9
 
@@ -45,6 +47,12 @@
 	size_t key_count;
 };
 
+/* What operators ask of a zone. */
+struct ir_zone_state {
+	const char *name;
+	bool evacuated; /* nothing may be sent to its upstreams */
+};
+
 struct ir_fleet *ir_fleet_parse(
     struct ir_json_reader *in, const char *text, size_t size_bytes);
 struct ir_account_list *ir_accounts_parse(
@@ -57,5 +65,7 @@
     const char *text, size_t size_bytes);
 struct ir_host *ir_host_parse(struct ir_json_reader *in, const char *name,
     const char *text, size_t size_bytes);
+struct ir_zone_state *ir_zone_parse(struct ir_json_reader *in, const char *name,
+    const char *text, size_t size_bytes);
 
 #endif
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -16,7 +16,8 @@
 static const char *const known_keys[] = {"host", "service", "region", "zone",
     "callers", "egress", "peers", "admin", "metrics", "upstream", "platform",
     "slots", "upstream_connections", "memory_mb", "drain_ms", "leave_ms",
-    "log_level", "policy", "zones", "rate_tolerance", NULL};
+    "log_level", "policy", "zones", "rate_tolerance", "cold_starts",
+    "evacuations", "ramp", NULL};
 static const char *const known_endpoint_keys[] = {"address", "port", NULL};
 
 static bool
@@ -94,6 +95,12 @@
 	return default_index;
 }
 
+static bool
+read_flag(struct ir_json_reader *in, struct json_object *top, const char *key)
+{
+	return ir_json_has(top, key) && ir_json_bool(in, top, "", key);
+}
+
 static void
 read_options(
     struct ir_json_reader *in, struct json_object *top, struct ir_settings *s)
@@ -116,6 +123,9 @@
 	    in, top, "log_level", levels, 4, IR_LEVEL_NOTICE);
 	s->baseline_policy =
 	    read_choice(in, top, "policy", policies, 2, 0) == 1;
+	s->cold_starts = read_flag(in, top, "cold_starts");
+	s->evacuations = read_flag(in, top, "evacuations");
+	s->ramp = read_flag(in, top, "ramp");
 }
 
 /* The optional "zones": an object of region by zone. */
@@ -242,6 +252,12 @@
 		return "upstream_connections";
 	if (a->memory_mb != b->memory_mb)
 		return "memory_mb";
+	if (a->cold_starts != b->cold_starts)
+		return "cold_starts";
+	if (a->evacuations != b->evacuations)
+		return "evacuations";
+	if (a->ramp != b->ramp)
+		return "ramp";
 	return a->baseline_policy != b->baseline_policy ? "policy" : "none";
 }
 
--- a/src/conf/settings.h
+++ b/src/conf/settings.h
@@ -57,6 +57,9 @@
 	uint32_t leave_ms;  /* from SIGTERM to refusing calls, 0 to drain_ms */
 	enum ir_level log_level; /* "error".."debug" */
 	bool baseline_policy;	 /* "policy" is "plain", not "full" */
+	bool cold_starts; /* upstreams are cold after a start; default false */
+	bool evacuations; /* operators evacuate zones; default false */
+	bool ramp;	  /* raise load slowly after a start; default false */
 	struct ir_rate_tolerance rate_tolerance; /* all 0: none */
 	struct ir_zone_region *zones;		 /* of the fleet, if needed */
 	size_t zone_count;
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -90,8 +90,8 @@
 	if (names == NULL)
 		return;
 	for (size_t i = 0; i < count; i++) {
-		bool host =
-		    ir_section_kind_of(sections[i].name) == IR_SECTION_HOST;
+		bool host = ir_section_is_of_host_list(
+		    ir_section_kind_of(sections[i].name));
 
 		if (host == hosts && sections[i].text[0] != '\0')
 			names[name_count++] = sections[i].name;
--- a/src/host/section.c
+++ b/src/host/section.c
@@ -67,9 +67,17 @@
 		return IR_SECTION_SERVICE;
 	if (strip_prefix(name, "host/", ir_is_host_name) != NULL)
 		return IR_SECTION_HOST;
+	if (strip_prefix(name, "zone/", ir_is_label) != NULL)
+		return IR_SECTION_ZONE;
 	return IR_SECTION_UNKNOWN;
 }
 
+bool
+ir_section_is_of_host_list(enum ir_section_kind kind)
+{
+	return kind == IR_SECTION_HOST || kind == IR_SECTION_ZONE;
+}
+
 static uint64_t
 min(uint64_t a, uint64_t b)
 {
@@ -78,7 +86,8 @@
 
 /*
  * Parses a text by the kind of its section, under in->mem. Sets *generation,
- * for a host to 0. If the text is bad, returns NULL with in->error set.
+ * for a section of the host list to 0. If the text is bad, returns NULL with
+ * in->error set.
  */
 static void *
 parse(struct ir_json_reader *in, const char *name, const char *text,
@@ -112,6 +121,9 @@
 	case IR_SECTION_HOST:
 		return ir_host_parse(
 		    in, strip_prefix(name, "host/", ir_is_host_name), text, n);
+	case IR_SECTION_ZONE:
+		return ir_zone_parse(
+		    in, strip_prefix(name, "zone/", ir_is_label), text, n);
 	default:
 		ir_json_error(in, name, "no such section");
 		return NULL;
@@ -405,7 +417,7 @@
 		goto out;
 	}
 	result = IR_SECTION_NOT_NEWER;
-	if (ir_section_kind_of(in->name) == IR_SECTION_HOST)
+	if (ir_section_is_of_host_list(ir_section_kind_of(in->name)))
 		c.version = in->revision;
 	if (e == NULL && may_have_been_removed(s, in))
 		goto out;
@@ -430,7 +442,7 @@
 		e = add_entry(s, in->name);
 	missed_host = e->text == NULL && in->revision > e->removed_revision;
 	e->removed_revision = ir_max_u64(e->removed_revision, in->revision);
-	if (e->kind != IR_SECTION_HOST)
+	if (!ir_section_is_of_host_list(e->kind))
 		e->removed_generation =
 		    ir_max_u64(e->removed_generation, in->generation);
 	/* The host was added and removed between two updates. */
@@ -447,7 +459,8 @@
 static bool
 is_current_text(const struct section_entry *e, const struct ir_section *in)
 {
-	if (e == NULL || e->parsed == NULL || e->kind == IR_SECTION_HOST)
+	if (e == NULL || e->parsed == NULL ||
+	    ir_section_is_of_host_list(e->kind))
 		return false;
 	return strcmp(e->text, in->text) == 0;
 }
--- a/src/host/section.h
+++ b/src/host/section.h
@@ -52,6 +52,12 @@
 /* The kind of the section of this name, or IR_SECTION_UNKNOWN. */
 enum ir_section_kind ir_section_kind_of(const char *name);
 
+/*
+ * Whether sections of this kind come with the host list. They have no
+ * generation: their version is their revision.
+ */
+bool ir_section_is_of_host_list(enum ir_section_kind kind);
+
 /*
  * Parses and checks one text without applying it. An empty text (a
  * removal) is valid. Returns 0, or -1 with *error set to a text under mem that
--- a/src/host/section_diff.c
+++ b/src/host/section_diff.c
@@ -35,7 +35,8 @@
 {
 	static char removed[] = "";
 	struct ir_section out = {(char *)e->name, 0, 0, removed};
-	uint64_t generation = e->kind == IR_SECTION_HOST ? 0 : e->version;
+	uint64_t generation =
+	    ir_section_is_of_host_list(e->kind) ? 0 : e->version;
 
 	if (e->text != NULL) {
 		out.revision = e->revision;
@@ -95,6 +96,9 @@
 	case IR_SECTION_SERVICE:
 		in->services[in->service_count++] = e->parsed;
 		break;
+	case IR_SECTION_ZONE:
+		in->zones[in->zone_count++] = e->parsed;
+		break;
 	default:
 		in->hosts[in->host_count].host = e->parsed;
 		in->hosts[in->host_count++].revision = e->revision;
@@ -116,6 +120,7 @@
 	in.list_revision = s->revision[GROUP_HOSTS];
 	in.services = talloc_array(mem, const struct ir_service *, n);
 	in.hosts = talloc_array(mem, struct ir_revised_host, n);
+	in.zones = talloc_array(mem, const struct ir_zone_state *, n);
 	HASH_ITER (hh, s->entries, e, next) {
 		add_to_input(&in, e);
 	}
--- a/src/host/section_internal.h
+++ b/src/host/section_internal.h
@@ -5,8 +5,8 @@
  * that name, so that the order of their arrival does not matter. It consists
  * of the text that is highest in (version, revision, lower hash), the lowest
  * revision that brought a text of that version, and the highest removal. The
- * version of a configuration section is its generation, that of a host section
- * its revision.
+ * version of a configuration section is its generation, that of a section of
+ * the host list its revision.
  */
 #ifndef IR_HOST_SECTION_INTERNAL_H
 #define IR_HOST_SECTION_INTERNAL_H
@@ -69,7 +69,7 @@
 static inline size_t
 ir_section_group_of(enum ir_section_kind kind)
 {
-	return kind == IR_SECTION_HOST ? GROUP_HOSTS : GROUP_CONFIG;
+	return ir_section_is_of_host_list(kind) ? GROUP_HOSTS : GROUP_CONFIG;
 }
 
 static inline uint64_t
--- a/src/host/view.c
+++ b/src/host/view.c
@@ -49,6 +49,13 @@
 	return find(name, v->zones, v->zone_count, sizeof *v->zones);
 }
 
+bool
+ir_view_zone_is_evacuated(const struct ir_view *v, const char *zone)
+{
+	return find(zone, v->evacuated_zones, v->evacuated_zone_count,
+		   sizeof *v->evacuated_zones) != NULL;
+}
+
 const struct ir_account *
 ir_view_account_by_key(const struct ir_view *v, const char *digest)
 {
--- a/src/host/view.h
+++ b/src/host/view.h
@@ -25,10 +25,14 @@
  *                     "zone":"z1", "address":"127.0.0.1",
  *                     "peer_port":7001, "caller_port":7002,
  *                     "state":"live"|"leaving"}
+ *   zone/NAME        {"name":"z1", "evacuated":true}
  * Optional: "store_anywhere":true of the fleet, when the region of the store is
  * not known; "slots" of a service or host, "upstream_id" of a host,
  * "importance" of an account (default 2). An account without "rate_per_s" has
- * no rate limit.
+ * no rate limit. "regions":["r1"] of a fleet route or an account: served only
+ * there; absent or empty: anywhere. "cold_rate_per_s" of a service: requests
+ * that a cold upstream takes a second; "check_path": path of its status check.
+ * "cold":true of a host.
  */
 #ifndef IR_HOST_VIEW_H
 #define IR_HOST_VIEW_H
@@ -64,6 +68,7 @@
 	IR_SECTION_SERVICE,
 	IR_SECTION_ROUTES,
 	IR_SECTION_HOST,
+	IR_SECTION_ZONE,
 	IR_SECTION_UNKNOWN /* not the name of a section */
 };
 
@@ -83,6 +88,7 @@
 	const char *authority; /* host name, of a fleet route */
 	const struct ir_route_service *services;
 	size_t service_count;
+	const char *const *allowed_regions; /* ends with NULL; NULL: all */
 	uint32_t target_ms; /* target latency; 0: the deadline */
 	uint8_t importance; /* 0 to 3; 3 is shed last */
 	bool idempotent;
@@ -94,7 +100,11 @@
 struct ir_service {
 	const char *name;
 	uint64_t generation;
-	uint32_t slots;		 /* concurrency of one upstream */
+	uint32_t slots; /* concurrency of one upstream */
+	/* Thousandths of a request a second; 0: cold upstreams need no bound.
+	 */
+	uint64_t cold_rate_mt_per_s;
+	const char *check_path;	 /* of the status check, or NULL */
 	struct ir_route *routes; /* longest path first */
 	size_t route_count;
 	struct ir_host **hosts; /* sorted by name; live and leaving */
@@ -112,6 +122,7 @@
 	bool unlimited;		  /* has no rate limit */
 	const char **key_digests; /* lower-case hexadecimal SHA-256 */
 	size_t key_digest_count;
+	const char *const *allowed_regions; /* ends with NULL; NULL: all */
 };
 
 struct ir_host {
@@ -123,6 +134,8 @@
 	uint16_t peer_port;
 	uint16_t caller_port;
 	bool leaving;
+	bool cold;		 /* its upstream has just started */
+	bool evacuated;		 /* its zone is: nothing may be sent there */
 	uint32_t slots;		 /* of its upstream; 0: the service's */
 	const char *upstream_id; /* new at each upstream start, or "" */
 	uint64_t hash;		 /* XXH64 of the name, seed 0 */
@@ -164,6 +177,8 @@
 	size_t host_count;
 	struct ir_zone *zones;
 	size_t zone_count;
+	const char **evacuated_zones; /* sorted */
+	size_t evacuated_zone_count;
 	/* Fleet routes, sorted by host name, then longest path first. */
 	const struct ir_route *routes;
 	size_t route_count;
@@ -176,6 +191,8 @@
     const struct ir_view *v, const char *name);
 const struct ir_host *ir_view_host(const struct ir_view *v, const char *name);
 const struct ir_zone *ir_view_zone(const struct ir_view *v, const char *name);
+/* Whether nothing may be sent to the upstreams of the zone. */
+bool ir_view_zone_is_evacuated(const struct ir_view *v, const char *zone);
 /* The account with a key of this digest, or NULL. */
 const struct ir_account *ir_view_account_by_key(
     const struct ir_view *v, const char *digest);
--- a/src/host/view_build.c
+++ b/src/host/view_build.c
@@ -20,7 +20,7 @@
 	return strcmp(x->host->name, y->host->name);
 }
 
-/* For structures whose first member is their name. */
+/* For names, and for structures whose first member is their name. */
 static int
 compare_names(const void *a, const void *b)
 {
@@ -148,6 +148,23 @@
 	}
 }
 
+/* Marks the hosts of the evacuated zones. */
+static void
+add_evacuations(struct ir_view *v, const struct ir_view_input *in)
+{
+	v->evacuated_zones = talloc_array(v, const char *, in->zone_count);
+	for (size_t i = 0; i < in->zone_count; i++) {
+		if (in->zones[i]->evacuated)
+			v->evacuated_zones[v->evacuated_zone_count++] =
+			    in->zones[i]->name;
+	}
+	sort(v->evacuated_zones, v->evacuated_zone_count, sizeof(char *),
+	    compare_names);
+	for (size_t i = 0; i < v->host_count; i++)
+		v->hosts[i].evacuated =
+		    ir_view_zone_is_evacuated(v, v->hosts[i].zone);
+}
+
 #define MT_PER_TOKEN 1000.0
 
 static void
@@ -205,6 +222,7 @@
 		v->route_count = in->routes->route_count;
 	}
 	add_hosts(v, in);
+	add_evacuations(v, in);
 	add_services(v, in);
 	add_zones(v);
 	return v;
--- a/src/host/view_build.h
+++ b/src/host/view_build.h
@@ -28,6 +28,8 @@
 	size_t service_count;
 	struct ir_revised_host *hosts; /* gets sorted */
 	size_t host_count;
+	const struct ir_zone_state **zones;
+	size_t zone_count;
 };
 
 struct ir_view *ir_view_build(TALLOC_CTX *mem, struct ir_view_input *in);
