Hosts: a late heartbeat of an ended upstream does not replace its successor

Two of its hosts (10.1.0.60, .61) answered every request with 421 within 0 ms from 14.5 s to the end: their listed upstream had ended and its successor already ran there, but the item of the ended one had been created anew after the successor's, so it had the higher creation revision and was used. A refusal at 0 ms looked like the fastest host of the service, and as retries are few, each call tree with four calls there failed: 437 to 885 answers of 500 in each two seconds in mvd-a (trace of: untouched code, no processor time).

Ruled out: the partition itself and the retry budget (links were up from 14 s, failures are 500s of parents whose callee was refused); callee throttles; stale views (list revisions advance on all hosts).

Change: of several items of a host that of the upstream started last is used ("born" of the entry); creation decides where that is unknown. A gate whose upstream refuses as another one (421) counts it as ended: five trials a second until an answer shows otherwise, other requests go elsewhere.

--- a/include/ibisrail/dialect.h
+++ b/include/ibisrail/dialect.h
@@ -43,6 +43,8 @@
 	char *text;    /* of the section; "" if the item was removed */
 	uint64_t revision;
 	uint64_t created_revision; /* of the item's creation; 0: unknown */
+	/* When the upstream that the item describes was started; 0: unknown. */
+	int64_t upstream_started_ms;
 };
 
 /* Parameters of a read of the store. */
--- a/src/core/local_upstream.c
+++ b/src/core/local_upstream.c
@@ -42,9 +42,15 @@
 		set_ended(n, now, true);
 		break;
 	case IR_RUN_SHED:
-		/* Of another upstream: the list does not show it yet. */
-		if (res->status == HTTP_MISDIRECTED)
+		/*
+		 * The listed upstream has ended: another one has its address.
+		 * It refuses at once, and would seem to be the fastest.
+		 */
+		if (res->status == HTTP_MISDIRECTED) {
+			n->upstream.ended_us = now;
+			set_ended(n, now, true);
 			break;
+		}
 		/* FALLTHROUGH */
 	case IR_RUN_ANSWERED:
 	case IR_RUN_BROKEN:
--- a/src/io/store/host_items.c
+++ b/src/io/store/host_items.c
@@ -11,6 +11,7 @@
 	char *text;
 	uint64_t revision;
 	uint64_t created_revision;
+	int64_t upstream_started_ms;
 	uint64_t last_full_read; /* last full read that had the item */
 	bool removed;		 /* freed by the next free_removed() */
 	bool removal_delayed;	 /* not before removal_due_us */
@@ -19,6 +20,7 @@
 	char *restored_section;
 	char *restored_text;
 	uint64_t restored_created;
+	int64_t restored_started_ms;
 	UT_hash_handle hh;
 };
 
@@ -87,6 +89,7 @@
 	i->section = ir_text_copy(i, in->section);
 	i->text = ir_text_copy(i, in->text);
 	i->created_revision = in->created_revision;
+	i->upstream_started_ms = in->upstream_started_ms;
 	talloc_free(old_section);
 	talloc_free(old_text);
 }
@@ -95,6 +98,7 @@
 is_unchanged(const struct item *i, const struct ir_store_item *in)
 {
 	return i->text != NULL && i->created_revision == in->created_revision &&
+	       i->upstream_started_ms == in->upstream_started_ms &&
 	       strcmp(i->text, in->text) == 0 &&
 	       strcmp(i->section, in->section) == 0;
 }
@@ -125,6 +129,7 @@
 	i->restored_section = ir_text_copy(i, in->section);
 	i->restored_text = ir_text_copy(i, in->text);
 	i->restored_created = in->created_revision;
+	i->restored_started_ms = in->upstream_started_ms;
 }
 
 /* Uses what the restored store has and nobody wrote again. */
@@ -136,7 +141,8 @@
 	HASH_ITER (hh, h->items, i, next) {
 		struct ir_store_item in = {.section = i->restored_section,
 		    .text = i->restored_text,
-		    .created_revision = i->restored_created};
+		    .created_revision = i->restored_created,
+		    .upstream_started_ms = i->restored_started_ms};
 
 		if (i->restored_text != NULL)
 			set_item(i, &in);
@@ -220,7 +226,21 @@
 	return s;
 }
 
-/* Finds the item created last for each section. */
+/*
+ * Whether a describes a later upstream than b. A delayed heartbeat of an
+ * upstream that has ended may create its item anew, so that the time of the
+ * upstream's start goes before the creation of the item.
+ */
+static bool
+is_newer(const struct item *a, const struct item *b)
+{
+	if (a->upstream_started_ms != 0 && b->upstream_started_ms != 0 &&
+	    a->upstream_started_ms != b->upstream_started_ms)
+		return a->upstream_started_ms > b->upstream_started_ms;
+	return a->created_revision > b->created_revision;
+}
+
+/* Finds the item of the newest upstream for each section. */
 static void
 choose_newest(struct ir_host_items *h)
 {
@@ -234,8 +254,7 @@
 		if (i->text == NULL)
 			continue;
 		s = find_or_add_published(h, i->section);
-		if (s->newest == NULL ||
-		    i->created_revision > s->newest->created_revision)
+		if (s->newest == NULL || is_newer(i, s->newest))
 			s->newest = i;
 	}
 }
--- a/src/io/store/host_items.h
+++ b/src/io/store/host_items.h
@@ -4,8 +4,9 @@
  * content (heartbeats) and where several items may describe one host (that of
  * a stopped upstream and that of its successor).
  *
- * Of several items of a host, the one with the highest creation revision is
- * used. Only sections that changed are passed on.
+ * Of several items of a host, that of the upstream started last is used; where
+ * that is unknown or the same, the one with the highest creation revision. Only
+ * sections that changed are passed on.
  *
  * Removals found by the first read after a failure of the store are delayed by
  * IR_REMOVAL_GRACE_US: items of running upstreams may have expired during the
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -54,7 +54,8 @@
 	UPSTREAM_OK,
 	UPSTREAM_SHEDS,
 	UPSTREAM_BREAKS_CONNECTION, /* runs it, then breaks the connection */
-	UPSTREAM_HANGS		    /* runs it and never answers */
+	UPSTREAM_HANGS,		    /* runs it and never answers */
+	UPSTREAM_IS_ANOTHER	    /* refuses: not the upstream listed there */
 };
 
 struct fleet_call {
--- a/test/support/fleet_calls.c
+++ b/test/support/fleet_calls.c
@@ -8,6 +8,8 @@
 #include "core/unconst.h"
 #include "support/fleet_priv.h"
 
+#define HTTP_MISDIRECTED 421
+
 const char fleet_deadly[] = "deadly";
 
 struct fleet_call *
@@ -185,6 +187,8 @@
 
 	ev->run = run;
 	ev->result.end = end;
+	if (f->nodes[node].upstream_mode == UPSTREAM_IS_ANOTHER)
+		ev->result.status = HTTP_MISDIRECTED;
 	fleet_schedule(f, ev);
 }
 
@@ -244,7 +248,8 @@
 		    .call = (int)(c - f->calls),
 		    .at_us = f->now_us};
 	record_run_start(f, node, r->attempt);
-	if (n->upstream_mode == UPSTREAM_SHEDS) {
+	if (n->upstream_mode == UPSTREAM_SHEDS ||
+	    n->upstream_mode == UPSTREAM_IS_ANOTHER) {
 		schedule_unrun_end(f, node, r->id, IR_RUN_SHED);
 		return;
 	}
--- a/test/test_host_items.c
+++ b/test/test_host_items.c
@@ -100,6 +100,38 @@
 	expect_one_change(f, 0, "host/1", "");
 }
 
+static void
+put_started_item(struct fixture *f, const char *key, const char *text,
+    uint64_t created, int64_t started_ms)
+{
+	struct ir_store_item in = {.key = (char *)key,
+	    .section = (char *)"host/1",
+	    .text = (char *)text,
+	    .revision = ++f->revision,
+	    .created_revision = created,
+	    .upstream_started_ms = started_ms};
+
+	ir_host_items_put(f->items, &in);
+}
+
+static void
+test_late_heartbeat_of_an_ended_upstream_does_not_replace_its_successor(
+    void **state)
+{
+	struct fixture *f = *state;
+
+	put_started_item(f, "ended", "ended", 1, 1000);
+	put_started_item(f, "running", "running", 2, 5000);
+	expect_one_change(f, 0, "host/1", "running");
+	/* The item of the ended upstream expires and is created anew. */
+	put_item(f, "ended", "host/1", "", 0);
+	put_started_item(f, "ended", "ended", 4, 1000);
+	assert_int_equal(take_changes(f, 0), 0);
+	/* Without the time of a start the creation decides, as before. */
+	put_started_item(f, "ended", "ended", 4, 0);
+	expect_one_change(f, 0, "host/1", "ended");
+}
+
 static void
 test_recreated_item_is_passed_on_again(void **state)
 {
@@ -252,6 +284,8 @@
 	const struct CMUnitTest tests[] = {
 	    WITH_HOST_ITEMS(test_heartbeats_change_nothing),
 	    WITH_HOST_ITEMS(test_newest_item_of_a_host_is_used),
+	    WITH_HOST_ITEMS(
+		test_late_heartbeat_of_an_ended_upstream_does_not_replace_its_successor),
 	    WITH_HOST_ITEMS(test_recreated_item_is_passed_on_again),
 	    WITH_HOST_ITEMS(test_unreadable_item_removes_its_host),
 	    WITH_HOST_ITEMS(test_removals_are_delayed_after_a_failure),
--- a/test/test_upstream_crash.c
+++ b/test/test_upstream_crash.c
@@ -222,6 +222,43 @@
 	fleet_finish(f);
 }
 
+static int
+runs_at(const struct fleet *f, int node)
+{
+	int count = 0;
+
+	for (int i = 0; i < f->run_count; i++)
+		count += f->runs[i].node == node;
+	return count;
+}
+
+/* One run each 200 ms, as at an upstream that ended. */
+#define TRIALS_PER_S 5
+
+static void
+test_upstream_that_refuses_as_another_one_does_not_attract_requests(
+    void **state)
+{
+	struct fleet *f = make_fleet(7);
+	int first, before;
+
+	press(f, 2 * IR_US_PER_S, &ordinary, NULL);
+	f->nodes[0].upstream_mode = UPSTREAM_IS_ANOTHER;
+	press(f, IR_US_PER_S, &ordinary, NULL);
+	before = runs_at(f, 0);
+	first = f->call_count;
+	press(f, 4 * IR_US_PER_S, &ordinary, NULL);
+	fleet_run(f, IR_US_PER_S);
+	assert_in_range(runs_at(f, 0) - before, 0, 4 * TRIALS_PER_S + 1);
+	assert_int_equal(fleet_count_failed(f, first), 0);
+	f->nodes[0].upstream_mode = UPSTREAM_OK;
+	press(f, IR_US_PER_S, &ordinary, NULL);
+	before = runs_at(f, 0);
+	press(f, 4 * IR_US_PER_S, &ordinary, NULL);
+	assert_true(runs_at(f, 0) - before > 4 * TRIALS_PER_S);
+	fleet_finish(f);
+}
+
 int
 main(void)
 {
@@ -235,6 +272,8 @@
 	    cmocka_unit_test(test_others_go_on_while_upstreams_are_down),
 	    cmocka_unit_test(
 		test_popular_request_beside_a_deadly_one_is_served),
+	    cmocka_unit_test(
+		test_upstream_that_refuses_as_another_one_does_not_attract_requests),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
