Calls: a read's first attempt is kept when it is retried after a lost link

Cause: sent_link_lost() cancelled the attempt on the lost link before the second host had accepted the retry. When that host refused it (no room for records), call_retry() found no further host, and the call ended as unknown (host-lost) although the first host held the answer.

Ruled out: the detection of silent links. A process's own pause is already excluded (detect_pause()); the pause of a peer is silence, and a longer time-out would delay the retry of reads whose host is gone.

Change: the attempt on the lost link is kept in call.lost_attempts. When the link is up again, STATUS asks for it, as for non-idempotent calls. The first answer ends the call and cancels its other attempts. When the retry fails and no other is allowed, the call waits for the kept attempt, until its deadline. A kept attempt that certainly did not run leaves no doubt behind.

Ways weighed: to cancel the first attempt when the second host accepted the retry needs a message that does not exist; to ask for the first only after the second was refused loses its answer to eviction meanwhile; to retry at the same host again would run the request twice. Both attempts may now run for a while; each retry takes a token of quota and budget as before. Records at the gate are kept until the call's end or deadline, as for calls that are not retried.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -32,8 +32,12 @@
 static void
 free_attempt(struct ir_node *n, struct attempt *a)
 {
-	if (a->call != NULL)
-		a->call->attempt = NULL;
+	struct call *c = a->call;
+
+	if (c->attempt == a)
+		c->attempt = NULL;
+	else
+		DL_DELETE2(c->lost_attempts, a, lost_prev, lost_next);
 	DL_DELETE(a->peer->attempts, a);
 	HASH_DEL(n->attempts, a);
 	talloc_free(a);
@@ -157,7 +161,7 @@
 
 	if (a == NULL || p == NULL) {
 		talloc_free(a);
-		call_fail(n, now, c, IR_E_OVERLOAD, 0);
+		call_give_up(n, now, c, IR_E_OVERLOAD, 0);
 		return;
 	}
 	ir_balancer_host_tried(n->balancer, now, p->name);
@@ -192,12 +196,15 @@
 fail_lost_gate(struct ir_node *n, int64_t now, struct attempt *a)
 {
 	struct call *c = a->call;
+	bool current = c->attempt == a;
 
 	ir_balancer_request_done(
 	    n->balancer, now, a->peer->name, c->account, NULL, 0);
 	free_attempt(n, a);
-	c->upstream_attempts++;
 	c->may_have_run = true;
+	if (!current)
+		return;
+	c->upstream_attempts++;
 	if (c->idempotent)
 		call_retry(n, now, c, IR_E_HOST_LOST, 0);
 	else
@@ -223,7 +230,8 @@
 
 /*
  * A sent attempt waits until the link is up again and its status can be
- * requested. An idempotent call is retried elsewhere at once if it may be.
+ * requested. An idempotent call is retried elsewhere at once if it may be; its
+ * lost attempt is kept, as the other host may refuse the retry.
  */
 static void
 sent_link_lost(struct ir_node *n, int64_t now, struct attempt *a)
@@ -232,7 +240,7 @@
 	const struct ir_host *h;
 
 	a->state = ATTEMPT_LINK_LOST;
-	if (!c->idempotent || c->retry_quota->tokens == 0)
+	if (c->attempt != a || !c->idempotent || c->retry_quota->tokens == 0)
 		return;
 	c->upstream_attempts++;
 	h = call_take_retry(n, now, c);
@@ -240,8 +248,8 @@
 		c->upstream_attempts--;
 		return;
 	}
-	c->may_have_run = true;
-	attempt_cancel(n, now, a);
+	c->attempt = NULL;
+	DL_APPEND2(c->lost_attempts, a, lost_prev, lost_next);
 	attempt_start(n, now, c, h);
 }
 
@@ -335,7 +343,18 @@
 	else if (o == IR_OUTCOME_UNKNOWN && c->idempotent)
 		call_retry(n, now, c, e, 0);
 	else
-		call_fail(n, now, c, e, 0);
+		call_give_up(n, now, c, e, 0);
+}
+
+/* Handles the failure of an attempt while a later one is in progress. */
+static void
+handle_failed_lost_attempt(
+    int64_t now, struct call *c, const struct ir_reply *r)
+{
+	enum ir_error e = reply_error(now, c, r);
+
+	if (ir_error_info(e)->outcome != IR_OUTCOME_NOT_RUN)
+		c->may_have_run = true;
 }
 
 void
@@ -345,6 +364,7 @@
 	uint64_t sequence = r->attempt.sequence;
 	struct attempt *a;
 	struct call *c;
+	bool current;
 
 	if (r->attempt.incarnation != n->settings.incarnation)
 		return;
@@ -354,6 +374,7 @@
 	if (r->incarnation != a->gate_incarnation)
 		return;
 	c = a->call;
+	current = c->attempt == a;
 	ir_retry_quota_return(c->retry_quota, a->retry_tokens, r->tokens_left);
 	ir_balancer_request_done(
 	    n->balancer, now, p->name, c->account, &r->load, now - a->sent_us);
@@ -363,6 +384,8 @@
 		c->parent->callee_refused = true;
 	if (r->error == IR_OK)
 		answer_call(n, now, c, r);
+	else if (!current)
+		handle_failed_lost_attempt(now, c, r);
 	else
 		handle_failed_reply(n, now, c, r);
 }
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -63,6 +63,8 @@
 {
 	if (c->attempt != NULL)
 		attempt_cancel(n, now, c->attempt);
+	while (c->lost_attempts != NULL)
+		attempt_cancel(n, now, c->lost_attempts);
 	if (c->state == CALL_AWAITING_TOKEN)
 		DL_DELETE2(n->token_waiters, c, wait_prev, wait_next);
 	if (c->parent != NULL)
@@ -106,7 +108,9 @@
 call_fail(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
     uint32_t retry_after_ms)
 {
-	if (c->may_have_run && ir_error_info(e)->outcome == IR_OUTCOME_NOT_RUN)
+	bool in_doubt = c->may_have_run || c->lost_attempts != NULL;
+
+	if (in_doubt && ir_error_info(e)->outcome == IR_OUTCOME_NOT_RUN)
 		e = IR_E_HOST_LOST;
 	if (ir_error_info(e)->outcome == IR_OUTCOME_UNKNOWN)
 		node_log(n, IR_EVENT_OUTCOME_UNKNOWN,
@@ -119,6 +123,20 @@
 	free_call(n, now, c);
 }
 
+void
+call_give_up(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
+    uint32_t retry_after_ms)
+{
+	struct attempt *a = c->lost_attempts;
+
+	if (a == NULL || now >= c->deadline_us) {
+		call_fail(n, now, c, e, retry_after_ms);
+		return;
+	}
+	DL_DELETE2(c->lost_attempts, a, lost_prev, lost_next);
+	c->attempt = a;
+}
+
 void
 call_abandon(struct ir_node *n, int64_t now, struct call *c, const char *reason)
 {
@@ -438,7 +456,7 @@
 	if (h != NULL)
 		attempt_start(n, now, c, h);
 	else
-		call_fail(n, now, c, e, retry_after_ms);
+		call_give_up(n, now, c, e, retry_after_ms);
 }
 
 void
@@ -448,7 +466,7 @@
 	if (ir_error_info(e)->retry_elsewhere)
 		call_retry(n, now, c, e, retry_after_ms);
 	else
-		call_fail(n, now, c, e, retry_after_ms);
+		call_give_up(n, now, c, e, retry_after_ms);
 }
 
 void
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -82,8 +82,10 @@
 	uint32_t sent_attempts; /* attempts whose FORWARD was sent */
 	/* Attempts that an upstream may have seen. */
 	uint32_t upstream_attempts;
-	bool may_have_run;	      /* an earlier attempt may have run */
-	struct attempt *attempt;      /* the current one, or NULL */
+	bool may_have_run;	 /* an earlier attempt may have run */
+	struct attempt *attempt; /* the current one, or NULL */
+	/* Earlier ones whose link was lost; they may still be answered. */
+	struct attempt *lost_attempts;
 	enum ir_error last_error;     /* not used */
 	uint32_t last_retry_after_ms; /* not used */
 	struct call *sibling_prev;    /* in the parent's list of children */
@@ -110,6 +112,8 @@
 	int64_t sent_us;
 	struct attempt *prev; /* in the peer's list */
 	struct attempt *next;
+	struct attempt *lost_prev; /* in the call's lost_attempts */
+	struct attempt *lost_next;
 	UT_hash_handle hh;
 };
 
@@ -329,6 +333,12 @@
 /* Passes the upstream's answer to the caller. */
 void call_answer(
     struct ir_node *n, int64_t now, struct call *c, const struct ir_answer *a);
+/*
+ * The current attempt ended in e and the call is not retried: waits for an
+ * earlier attempt whose link was lost, if there is one, else fails the call.
+ */
+void call_give_up(struct ir_node *n, int64_t now, struct call *c,
+    enum ir_error e, uint32_t retry_after_ms);
 /*
  * Answers the call with an error. An e that says "not run" becomes
  * IR_E_HOST_LOST when an earlier attempt may have run. retry_after_ms 0: a
@@ -344,7 +354,7 @@
     struct ir_node *n, int64_t now, struct call *c, enum ir_error not_run);
 /*
  * Retries at another host after an attempt that ended in e. If there is no
- * time, retry token or retry budget of the service left, fails the call with e.
+ * time, retry token or retry budget of the service left, call_give_up().
  */
 void call_retry(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
     uint32_t retry_after_ms);
@@ -378,7 +388,8 @@
 void attempt_link_up(struct ir_node *n, int64_t now, struct peer *p);
 /*
  * The link to p was lost: retries attempts that were not sent, and idempotent
- * ones that may be retried elsewhere. Others wait for attempt_link_up().
+ * ones that may be retried elsewhere. All that were sent wait for
+ * attempt_link_up(); the first answer to any attempt of a call ends it.
  */
 void attempt_link_lost(struct ir_node *n, int64_t now, struct peer *p);
 /*
