Allowed regions: kept by entries, gates and the calls of runs

Cause: the view carries the allowed regions of routes and accounts, but no decision followed them, so that a request could run anywhere.

Change: admission intersects the sets of route, account and run. The balancer, the hosts of Idempotency-Keys and waiting attempts keep to the result, which goes to the gate in REGION_FORWARD, to peers that announce it only; a call without a set still uses FORWARD. The gate intersects the set with its own view on arrival and before the run, and refuses as wrong-gate, which earlier builds know. No host left: 503 region, counted and logged. The adapter refuses a configuration whose list is not one of strings, and names route or account; a region that no zone has is valid and matches no host.

Ruled out: a field in FORWARD, as earlier builds refuse bytes that they do not know; a new error of gates, as earlier builds read it as an unknown outcome.

--- a/include/ibisrail/error.h
+++ b/include/ibisrail/error.h
@@ -46,6 +46,7 @@
 	IR_E_ANSWER_DROPPED, /* ran, but the answer is no longer stored */
 	IR_E_INTERNAL,
 	IR_E_CRASHES_UPSTREAM, /* upstreams ended while they ran the request */
+	IR_E_REGION, /* no host in the regions allowed for the request */
 	IR_ERROR_COUNT
 };
 
--- a/src/conf/publication.c
+++ b/src/conf/publication.c
@@ -135,9 +135,10 @@
 		struct json_object *v = json_object_array_get_idx(list, i);
 		const char *s = "";
 
+		/* One that no zone has is valid, and matches no host. */
 		if (json_object_is_type(v, json_type_string))
 			s = json_object_get_string(v);
-		if (!ir_is_label(s))
+		else
 			ir_json_error(in,
 			    element_path(in->mem,
 				member_path(in->mem, path, "regions"), i),
--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -265,6 +265,8 @@
 	set_deadline(c, route, in->deadline_ms);
 	e = in->egress ? admit_egress(n, c, in, route)
 		       : admit_caller_request(n, now, c, in, route);
+	if (e == IR_OK)
+		regions_admit_call(n, c, in->key);
 	if (n->settings.baseline_policy) {
 		c->own_retry_quota.tokens = BASELINE_RETRIES;
 		c->retry_quota = &c->own_retry_quota;
--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -6,6 +6,7 @@
 
 #include "core/internal.h"
 #include "core/unconst.h"
+#include "zone/region_set.h"
 
 /*
  * Time reserved for the return of the answer: this fraction of the remaining
@@ -122,14 +123,38 @@
 	call_retry(n, now, c, e, 0);
 }
 
+/* A call without allowed regions is sent as to earlier versions. */
+static void
+fill_message(
+    struct ir_node *n, struct ir_msg *m, const struct attempt *a, int64_t now)
+{
+	struct ir_region_forward *f = &m->ir_msg_u.region_forward;
+	const char *const *regions = a->call->regions;
+
+	if (regions == NULL) {
+		m->kind = IR_MSG_FORWARD;
+		fill_forward(n, &m->ir_msg_u.forward, a, now);
+		return;
+	}
+	m->kind = IR_MSG_REGION_FORWARD;
+	fill_forward(n, &f->forward, a, now);
+	f->regions.regions_val = (char **)(uintptr_t)regions;
+	f->regions.regions_len = (u_int)ir_region_set_count(regions);
+}
+
 static void
 send_forward(struct ir_node *n, int64_t now, struct attempt *a)
 {
-	struct ir_msg m = {.kind = IR_MSG_FORWARD};
+	struct ir_msg m = {0};
 	struct call *c = a->call;
 
+	regions_update_call(n, c);
+	if (!regions_may_send(n, c, a->peer)) {
+		retry_unsent(n, now, a, IR_E_NO_HOST);
+		return;
+	}
 	a->retry_tokens = ir_retry_quota_split(c->retry_quota);
-	fill_forward(n, &m.ir_msg_u.forward, a, now);
+	fill_message(n, &m, a, now);
 	if (peer_send(n, now, a->peer, &m) == 0) {
 		ir_retry_quota_return(
 		    c->retry_quota, a->retry_tokens, a->retry_tokens);
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -11,6 +11,8 @@
 #define DEFAULT_RETRY_MS 200
 /* While the view is unconfirmed. */
 #define VIEW_RETRY_MS 1000
+/* Without a host in an allowed region: a host list or configuration changes. */
+#define REGION_RETRY_MS 2000
 
 /*
  * Answers with an error's status and text. Where the error lets the caller
@@ -114,6 +116,9 @@
 		    c->service, c->account);
 	if (c->parent != NULL && is_callee_refusal(e))
 		c->parent->callee_refused = true;
+	if (e == IR_E_REGION)
+		regions_log_refused(n, "entry", c->caller_attempt, &c->request,
+		    c->service, c->account, c->regions);
 	log_call_ended(n, now, c, e, 0, "answered");
 	send_error(n, c->id, e, retry_after_ms);
 	free_call(n, now, c);
@@ -268,8 +273,15 @@
 		*e = IR_E_NO_ROUTE;
 		return NULL;
 	}
+	regions_update_call(n, c);
+	if (regions_exclude_all(c, s)) {
+		*e = IR_E_REGION;
+		*retry_ms = node_jitter_ms(n, REGION_RETRY_MS);
+		return NULL;
+	}
 	if (!c->idempotent && c->idempotency_key[0] != '\0') {
-		h = ir_idempotency_key_host(s, c->account, c->idempotency_key);
+		h = ir_idempotency_key_host(
+		    s, c->regions, c->account, c->idempotency_key);
 		*e = IR_E_NO_HOST;
 		if (h != NULL && c->tried_count != 0 &&
 		    strcmp(c->tried_hosts[0], h->name) == 0)
@@ -283,6 +295,7 @@
 	    c->body_bytes + (uint32_t)strlen(c->path) + 256;
 	criteria.excluded_hosts = c->tried_hosts;
 	criteria.excluded_count = c->tried_count;
+	criteria.regions = c->regions;
 	switch (ir_balancer_pick(n->balancer, now, v,
 	    node_self_or_placeholder(n), &criteria, &h, retry_ms)) {
 	case IR_PICK_OK:
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -534,9 +534,12 @@
 	if (self != NULL && !n->settings.baseline_policy)
 		ir_gate_set_reported_slots(n->gate, self->slots);
 	changes = ir_sections_host_changes(n->sections, n->settings.service);
-	if (changes != n->seen_host_changes)
+	/* Allowed regions also move the hosts of Idempotency-Keys. */
+	if (changes != n->seen_host_changes ||
+	    v->regions_hash != n->seen_regions)
 		n->hosts_changed_us = now;
 	n->seen_host_changes = changes;
+	n->seen_regions = v->regions_hash;
 }
 
 /*
--- a/src/core/dump.c
+++ b/src/core/dump.c
@@ -3,6 +3,7 @@
 
 #include "core/internal.h"
 #include "host/position.h"
+#include "zone/region_set.h"
 
 static void
 add_string(struct json_object *o, const char *key, const char *value)
@@ -45,6 +46,7 @@
 	add_int(o, "services", (int64_t)v->service_count);
 	add_int(o, "accounts", (int64_t)v->account_count);
 	add_bool(o, "listed", self != NULL);
+	add_bool(o, "regions_restricted", v->regions_hash != 0);
 	add_bool(o, "reads_store", ir_node_should_read_store(n));
 	return o;
 }
@@ -90,6 +92,7 @@
 	add_string(o, "link", states[p->link.state]);
 	add_int(o, "attempts", count);
 	add_int(o, "pending_messages", p->pending_count);
+	add_bool(o, "takes_regions", p->takes_regions);
 	if (l != NULL) {
 		add_int(o, "limit", l->limit);
 		add_int(o, "running", l->running);
@@ -106,6 +109,7 @@
 
 	for (size_t i = 0; i < v->account_count; i++) {
 		const struct ir_account *a = &v->accounts[i];
+		char regions[256];
 		struct json_object *o = json_object_new_object();
 
 		add_string(o, "account", a->name);
@@ -113,6 +117,9 @@
 		add_int(o, "burst_mt", (int64_t)a->burst_mt);
 		add_int(o, "tokens_held",
 		    ir_rate_limiter_tokens(n->rate_limiter, now, a->name));
+		add_string(o, "regions",
+		    ir_region_set_text(
+			a->allowed_regions, regions, sizeof(regions)));
 		json_object_array_add(list, o);
 	}
 	return list;
--- a/src/core/error.c
+++ b/src/core/error.c
@@ -56,6 +56,8 @@
 	"Internal error; the request may have run."},
     [IR_E_CRASHES_UPSTREAM] = {"crashes-upstream", 503, NOT_RUN, false, true,
 	"Upstreams ended while they ran this request; it is not run for now."},
+    [IR_E_REGION] = {"region", 503, NOT_RUN, false, true,
+	"No host of the service is in a region allowed for this request."},
 };
 
 const struct ir_error_info *
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -72,7 +72,9 @@
 	uint32_t header_count;
 	uint8_t *body;
 	uint32_t body_bytes;
-	size_t accounted_bytes; /* in IR_MEMORY_CALLS */
+	const char *const *regions; /* allowed ones, see region_set.h */
+	uint64_t regions_hash;	    /* of the view they were last taken from */
+	size_t accounted_bytes;	    /* in IR_MEMORY_CALLS */
 	enum call_state state;
 	struct ir_retry_quota own_retry_quota;
 	struct ir_retry_quota *retry_quota; /* own, or the parent record's */
@@ -130,6 +132,7 @@
 	uint64_t suspects_sent;	   /* revision that its process was sent */
 	bool takes_suspects;	   /* its process handles SUSPECT_REPORT */
 	bool takes_notices;	   /* its process handles UPSTREAM_NOTICE */
+	bool takes_regions;	   /* its process handles REGION_FORWARD */
 	bool notice_due;	   /* had no room */
 	bool status_due;	   /* of some attempts; had no room */
 	uint32_t view_request_xid; /* of the unanswered VIEW_REQUEST, or 0 */
@@ -214,8 +217,10 @@
 	uint32_t view_source_tries;    /* polls since the last VIEW reply */
 	/* A poll was skipped to let the link to its source come up. */
 	bool view_source_waited;
-	int64_t hosts_changed_us; /* last change to the hosts of this service */
+	/* Last change to the hosts of this service or to allowed regions. */
+	int64_t hosts_changed_us;
 	uint64_t seen_host_changes; /* as of ir_sections_host_changes() */
+	uint64_t seen_regions;	    /* ir_view.regions_hash */
 	int64_t lease_valid_us; /* last time that the view's lease was valid */
 	/*
 	 * Earliest time at which the list may have marked this host as
@@ -400,6 +405,11 @@
  */
 enum ir_error serve_check_key(
     struct ir_node *n, int64_t now, const struct ir_forward *f);
+/*
+ * IR_OK if the request may run in this region, else IR_E_WRONG_GATE, which
+ * earlier versions also know.
+ */
+enum ir_error serve_check_regions(struct ir_node *n, struct ir_record *r);
 /* Adds c to, or removes it from, the calls that the run of r waits for. */
 void serve_child_started(struct ir_record *r, int64_t now, struct call *c);
 void serve_child_ended(struct ir_record *r, int64_t now, struct call *c);
@@ -410,6 +420,9 @@
  */
 void serve_forward(struct ir_node *n, int64_t now, uint32_t conn, uint32_t xid,
     const struct ir_forward *f);
+/* REGION_FORWARD: the same within the regions that the origin knows of. */
+void serve_region_forward(struct ir_node *n, int64_t now, uint32_t conn,
+    uint32_t xid, const struct ir_region_forward *f);
 /*
  * STATUS: an origin requests the status of an attempt whose connection was
  * lost. One that was never received is recorded as refused, so that it cannot
@@ -470,6 +483,36 @@
 /* Tells hosts of this service what they have not been told. */
 void suspects_tick(struct ir_node *n, int64_t now);
 
+/* regions.c */
+/*
+ * Sets the allowed regions of a call that was admitted: those of its route, of
+ * its account (on an open route, of the account with this key) and of the run
+ * that made it. key may be NULL.
+ */
+void regions_admit_call(struct ir_node *n, struct call *c, const char *key);
+/* Takes what the view has allowed less since then; cheap if nothing. */
+void regions_update_call(struct ir_node *n, struct call *c);
+/*
+ * Whether the call is refused for its regions: they exclude all live hosts of
+ * the service, or are none.
+ */
+bool regions_exclude_all(const struct call *c, const struct ir_service *s);
+/* Whether the peer is in a region of the call and can be told the regions. */
+bool regions_may_send(
+    struct ir_node *n, const struct call *c, const struct peer *p);
+/*
+ * Whether the request of a record that is not done may run here. First makes
+ * the record's set smaller by what this node's view allows.
+ */
+bool regions_accept_record(struct ir_node *n, struct ir_record *r);
+/* Whether a repeat of a request that has a record may be answered here. */
+bool regions_accept_repeat(
+    struct ir_node *n, const struct ir_forward *f, const char *const *regions);
+/* Counts and logs a refusal at "entry" or "gate". */
+void regions_log_refused(struct ir_node *n, const char *at,
+    const char *caller_attempt, const struct ir_request_id *request,
+    const char *service, const char *account, const char *const *regions);
+
 /* peers.c */
 /* The peer of that name, created on first use. NULL if out of memory. */
 struct peer *peer_get(struct ir_node *n, const char *host);
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -307,6 +307,8 @@
 	ir_balancer_set_reachable(n->balancer, now, p->name, true);
 	p->takes_notices = (r->accepted & IR_HELLO_TAKES_NOTICES) != 0;
 	p->takes_suspects = (r->accepted & IR_HELLO_TAKES_SUSPECTS) != 0;
+	p->takes_regions = (r->accepted & IR_HELLO_TAKES_REGIONS) != 0;
+	ir_balancer_set_takes_regions(n->balancer, p->name, p->takes_regions);
 	p->suspects_sent = 0;
 	send_upstream_notice(n, now, p);
 	attempt_link_up(n, now, p);
@@ -344,7 +346,8 @@
 	if (strcmp(h->expected_host, n->settings.host) == 0 &&
 	    strcmp(h->host, n->settings.host) != 0)
 		r->accepted = IR_HELLO_ACCEPTED | IR_HELLO_SENDS_PARTS |
-			      IR_HELLO_TAKES_NOTICES | IR_HELLO_TAKES_SUSPECTS;
+			      IR_HELLO_TAKES_NOTICES | IR_HELLO_TAKES_SUSPECTS |
+			      IR_HELLO_TAKES_REGIONS;
 	if (r->accepted != 0) {
 		close_previous_conns(n, h->host);
 		c = conn_find(n, conn);
@@ -422,6 +425,10 @@
 	case IR_MSG_FORWARD:
 		serve_forward(n, now, conn, xid, &m->ir_msg_u.forward);
 		break;
+	case IR_MSG_REGION_FORWARD:
+		serve_region_forward(
+		    n, now, conn, xid, &m->ir_msg_u.region_forward);
+		break;
 	case IR_MSG_STATUS:
 		serve_status(n, now, conn, xid, &m->ir_msg_u.status);
 		break;
@@ -581,6 +588,8 @@
 		break;
 	case IR_LINK_CLOSE_IDLE:
 		close_connection(n, p);
+		/* Its next process may handle them. */
+		ir_balancer_set_takes_regions(n->balancer, p->name, true);
 		break;
 	case IR_LINK_CONNECT:
 		connect_peer(n, now, p);
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -104,6 +104,8 @@
 		e = IR_E_STOPPING;
 	if (e == IR_OK && suspects_refuse(n, now, r->forward))
 		e = IR_E_CRASHES_UPSTREAM;
+	if (e == IR_OK)
+		e = serve_check_regions(n, r);
 	if (e == IR_OK) {
 		start_run(n, now, r);
 		return;
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "core/internal.h"
+#include "zone/region_set.h"
 
 static void
 gate_start(void *ctx, int64_t now, struct ir_work *w)
@@ -263,6 +264,18 @@
 	return e;
 }
 
+enum ir_error
+serve_check_regions(struct ir_node *n, struct ir_record *r)
+{
+	const struct ir_forward *f = r->forward;
+
+	if (regions_accept_record(n, r))
+		return IR_OK;
+	regions_log_refused(n, "gate", f->caller_attempt, &f->request,
+	    f->service, f->account, r->regions);
+	return IR_E_WRONG_GATE;
+}
+
 /* Whether this gate may accept the request: IR_OK or why not. */
 static enum ir_error
 check_forward(struct ir_node *n, int64_t now, const struct ir_forward *f)
@@ -314,15 +327,17 @@
  */
 static enum ir_error
 check_first_use_of_key(
-    struct ir_node *n, int64_t now, const struct ir_forward *f)
+    struct ir_node *n, int64_t now, const struct ir_record *r)
 {
 	const struct ir_view *v = node_view(n);
+	const struct ir_forward *f = r->forward;
 	const struct ir_service *s = ir_view_service(v, f->service);
 	const struct ir_host *h;
 
 	if (s == NULL)
 		return IR_E_WRONG_GATE;
-	h = ir_idempotency_key_host(s, f->account, f->idempotency_key);
+	h = ir_idempotency_key_host(
+	    s, r->regions, f->account, f->idempotency_key);
 	if (h == NULL || h != node_self(n))
 		return IR_E_WRONG_GATE;
 	if (!f->first_attempt && now - n->hosts_changed_us < IR_ATTEMPT_KEEP_US)
@@ -418,7 +433,7 @@
 /* Creates the record of a new attempt, checks it and offers it to the gate. */
 static void
 offer_to_gate(struct ir_node *n, int64_t now, uint32_t conn, uint32_t xid,
-    const struct ir_forward *f)
+    const struct ir_forward *f, const char *const *regions)
 {
 	struct ir_record *r =
 	    ir_records_add(n->records, &f->attempt, request_size_bytes(f));
@@ -430,15 +445,18 @@
 	}
 	r->forward = copy_forward(r, f);
 	r->account = talloc_strdup(r, f->account);
+	r->regions = ir_region_set_intersect(r, regions, NULL);
 	r->retry_quota.tokens = f->retry_tokens;
 	add_waiter(r, conn, xid, &f->attempt, false);
 	ir_records_update_size(n->records, r);
 	e = check_forward(n, now, f);
+	if (e == IR_OK)
+		e = serve_check_regions(n, r);
 	if (e == IR_OK && !f->idempotent && f->idempotency_key[0] != '\0') {
 		char *key = idempotency_id(r, f);
 
 		r->fingerprint = request_fingerprint(f);
-		e = check_first_use_of_key(n, now, f);
+		e = check_first_use_of_key(n, now, r);
 		if (e == IR_OK)
 			ir_records_set_key(n->records, r, key);
 		talloc_free(key);
@@ -485,9 +503,10 @@
 	return r;
 }
 
-void
-serve_forward(struct ir_node *n, int64_t now, uint32_t conn, uint32_t xid,
-    const struct ir_forward *f)
+/* regions: the allowed ones as the origin knows them. */
+static void
+handle_forward(struct ir_node *n, int64_t now, uint32_t conn, uint32_t xid,
+    const struct ir_forward *f, const char *const *regions)
 {
 	struct ir_record *r = ir_records_find(n->records, &f->attempt);
 	enum ir_error e;
@@ -502,14 +521,16 @@
 	}
 	r = find_keyed_record(n, f);
 	if (r == NULL) {
-		offer_to_gate(n, now, conn, xid, f);
+		offer_to_gate(n, now, conn, xid, f, regions);
 		return;
 	}
 	e = serve_check_key(n, now, f);
 	if (e == IR_OK && r->fingerprint != request_fingerprint(f))
 		e = IR_E_BAD_REQUEST;
 	/* The first request may have run, so "not run" would be wrong. */
-	if (e == IR_OK && !ir_records_add_alias(n->records, r, &f->attempt))
+	if (e == IR_OK &&
+	    (!regions_accept_repeat(n, f, regions) ||
+		!ir_records_add_alias(n->records, r, &f->attempt)))
 		e = IR_E_REPEAT_UNKNOWN;
 	if (e != IR_OK) {
 		reply_without_record(n, now, conn, xid, f, e);
@@ -518,6 +539,25 @@
 	join_record(n, now, r, conn, xid, &f->attempt, false);
 }
 
+void
+serve_forward(struct ir_node *n, int64_t now, uint32_t conn, uint32_t xid,
+    const struct ir_forward *f)
+{
+	handle_forward(n, now, conn, xid, f, NULL);
+}
+
+void
+serve_region_forward(struct ir_node *n, int64_t now, uint32_t conn,
+    uint32_t xid, const struct ir_region_forward *f)
+{
+	TALLOC_CTX *mem = talloc_new(n);
+
+	handle_forward(n, now, conn, xid, &f->forward,
+	    ir_region_set_new(
+		mem, f->regions.regions_val, f->regions.regions_len));
+	talloc_free(mem);
+}
+
 static void
 reply_answer_dropped(struct ir_node *n, int64_t now, uint32_t conn,
     uint32_t xid, const struct ir_attempt_ref *ref)
--- a/src/host/view.h
+++ b/src/host/view.h
@@ -179,6 +179,8 @@
 	size_t zone_count;
 	const char **evacuated_zones; /* sorted */
 	size_t evacuated_zone_count;
+	/* Of all allowed regions; 0: no route or account has any. */
+	uint64_t regions_hash;
 	/* Fleet routes, sorted by host name, then longest path first. */
 	const struct ir_route *routes;
 	size_t route_count;
--- a/src/host/view_build.c
+++ b/src/host/view_build.c
@@ -1,6 +1,7 @@
 /* Building of views. */
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "host/view_build.h"
 
@@ -165,6 +166,38 @@
 		    ir_view_zone_is_evacuated(v, v->hosts[i].zone);
 }
 
+static uint64_t
+hash_text(const char *text, uint64_t hash)
+{
+	return XXH64(text, strlen(text) + 1, hash);
+}
+
+static uint64_t
+hash_regions(const char *const *regions, const char *name, const char *path,
+    uint64_t hash)
+{
+	if (regions == NULL)
+		return hash;
+	hash = hash_text(path, hash_text(name, hash));
+	for (; *regions != NULL; regions++)
+		hash = hash_text(*regions, hash);
+	return hash_text("", hash);
+}
+
+static void
+add_regions_hash(struct ir_view *v)
+{
+	uint64_t hash = 0;
+
+	for (size_t i = 0; i < v->route_count; i++)
+		hash = hash_regions(v->routes[i].allowed_regions,
+		    v->routes[i].authority, v->routes[i].path, hash);
+	for (size_t i = 0; i < v->account_count; i++)
+		hash = hash_regions(v->accounts[i].allowed_regions,
+		    v->accounts[i].name, "", hash);
+	v->regions_hash = hash;
+}
+
 #define MT_PER_TOKEN 1000.0
 
 static void
@@ -225,5 +258,6 @@
 	add_evacuations(v, in);
 	add_services(v, in);
 	add_zones(v);
+	add_regions_hash(v);
 	return v;
 }
--- a/src/io/core/core_out.c
+++ b/src/io/core/core_out.c
@@ -91,6 +91,8 @@
 	switch (m->kind) {
 	case IR_MSG_FORWARD:
 		return m->ir_msg_u.forward.body.body_len;
+	case IR_MSG_REGION_FORWARD:
+		return m->ir_msg_u.region_forward.forward.body.body_len;
 	case IR_MSG_ANSWER:
 		return m->ir_msg_u.answer.body.body_len;
 	case IR_MSG_STATUS_REPLY:
--- a/src/link/peer.h
+++ b/src/link/peer.h
@@ -29,6 +29,8 @@
 #define IR_HELLO_SENDS_PARTS 2
 #define IR_HELLO_TAKES_NOTICES 4
 #define IR_HELLO_TAKES_SUSPECTS 8
+#define IR_HELLO_TAKES_REGIONS 16
+#define IR_MAX_REGIONS 64
 #define IR_DIGEST_BYTES 16
 #define IR_MAX_CRASHES 8
 #define IR_MAX_SUSPECTS 64
@@ -54,6 +56,7 @@
 	IR_MSG_PART = 18,
 	IR_MSG_UPSTREAM_NOTICE = 19,
 	IR_MSG_SUSPECT_REPORT = 21,
+	IR_MSG_REGION_FORWARD = 23,
 };
 typedef enum ir_msg_kind ir_msg_kind;
 
@@ -142,6 +145,17 @@
 };
 typedef struct ir_forward ir_forward;
 
+typedef char *ir_region_name;
+
+struct ir_region_forward {
+	ir_forward forward;
+	struct {
+		u_int regions_len;
+		ir_region_name *regions_val;
+	} regions;
+};
+typedef struct ir_region_forward ir_region_forward;
+
 struct ir_reply {
 	ir_attempt_id attempt;
 	u_quad_t incarnation;
@@ -298,6 +312,7 @@
 		ir_part part;
 		ir_upstream_notice upstream_notice;
 		ir_suspect_report suspect_report;
+		ir_region_forward region_forward;
 	} ir_msg_u;
 };
 typedef struct ir_msg ir_msg;
@@ -314,6 +329,8 @@
 extern  bool_t xdr_ir_hello_reply (XDR *, ir_hello_reply*);
 extern  bool_t xdr_ir_heartbeat (XDR *, ir_heartbeat*);
 extern  bool_t xdr_ir_forward (XDR *, ir_forward*);
+extern  bool_t xdr_ir_region_name (XDR *, ir_region_name*);
+extern  bool_t xdr_ir_region_forward (XDR *, ir_region_forward*);
 extern  bool_t xdr_ir_reply (XDR *, ir_reply*);
 extern  bool_t xdr_ir_attempt_ref (XDR *, ir_attempt_ref*);
 extern  bool_t xdr_ir_grant_request (XDR *, ir_grant_request*);
@@ -339,6 +356,8 @@
 extern bool_t xdr_ir_hello_reply ();
 extern bool_t xdr_ir_heartbeat ();
 extern bool_t xdr_ir_forward ();
+extern bool_t xdr_ir_region_name ();
+extern bool_t xdr_ir_region_forward ();
 extern bool_t xdr_ir_reply ();
 extern bool_t xdr_ir_attempt_ref ();
 extern bool_t xdr_ir_grant_request ();
--- a/src/link/peer.x
+++ b/src/link/peer.x
@@ -20,6 +20,8 @@
 const IR_HELLO_SENDS_PARTS = 2;
 const IR_HELLO_TAKES_NOTICES = 4;
 const IR_HELLO_TAKES_SUSPECTS = 8;
+const IR_HELLO_TAKES_REGIONS = 16;
+const IR_MAX_REGIONS = 64;
 const IR_DIGEST_BYTES = 16;
 const IR_MAX_CRASHES = 8;
 const IR_MAX_SUSPECTS = 64;
@@ -53,7 +55,12 @@
 	 */
 		IR_MSG_UPSTREAM_NOTICE = 19,
 	/* Has no reply. Only sent to a host with IR_HELLO_TAKES_SUSPECTS. */
-	IR_MSG_SUSPECT_REPORT = 21
+	IR_MSG_SUSPECT_REPORT = 21,
+	/*
+	 * A FORWARD with allowed regions; its reply is ANSWER. Only sent to a
+	 * host with IR_HELLO_TAKES_REGIONS.
+	 */
+	IR_MSG_REGION_FORWARD = 23
 };
 
 struct ir_attempt_id {
@@ -136,6 +143,14 @@
 	opaque body<IR_MAX_BODY>;
 };
 
+typedef string ir_region_name<IR_MAX_NAME>;
+
+/* A request that may be served in these regions only; empty: in none. */
+struct ir_region_forward {
+	ir_forward forward;
+	ir_region_name regions<IR_MAX_REGIONS>;
+};
+
 struct ir_reply {
 	ir_attempt_id attempt;
 	unsigned hyper incarnation;	/* of the process that answers */
@@ -303,4 +318,6 @@
 		ir_upstream_notice upstream_notice;
 case IR_MSG_SUSPECT_REPORT:
 	ir_suspect_report suspect_report;
+case IR_MSG_REGION_FORWARD:
+	ir_region_forward region_forward;
 };
--- a/src/link/peer_xdr.c
+++ b/src/link/peer_xdr.c
@@ -352,6 +352,29 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ir_region_name (XDR *xdrs, ir_region_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, IR_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ir_region_forward (XDR *xdrs, ir_region_forward *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ir_forward (xdrs, &objp->forward))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->regions.regions_val, (u_int *) &objp->regions.regions_len, IR_MAX_REGIONS,
+		sizeof (ir_region_name), (xdrproc_t) xdr_ir_region_name))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ir_reply (XDR *xdrs, ir_reply *objp)
 {
@@ -845,6 +868,10 @@
 		 if (!xdr_ir_suspect_report (xdrs, &objp->ir_msg_u.suspect_report))
 			 return FALSE;
 		break;
+	case IR_MSG_REGION_FORWARD:
+		 if (!xdr_ir_region_forward (xdrs, &objp->ir_msg_u.region_forward))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -232,6 +232,19 @@
 	"One of the runs with this event at that time may have ended it.",
 	"Look at the upstream's own log. The same method, path and account at "
 	"several ends name the request that causes them."},
+    {IR_EVENT_REGION_REFUSED,
+	"id; at: entry or gate; service; account: of the request, empty on "
+	"open "
+	"routes; allowed: the regions, separated by commas, or none; config: "
+	"revision of the configuration here",
+	"A request was refused, not run. At the entry: no live host of the "
+	"service is in a region allowed by its route, its account and the run "
+	"that made it. At a gate: this host is in none of them, so that the "
+	"entry had another configuration or host list; it tries another host.",
+	"At the entry: compare the allowed regions of the route and the "
+	"account "
+	"with those in which the service has hosts. At a gate: nothing, if it "
+	"ends within seconds of a change."},
     {IR_EVENT_BUCKET_HANDED,
 	"account: its name; bucket: its number; to: the host",
 	"A token bucket of an account was handed over to another host.",
--- a/src/upstream/record.h
+++ b/src/upstream/record.h
@@ -64,6 +64,8 @@
 	uint64_t fingerprint;  /* hash of method, path, body; 0 without key */
 	struct ir_forward *forward; /* the request; NULL when done */
 	char *account;
+	const char *const *regions; /* allowed ones, see region_set.h */
+	uint64_t regions_hash;	    /* of the view they were last taken from */
 	struct ir_retry_quota retry_quota;
 	struct call *children;	      /* pending egress calls of this request */
 	int64_t callee_wait_start_us; /* when children became non-empty */
--- a/src/zone/balancer.c
+++ b/src/zone/balancer.c
@@ -5,6 +5,7 @@
 #include "ibisrail/limits.h"
 #include "zone/balancer.h"
 #include "zone/host_status.h"
+#include "zone/region_set.h"
 
 /*
  * Shed levels older than this are ignored. The age is drawn at random for each
@@ -95,6 +96,17 @@
 	return false;
 }
 
+/* Whether the host may serve the request, and its process can. */
+static bool
+is_allowed(const struct ir_pick_criteria *criteria, const struct ir_host *h,
+    const struct ir_host_status *s)
+{
+	if (criteria->regions == NULL)
+		return true;
+	return ir_region_set_has(criteria->regions, h->region) &&
+	       !(s != NULL && s->lacks_regions);
+}
+
 /* Reservoir sampling: every pair of the hosts added is equally likely. */
 static void
 add_to_sample(struct sample *s, uint64_t *random, const struct ir_host *h,
@@ -129,6 +141,7 @@
 	double utilization;
 
 	if (h->leaving || is_excluded(p->criteria, h) ||
+	    !is_allowed(p->criteria, h, s) ||
 	    !ir_host_status_is_available(s, p->now))
 		return;
 	if (p->criteria->priority < ir_host_status_shed_level(s, p->now,
@@ -351,6 +364,17 @@
 		ir_host_status_set_unreachable(s, now);
 }
 
+void
+ir_balancer_set_takes_regions(
+    struct ir_balancer *b, const char *host, bool takes)
+{
+	struct ir_host_status *s =
+	    ir_host_status_find_or_add(b->statuses, host);
+
+	if (s != NULL)
+		s->lacks_regions = !takes;
+}
+
 void
 ir_balancer_apply_view(
     struct ir_balancer *b, int64_t now, const struct ir_view *v)
--- a/src/zone/balancer.h
+++ b/src/zone/balancer.h
@@ -25,14 +25,17 @@
 	uint32_t request_bytes;
 	const char *const *excluded_hosts; /* names of hosts tried already */
 	size_t excluded_count;
+	/* Hosts elsewhere are left out; ends with NULL, or NULL: none is. */
+	const char *const *regions;
 };
 
 enum ir_pick_result {
 	IR_PICK_OK,
-	IR_PICK_SHED,	/* some host sheds this priority and no other can take
-			   it, or only the other region is left and the budget
-			   of its link is spent */
-	IR_PICK_NO_HOST /* no host is live, reachable and untried */
+	IR_PICK_SHED, /* some host sheds this priority and no other can take
+			 it, or only the other region is left and the budget
+			 of its link is spent */
+	/* No host is live, reachable, untried and in an allowed region. */
+	IR_PICK_NO_HOST
 };
 
 /* seed of the random choices. NULL if out of memory. */
@@ -85,6 +88,13 @@
 /* The link to a host is up (true) or was lost (false). */
 void ir_balancer_set_reachable(
     struct ir_balancer *b, int64_t now, const char *host, bool reachable);
+/*
+ * The process of a host, as it was just connected, handles requests with
+ * allowed regions or not. If not, it is left out of the choice for these until
+ * its connection has ended.
+ */
+void ir_balancer_set_takes_regions(
+    struct ir_balancer *b, const char *host, bool takes);
 /* Follows a new view: drops the status of hosts that it does not list. */
 void ir_balancer_apply_view(
     struct ir_balancer *b, int64_t now, const struct ir_view *v);
--- a/src/zone/host_status.c
+++ b/src/zone/host_status.c
@@ -195,6 +195,7 @@
 ir_host_status_set_unreachable(struct ir_host_status *s, int64_t now)
 {
 	s->unreachable = true;
+	s->lacks_regions = false;
 	s->has_load = false;
 	s->backoff_us *= 2;
 	if (s->backoff_us < MIN_BACKOFF_US)
--- a/src/zone/host_status.h
+++ b/src/zone/host_status.h
@@ -46,6 +46,7 @@
 	struct ir_upstream_status upstream_status;
 	bool listed_leaving;	  /* "leaving" in the view last applied */
 	uint64_t listed_upstream; /* hash of the upstream's id in that view */
+	bool lacks_regions;	  /* does not handle requests with regions */
 	bool unreachable;
 	int64_t retry_us; /* when unreachable: time of the next attempt */
 	int64_t backoff_us;
--- a/src/zone/placement.c
+++ b/src/zone/placement.c
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 
 #include "zone/placement.h"
+#include "zone/region_set.h"
 
 /*
  * Regions of more zones have one reader less in each: readers are there for
@@ -325,10 +326,15 @@
 }
 
 const struct ir_host *
-ir_idempotency_key_host(const struct ir_service *s, const char *account,
-    const char *idempotency_key)
+ir_idempotency_key_host(const struct ir_service *s, const char *const *regions,
+    const char *account, const char *idempotency_key)
 {
 	uint64_t key = hash_string(idempotency_key, hash_string(account, 0));
+	const struct ir_host *best = NULL;
 
-	return highest_score(s->hosts, s->host_count, key, NULL);
+	for (size_t i = 0; i < s->host_count; i++) {
+		if (ir_region_set_has(regions, s->hosts[i]->region))
+			best = highest_score(&s->hosts[i], 1, key, best);
+	}
+	return best;
 }
--- a/src/zone/placement.h
+++ b/src/zone/placement.h
@@ -50,9 +50,10 @@
 
 /*
  * The only live host of a service that may run a request with this idempotency
- * key; NULL if the service has no live host.
+ * key and these allowed regions (see region_set.h); NULL if none is live there.
  */
 const struct ir_host *ir_idempotency_key_host(const struct ir_service *s,
-    const char *account, const char *idempotency_key);
+    const char *const *regions, const char *account,
+    const char *idempotency_key);
 
 #endif
--- a/test/support/fleet.c
+++ b/test/support/fleet.c
@@ -424,6 +424,9 @@
 			if (m.kind == IR_MSG_FORWARD)
 				fleet_record_forward(
 				    f, ev->node, &m.ir_msg_u.forward);
+			if (m.kind == IR_MSG_REGION_FORWARD)
+				fleet_record_forward(f, ev->node,
+				    &m.ir_msg_u.region_forward.forward);
 			ir_node_message_received(
 			    n->node, f->now_us, ev->conn, xid, &m);
 		} else if (n->alive && f->now_us < n->paused_until_us)
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -233,23 +233,24 @@
 	struct ir_view *v = contract_view_new(NULL, 1, 20);
 	struct ir_service s = {
 	    .hosts = v->zones[0].hosts, .host_count = v->zones[0].host_count};
-	const struct ir_host *h = ir_idempotency_key_host(&s, "acme", "k1");
+	const struct ir_host *h =
+	    ir_idempotency_key_host(&s, NULL, "acme", "k1");
 	unsigned moved = 0;
 
-	assert_ptr_equal(h, ir_idempotency_key_host(&s, "acme", "k1"));
+	assert_ptr_equal(h, ir_idempotency_key_host(&s, NULL, "acme", "k1"));
 	for (int i = 0; i < 100; i++) {
 		char key[16];
 
 		snprintf(key, sizeof key, "k%d", i);
-		h = ir_idempotency_key_host(&s, "acme", key);
+		h = ir_idempotency_key_host(&s, NULL, "acme", key);
 		v->hosts[0].leaving = true;
-		moved += h != ir_idempotency_key_host(&s, "acme", key);
+		moved += h != ir_idempotency_key_host(&s, NULL, "acme", key);
 		v->hosts[0].leaving = false;
 	}
 	assert_in_range(moved, 1, 15);
 	for (size_t i = 0; i < v->host_count; i++)
 		v->hosts[i].leaving = true;
-	assert_null(ir_idempotency_key_host(&s, "acme", "k1"));
+	assert_null(ir_idempotency_key_host(&s, NULL, "acme", "k1"));
 	talloc_free(v);
 }
 
