--- a/src/core/regions.c
+++ b/src/core/regions.c
@@ -31,7 +31,7 @@
 {
 	const struct ir_route *route = NULL;
 
-	if (authority[0] != '\0')
+	if (authority != NULL && authority[0] != '\0')
 		route = ir_view_route(node_view(n), authority, path);
 	if (route != NULL)
 		restrict_to(mem, set, route->allowed_regions);
--- a/test/support/fleet.c
+++ b/test/support/fleet.c
@@ -224,6 +224,24 @@
 	fleet_schedule(f, ev);
 }
 
+static void
+check_region_forward(struct fleet *f, int to, const struct ir_region_forward *r)
+{
+	const struct fleet_node *n = &f->nodes[to];
+	bool allowed = false;
+
+	for (u_int i = 0; i < r->regions.regions_len; i++)
+		allowed = allowed ||
+			  strcmp(r->regions.regions_val[i], n->region) == 0;
+	if (!allowed)
+		fleet_fail(f, "request for other regions sent to %s", n->name);
+	if (n->lacks_regions)
+		fleet_fail(f,
+		    "REGION_FORWARD sent to %s, which does not "
+		    "announce it",
+		    n->name);
+}
+
 bool
 fleet_op_send(void *ctx, uint32_t conn, uint32_t xid, const struct ir_msg *m)
 {
@@ -231,6 +249,7 @@
 	struct fleet *f = fn->fleet;
 	int from = (int)(fn - f->nodes);
 	struct fleet_conn *c = find_conn(f, from, conn);
+	struct ir_msg copy;
 	int64_t at;
 	uint32_t id;
 	int to;
@@ -240,6 +259,12 @@
 	if (fn->no_room)
 		return false;
 	to = c->a == from ? c->b : c->a;
+	copy = *m;
+	if (m->kind == IR_MSG_HELLO_REPLY && fn->lacks_regions)
+		copy.ir_msg_u.hello_reply.accepted &= ~IR_HELLO_TAKES_REGIONS;
+	if (m->kind == IR_MSG_REGION_FORWARD)
+		check_region_forward(f, to, &m->ir_msg_u.region_forward);
+	m = &copy;
 	if (f->verbose)
 		(void)fprintf(stderr, "%10lld %s sends %d to %s\n",
 		    (long long)f->now_us - 1000 * IR_US_PER_S, fn->name,
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -61,6 +61,8 @@
 	uint64_t id;
 	int node;
 	bool egress;
+	/* The only region in which it may run; NULL: any. */
+	const char *required_region;
 	bool needs_key;
 	bool idempotent;
 	char marker[24]; /* last part of the path, echoed as answer body */
@@ -138,6 +140,8 @@
 	int64_t first_limit_us;
 	int64_t first_leaving_us;
 	const char *callee_service; /* service that its runs call; NULL: none */
+	bool calls_in_egress;	    /* and those of egress calls, too */
+	bool lacks_regions;	    /* a build without REGION_FORWARD */
 	bool fails_with_callee;	    /* answers 500 if that call fails */
 	int64_t next_store_poll_us;
 	bool leaving;
@@ -201,6 +205,13 @@
 	int64_t *token_spent_us; /* when each token was spent */
 	int token_spent_count;
 	uint64_t retries_allowed;
+	/* Host name of the calls to come; NULL: they name their service. */
+	const char *authority;
+	const char *required_region; /* of the calls to come */
+	/* Allowed regions of account "a", as JSON; NULL: none are given. */
+	const char *account_regions;
+	const char *only_region; /* that of account_regions, or NULL */
+	int64_t regions_published_us;
 	const char *failure; /* the first broken guarantee, or NULL */
 	/* Called at each step, to inject faults. */
 	void (*hook)(struct fleet *f, const struct fleet_step_event *ev);
@@ -220,6 +231,18 @@
     struct fleet *f, const char *service, const char *region, const char *zone);
 /* Publishes the sections of the fleet, account "a", services "s" and "t". */
 void fleet_publish_defaults(struct fleet *f);
+/*
+ * Publishes fleet route "shop" to a service, for paths from /read and /write,
+ * with its regions as JSON; NULL: none are given.
+ */
+void fleet_publish_route(
+    struct fleet *f, const char *service, const char *regions);
+/*
+ * Publishes account "a" with only this region, NULL: any, in the list's place
+ * otherwise given by regions (JSON), if that is not NULL.
+ */
+void fleet_publish_account_regions(
+    struct fleet *f, const char *only, const char *regions);
 /* Publishes a section of the configuration or, "host/NAME", of the list. */
 void fleet_publish(struct fleet *f, const char *name, const char *text);
 /* Publishes account "a", with or without the digest of fleet_key. */
--- a/test/support/fleet_calls.c
+++ b/test/support/fleet_calls.c
@@ -7,6 +7,7 @@
 #include "core/internal.h"
 #include "core/unconst.h"
 #include "support/fleet_priv.h"
+#include "zone/region_set.h"
 
 const char fleet_deadly[] = "deadly";
 
@@ -78,6 +79,28 @@
 		a->started_us = f->now_us;
 }
 
+/*
+ * A run must be allowed by the gate's own view, and by what was published as
+ * soon as every gate must know it, or has lost its lease.
+ */
+static void
+check_account_region(
+    struct fleet *f, struct fleet_node *n, const struct fleet_call *c)
+{
+	const struct ir_account *a = ir_view_account(node_view(n->node), "a");
+
+	if (!c->needs_key)
+		return;
+	if (a != NULL && !ir_region_set_has(a->allowed_regions, n->region))
+		fleet_fail(f, "call %s ran in %s, which %s does not allow",
+		    c->marker, n->region, n->name);
+	if (f->only_region != NULL && strcmp(f->only_region, n->region) != 0 &&
+	    fleet_readable_for_us(f, f->regions_published_us) >
+		FLEET_KEY_WITHDRAWN_US)
+		fleet_fail(f, "call %s ran in %s, published is %s", c->marker,
+		    n->region, f->only_region);
+}
+
 static void
 check_run(
     struct fleet *f, int node, const struct ir_run *r, struct fleet_call *c)
@@ -114,6 +137,11 @@
 		    "call %s ran on leaving host %s; %d hosts can read the "
 		    "store",
 		    c->marker, n->name, fleet_store_readers(f));
+	if (c->required_region != NULL &&
+	    strcmp(c->required_region, n->region) != 0)
+		fleet_fail(f, "call %s ran in %s instead of %s", c->marker,
+		    n->region, c->required_region);
+	check_account_region(f, n, c);
 	if (r->remaining_ms > IR_MAX_DEADLINE_MS)
 		fleet_fail(f, "call %s ran after its deadline", c->marker);
 	if (strstr(r->path, fleet_key) != NULL ||
@@ -136,6 +164,7 @@
 	c->node = node;
 	c->egress = true;
 	c->parent_run = run;
+	c->required_region = parent->required_region;
 	c->parent_incarnation = f->nodes[node].incarnation;
 	(void)snprintf(
 	    c->parent_marker, sizeof(c->parent_marker), "%s", parent->marker);
@@ -226,6 +255,8 @@
 	int node = (int)(n - f->nodes);
 	struct fleet_call *c = find_call_of_run(f, r);
 	struct fleet_event *ev;
+	bool calls;
+
 	if (c == NULL) {
 		fleet_fail(f, "run with unexpected path %s", r->path);
 		return;
@@ -253,9 +284,10 @@
 		crash_upstream(f, node, r->id);
 		return;
 	}
-	if (n->callee_service == NULL || c->egress)
+	calls = n->callee_service != NULL && (!c->egress || n->calls_in_egress);
+	if (!calls)
 		schedule_run_end(f, node, r->id, c->marker, 200);
-	if (n->callee_service != NULL && !c->egress) {
+	if (calls) {
 		ev = fleet_event(f, EVENT_EGRESS_CALL, node, f->now_us);
 		ev->run = r->id;
 		ev->parent_call = (int)(c - f->calls);
@@ -411,6 +443,7 @@
 	c->id = (uint64_t)f->call_count + 1;
 	c->node = node;
 	c->needs_key = !open;
+	c->required_region = f->required_region;
 	c->has_key = r->with_key;
 	c->is_repeat = r->repeat_of != 0;
 	c->idempotent = !write;
@@ -430,7 +463,8 @@
 	    r->path_end != NULL ? r->path_end : c->marker);
 	in.caller_attempt = r->path_end != NULL ? c->marker : NULL;
 	in.id = c->id;
-	in.service = r->service;
+	in.service = f->authority == NULL ? r->service : NULL;
+	in.authority = f->authority;
 	in.method = write ? "POST" : "GET";
 	in.path = path;
 	in.key = r->with_key ? fleet_key : NULL;
--- a/test/support/fleet_store.c
+++ b/test/support/fleet_store.c
@@ -148,10 +148,12 @@
 	text = talloc_asprintf(f,
 	    "{\"generation\":%llu,\"accounts\":[{\"name\":\"a\","
 	    "\"rate_per_s\":%llu,\"burst\":%llu,\"weight\":%llu,"
-	    "\"key_digests\":[%s%s%s]}]}",
+	    "\"key_digests\":[%s%s%s]%s%s}]}",
 	    (unsigned long long)generation, (unsigned long long)rate_per_s,
 	    (unsigned long long)burst, (unsigned long long)generation,
-	    with_key ? "\"" : "", with_key ? digest : "", with_key ? "\"" : "");
+	    with_key ? "\"" : "", with_key ? digest : "", with_key ? "\"" : "",
+	    f->account_regions != NULL ? ",\"regions\":" : "",
+	    f->account_regions != NULL ? f->account_regions : "");
 	fleet_publish(f, "accounts", text);
 	talloc_free(text);
 	if (f->key_published && !with_key)
@@ -179,6 +181,39 @@
 	fleet_publish_rate(f, next_generation(f), rate_per_s, burst, with_key);
 }
 
+void
+fleet_publish_account_regions(
+    struct fleet *f, const char *only, const char *regions)
+{
+	f->only_region = only;
+	f->account_regions = regions;
+	if (regions == NULL && only != NULL)
+		f->account_regions = talloc_asprintf(f, "[\"%s\"]", only);
+	f->regions_published_us = f->now_us;
+	fleet_publish_account(
+	    f, f->rate_mt_per_s / 1000, f->burst_mt / 1000, f->key_published);
+}
+
+#define ROUTE_TEXT                                                    \
+	"{\"authority\":\"shop\",\"path\":\"/%s/\",\"importance\":1," \
+	"\"deadline_ms\":5000,\"target_ms\":0,\"idempotent\":%s,"     \
+	"\"open\":false,"                                             \
+	"\"retries\":2,\"parts\":[{\"service\":\"%s\",\"weight\":1}]%s%s}"
+
+void
+fleet_publish_route(struct fleet *f, const char *service, const char *regions)
+{
+	const char *member = regions != NULL ? ",\"regions\":" : "";
+	const char *list = regions != NULL ? regions : "";
+	char *text = talloc_asprintf(f,
+	    "{\"generation\":%llu,\"routes\":[" ROUTE_TEXT "," ROUTE_TEXT "]}",
+	    (unsigned long long)next_generation(f), "read", "true", service,
+	    member, list, "write", "false", service, member, list);
+
+	fleet_publish(f, "routes", text);
+	talloc_free(text);
+}
+
 static void
 publish_service(struct fleet *f, const char *name)
 {
--- a/test/test_balancer.c
+++ b/test/test_balancer.c
@@ -494,6 +494,30 @@
 	assert_int_equal(pick(f, 1), IR_PICK_OK);
 }
 
+/* Guards against a request that overflows to a region it may not be in. */
+static void
+test_hosts_outside_the_allowed_regions_are_left_out(void **state)
+{
+	static const char *const far[] = {"r1", NULL}, *const none[] = {NULL};
+	struct fixture *f = *state;
+
+	f->criteria.regions = far;
+	assert_int_equal(pick(f, 100), IR_PICK_OK);
+	for (int i = 0; i < 2 * PER_ZONE; i++)
+		assert_int_equal(f->picked[i], 0);
+	ir_balancer_set_takes_regions(f->balancer, "h06", false);
+	f->picked[6] = 0;
+	assert_int_equal(pick(f, 100), IR_PICK_OK);
+	assert_int_equal(f->picked[6], 0);
+	for (int i = 2 * PER_ZONE; i < HOSTS; i++)
+		f->hosts[i].leaving = true;
+	assert_int_equal(pick(f, 1), IR_PICK_NO_HOST);
+	f->criteria.regions = none;
+	assert_int_equal(pick(f, 1), IR_PICK_NO_HOST);
+	f->criteria.regions = NULL;
+	assert_int_equal(pick(f, 1), IR_PICK_OK);
+}
+
 int
 main(void)
 {
@@ -513,6 +537,7 @@
 	    BALANCER_TEST(test_other_region_within_its_budget),
 	    BALANCER_TEST(test_reconnect_and_new_view_discard_status),
 	    BALANCER_TEST(test_unknown_service),
+	    BALANCER_TEST(test_hosts_outside_the_allowed_regions_are_left_out),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -30,7 +30,7 @@
 static int
 next_kind(int kind)
 {
-	return kind == IR_MSG_UPSTREAM_NOTICE ? kind + 2 : kind + 1;
+	return kind >= IR_MSG_UPSTREAM_NOTICE ? kind + 2 : kind + 1;
 }
 
 /* The cast is safe: the encoder only reads the message. */
@@ -71,6 +71,8 @@
 	f->body.body_val = text("xyz");
 }
 
+static char *regions[] = {(char[]){"r1"}, (char[]){"r2"}};
+
 static struct ir_msg
 sample_message(int kind)
 {
@@ -120,6 +122,11 @@
 		m.ir_msg_u.upstream_notice.upstream_id = text("i-1");
 		m.ir_msg_u.upstream_notice.rate_mt_per_s = 4200;
 		break;
+	case IR_MSG_REGION_FORWARD:
+		fill_forward(&m.ir_msg_u.region_forward.forward);
+		m.ir_msg_u.region_forward.regions.regions_len = 2;
+		m.ir_msg_u.region_forward.regions.regions_val = regions;
+		break;
 	case IR_MSG_HANDOVER:
 		m.ir_msg_u.handover.account = text("acme");
 		m.ir_msg_u.handover.available_mt = UINT64_MAX;
@@ -144,7 +151,7 @@
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
 
-	for (int kind = IR_MSG_HELLO; kind <= IR_MSG_SUSPECT_REPORT;
+	for (int kind = IR_MSG_HELLO; kind <= IR_MSG_REGION_FORWARD;
 	     kind = next_kind(kind)) {
 		struct ir_msg m = sample_message(kind), decoded;
 		const char *error;
@@ -183,7 +190,7 @@
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
 
-	for (int kind = IR_MSG_HELLO; kind <= IR_MSG_SUSPECT_REPORT;
+	for (int kind = IR_MSG_HELLO; kind <= IR_MSG_REGION_FORWARD;
 	     kind = next_kind(kind)) {
 		struct ir_msg m = sample_message(kind);
 		uint8_t *data;
