Evacuated zones: balancer and gate leave their upstreams alone

Cause: the view lists evacuated zones, but requests were still sent to the upstreams there.

Ruled out: an error kind of its own for the gate's refusal, as peers of previous builds take an unknown kind for an unknown outcome. The leaving flag of the load report, as an entry that missed the whole evacuation would keep it until its next report; the shed level, used instead, ages out within 200 ms.

Change: the balancer and the owner of an Idempotency-Key leave out hosts of evacuated zones. The gate of such a host refuses new and queued work, and work about to start, as not run. A zone that is evacuated or returns counts as a change to the hosts of all services, so that a repeat with an Idempotency-Key whose owner moved does not run twice. Event zone-evacuation, counter ibisrail_evacuation_refused_total, evacuated zones in the state. The randomized fuzz program has runs with evacuations (-e).

--- a/src/core/control.c
+++ b/src/core/control.c
@@ -573,6 +573,7 @@
 	update_leaving(n, now, self);
 	local_upstream_view_changed(n, now, self);
 	ir_balancer_apply_view(n->balancer, now, v);
+	evacuation_view_changed(n, now, v);
 	apply_own_service(n, now, v, self);
 	ir_issuer_set_view(n->issuer, now, v, self, send_handover, n);
 }
--- a/src/core/dump.c
+++ b/src/core/dump.c
@@ -22,6 +22,17 @@
 	json_object_object_add(o, key, json_object_new_boolean(value));
 }
 
+static struct json_object *
+dump_evacuated_zones(const struct ir_view *v)
+{
+	struct json_object *list = json_object_new_array();
+
+	for (size_t i = 0; i < v->evacuated_zone_count; i++)
+		json_object_array_add(
+		    list, json_object_new_string(v->evacuated_zones[i]));
+	return list;
+}
+
 static struct json_object *
 dump_view(struct ir_node *n, int64_t now)
 {
@@ -44,6 +55,7 @@
 	add_int(o, "hosts", (int64_t)v->host_count);
 	add_int(o, "services", (int64_t)v->service_count);
 	add_int(o, "accounts", (int64_t)v->account_count);
+	json_object_object_add(o, "evacuated_zones", dump_evacuated_zones(v));
 	add_bool(o, "listed", self != NULL);
 	add_bool(o, "reads_store", ir_node_should_read_store(n));
 	return o;
@@ -61,6 +73,7 @@
 	add_int(o, "shed_level", l.shed_level);
 	add_int(o, "service_time_us", l.service_time_us);
 	add_bool(o, "leaving", l.leaving);
+	add_bool(o, "evacuated", evacuation_is_here(n));
 	add_bool(o, "upstream_limited", n->upstream.status.said.limited);
 	add_int(o, "upstream_rate_mt_per_s",
 	    (int64_t)n->upstream.status.said.rate_mt_per_s);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -225,6 +225,9 @@
 	enum ir_view_state view_state;	  /* as logged last */
 	uint64_t handled_config_revision; /* of the view applied last */
 	uint64_t handled_list_revision;
+	/* Of the view applied last, sorted; a change of them is logged. */
+	const char **evacuated_zones;
+	size_t evacuated_zone_count;
 	uint64_t seen_accounts; /* not used */
 	bool store_down;	/* the last store read failed */
 	bool view_received;	/* a peer has answered a VIEW_REQUEST */
@@ -266,8 +269,8 @@
 void node_log(struct ir_node *n, enum ir_event e, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 /*
- * The load to report to peers. While memory is short, both shed levels are
- * UINT32_MAX, so that they send no new work.
+ * The load to report to peers. While memory is short or the zone is evacuated,
+ * both shed levels are UINT32_MAX, so that they send no new work.
  */
 struct ir_load node_load(struct ir_node *n, int64_t now, const char *account);
 /*
@@ -285,6 +288,19 @@
 enum ir_error node_check_key(struct ir_node *n, int64_t now, bool open,
     const char *account, const char *key_digest);
 
+/* evacuation.c */
+/* Whether the zone of this host is evacuated, as far as the host is listed. */
+bool evacuation_is_here(struct ir_node *n);
+/*
+ * IR_E_WRONG_GATE, counted, if the zone of this host is evacuated, else IR_OK.
+ * The error has no kind of its own: peers of previous builds take an unknown
+ * kind for an unknown outcome.
+ */
+enum ir_error evacuation_check(struct ir_node *n);
+/* Logs the changes of a new view; refuses queued work of an evacuated zone. */
+void evacuation_view_changed(
+    struct ir_node *n, int64_t now, const struct ir_view *v);
+
 /* admit.c */
 /*
  * Returns the running record whose caller gave the attempt id that precedes the
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -279,7 +279,7 @@
 
 	l.leaving = n->stopping || (self != NULL && self->leaving) ||
 		    local_upstream_is_leaving(n, now);
-	if (ir_memory_is_short(n->settings.memory)) {
+	if (ir_memory_is_short(n->settings.memory) || evacuation_is_here(n)) {
 		l.shed_level = UINT32_MAX;
 		l.account_shed_level = UINT32_MAX;
 	}
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -102,6 +102,8 @@
 		e = IR_E_DEADLINE;
 	if (e == IR_OK && leave_grace_over(n, now))
 		e = IR_E_STOPPING;
+	if (e == IR_OK)
+		e = evacuation_check(n);
 	if (e == IR_OK && suspects_refuse(n, now, r->forward))
 		e = IR_E_CRASHES_UPSTREAM;
 	if (e == IR_OK) {
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -278,6 +278,9 @@
 		return IR_E_STOPPING;
 	if (strcmp(f->service, n->settings.service) != 0 || self == NULL)
 		return IR_E_WRONG_GATE;
+	e = evacuation_check(n);
+	if (e != IR_OK)
+		return e;
 	if (f->remaining_us == 0)
 		return IR_E_DEADLINE;
 	s = ir_view_service(v, f->service);
--- a/src/host/section.c
+++ b/src/host/section.c
@@ -269,6 +269,8 @@
 	if (had_text) {
 		if (e->kind == IR_SECTION_HOST)
 			count_change(s, e->service);
+		else if (e->kind == IR_SECTION_ZONE)
+			count_change(s, NULL);
 		release_text(s, e);
 	}
 	add_tombstone(s, e);
@@ -314,6 +316,8 @@
 	e->revision = c->revision;
 	if (e->kind == IR_SECTION_HOST && e->parsed != NULL)
 		set_service(s, e, ((struct ir_host *)e->parsed)->service);
+	else if (e->kind == IR_SECTION_ZONE)
+		count_change(s, NULL);
 }
 
 /*
@@ -434,19 +438,19 @@
 put_removal(struct ir_sections *s, const struct ir_section *in)
 {
 	struct section_entry *e = find_entry(s, in->name);
-	bool known = e != NULL, missed_host;
+	bool known = e != NULL, missed;
 
 	if (!known && may_have_been_removed(s, in))
 		return IR_SECTION_NOT_NEWER;
 	if (!known)
 		e = add_entry(s, in->name);
-	missed_host = e->text == NULL && in->revision > e->removed_revision;
+	missed = e->text == NULL && in->revision > e->removed_revision;
 	e->removed_revision = ir_max_u64(e->removed_revision, in->revision);
 	if (!ir_section_is_of_host_list(e->kind))
 		e->removed_generation =
 		    ir_max_u64(e->removed_generation, in->generation);
-	/* The host was added and removed between two updates. */
-	if (missed_host && e->kind == IR_SECTION_HOST)
+	/* Added and removed between two updates. */
+	if (missed && ir_section_is_of_host_list(e->kind))
 		count_change(s, NULL);
 	if (known)
 		return is_removed(e) ? make_tombstone(s, e)
--- a/src/host/view.h
+++ b/src/host/view.h
@@ -191,6 +191,16 @@
     const struct ir_view *v, const char *name);
 const struct ir_host *ir_view_host(const struct ir_view *v, const char *name);
 const struct ir_zone *ir_view_zone(const struct ir_view *v, const char *name);
+/*
+ * Whether new requests may be sent to the upstream of the host, as far as it is
+ * listed.
+ */
+static inline bool
+ir_host_takes_requests(const struct ir_host *h)
+{
+	return !h->leaving && !h->evacuated;
+}
+
 /* Whether nothing may be sent to the upstreams of the zone. */
 bool ir_view_zone_is_evacuated(const struct ir_view *v, const char *zone);
 /* The account with a key of this digest, or NULL. */
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -116,6 +116,16 @@
 	"are given out again. Positions in its history are dropped, and all "
 	"is read again.",
 	"Check that the configuration published last is in force."},
+    {IR_EVENT_ZONE_EVACUATION,
+	"zone: its name; state: began or ended; list: revision of the host "
+	"list",
+	"The host list says that the zone is evacuated, or that it no longer "
+	"is. From then on this host sends no requests to the upstreams there "
+	"and, in that zone, its gate refuses them, not run. Callers in the "
+	"zone "
+	"are served elsewhere.",
+	"Nothing if an operator evacuated the zone. All hosts log it within "
+	"seconds: one that does not is cut off, see view-state."},
     {IR_EVENT_LINK_UP, "host: the other end",
 	"A link to another host is in use.", "Nothing."},
     {IR_EVENT_LINK_LOST,
--- a/src/metric/counter.c
+++ b/src/metric/counter.c
@@ -68,6 +68,8 @@
 	"Items refused because a ring between threads was full."},
     [IR_COUNTER_CALLS_CUT] = {"ibisrail_calls_cut_total",
 	"Calls in progress whose caller's connection this node closed."},
+    [IR_COUNTER_EVACUATION_REFUSED] = {"ibisrail_evacuation_refused_total",
+	"Attempts refused by the gate, not run, as its zone is evacuated."},
     [IR_COUNTER_RUNS_CRASHED] = {"ibisrail_runs_crashed_total",
 	"Runs during which the local upstream ended."},
 };
--- a/src/upstream/gate.c
+++ b/src/upstream/gate.c
@@ -416,6 +416,21 @@
 	w->state = IR_WORK_ENDED;
 }
 
+uint32_t
+ir_gate_refuse_queued(struct ir_gate *g, int64_t now, enum ir_error kind)
+{
+	uint32_t n = g->queue->count;
+
+	while (g->queue->count > 0) {
+		struct ir_work *w = ir_queue_find_victim(g->queue);
+
+		ir_queue_remove(g->queue, w);
+		w->flow = NULL;
+		refuse(g, now, w, kind);
+	}
+	return n;
+}
+
 void
 ir_gate_tick(struct ir_gate *g, int64_t now)
 {
--- a/src/upstream/gate.h
+++ b/src/upstream/gate.h
@@ -10,8 +10,9 @@
  *
  * struct ir_work is part of a record of the caller, which must exist until
  * refuse() was called or ir_gate_done() or ir_gate_cancel() has returned.
- * ir_gate_offer(), ir_gate_done(), ir_gate_cancel() and ir_gate_tick() may call
- * start() and refuse(); these must not call functions that change the gate.
+ * ir_gate_offer(), ir_gate_done(), ir_gate_cancel(), ir_gate_refuse_queued()
+ * and ir_gate_tick() may call start() and refuse(); these must not call
+ * functions that change the gate.
  */
 #ifndef IR_UPSTREAM_GATE_H
 #define IR_UPSTREAM_GATE_H
@@ -87,6 +88,12 @@
     struct ir_gate *g, int64_t now, struct ir_work *w, enum ir_sample s);
 /* Ends work that its caller gave up, running or queued. */
 void ir_gate_cancel(struct ir_gate *g, int64_t now, struct ir_work *w);
+/*
+ * Refuses all queued work, with this error; it does not count as shed. Returns
+ * its amount.
+ */
+uint32_t ir_gate_refuse_queued(
+    struct ir_gate *g, int64_t now, enum ir_error kind);
 /* Refuses queued work that is overdue and updates the shed levels. */
 void ir_gate_tick(struct ir_gate *g, int64_t now);
 /* The load to report to peers, with the shed level of one account. */
--- a/src/zone/balancer.c
+++ b/src/zone/balancer.c
@@ -128,7 +128,7 @@
 	enum distance d = distance_of(p->self, h);
 	double utilization;
 
-	if (h->leaving || is_excluded(p->criteria, h) ||
+	if (!ir_host_takes_requests(h) || is_excluded(p->criteria, h) ||
 	    !ir_host_status_is_available(s, p->now))
 		return;
 	if (p->criteria->priority < ir_host_status_shed_level(s, p->now,
--- a/src/zone/balancer.h
+++ b/src/zone/balancer.h
@@ -32,7 +32,8 @@
 	IR_PICK_SHED,	/* some host sheds this priority and no other can take
 			   it, or only the other region is left and the budget
 			   of its link is spent */
-	IR_PICK_NO_HOST /* no host is live, reachable and untried */
+	IR_PICK_NO_HOST /* no host is live, reachable and untried, in a zone
+			   that is not evacuated */
 };
 
 /* seed of the random choices. NULL if out of memory. */
--- a/src/zone/placement.c
+++ b/src/zone/placement.c
@@ -34,13 +34,19 @@
 	return XXH64(s, strlen(s), seed);
 }
 
+static bool
+is_live(const struct ir_host *h)
+{
+	return !h->leaving;
+}
+
 /*
- * The host with the highest score for key, among the live ones of hosts and
- * best (may be NULL). Of equal scores, the lower name.
+ * The host with the highest score for key, among those of hosts that may be
+ * chosen and best (may be NULL). Of equal scores, the lower name.
  */
 static const struct ir_host *
 highest_score(struct ir_host *const *hosts, size_t count, uint64_t key,
-    const struct ir_host *best)
+    bool (*may_be_chosen)(const struct ir_host *h), const struct ir_host *best)
 {
 	uint64_t best_score = best ? mix(best->hash ^ key) : 0;
 
@@ -48,7 +54,7 @@
 		const struct ir_host *h = hosts[i];
 		uint64_t score = mix(h->hash ^ key);
 
-		if (h->leaving)
+		if (!may_be_chosen(h))
 			continue;
 		if (best && (score < best_score ||
 				(score == best_score &&
@@ -315,12 +321,12 @@
 	if (v->zone_count == 0)
 		return NULL;
 	z = &v->zones[(account % v->zone_count + bucket) % v->zone_count];
-	best = highest_score(z->hosts, z->host_count, key, NULL);
+	best = highest_score(z->hosts, z->host_count, key, is_live, NULL);
 	if (best)
 		return best;
 	for (size_t i = 0; i < v->zone_count; i++)
-		best = highest_score(
-		    v->zones[i].hosts, v->zones[i].host_count, key, best);
+		best = highest_score(v->zones[i].hosts, v->zones[i].host_count,
+		    key, is_live, best);
 	return best;
 }
 
@@ -330,5 +336,6 @@
 {
 	uint64_t key = hash_string(idempotency_key, hash_string(account, 0));
 
-	return highest_score(s->hosts, s->host_count, key, NULL);
+	return highest_score(
+	    s->hosts, s->host_count, key, ir_host_takes_requests, NULL);
 }
--- a/src/zone/placement.h
+++ b/src/zone/placement.h
@@ -2,7 +2,8 @@
  * Placement by rendezvous hash, computed by each host from its view alone:
  * which hosts read the store, from which host another one requests its view,
  * which host issues the tokens of an account's bucket, and which one serves an
- * Idempotency-Key. Hosts that are leaving are given none of these.
+ * Idempotency-Key. Hosts that are leaving are given none of these, hosts of
+ * evacuated zones no Idempotency-Key.
  */
 #ifndef IR_ZONE_PLACEMENT_H
 #define IR_ZONE_PLACEMENT_H
@@ -49,8 +50,8 @@
     const struct ir_view *v, const struct ir_account *a, uint32_t bucket);
 
 /*
- * The only live host of a service that may run a request with this idempotency
- * key; NULL if the service has no live host.
+ * The only live host of a service, in a zone that is not evacuated, that may
+ * run a request with this idempotency key; NULL if there is none.
  */
 const struct ir_host *ir_idempotency_key_host(const struct ir_service *s,
     const char *account, const char *idempotency_key);
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -26,7 +26,9 @@
 /* By when a change takes effect everywhere once the store shows it. */
 #define FLEET_KEY_WITHDRAWN_US (3 * IR_US_PER_S)
 #define FLEET_LEAVING_US (4 * IR_US_PER_S)
+#define FLEET_EVACUATED_US (5 * IR_US_PER_S)
 #define FLEET_CONVERGED_US (6 * IR_US_PER_S)
+#define FLEET_MAX_ZONES 8 /* that a test evacuates */
 #define FLEET_MAX_RATES 64
 #define FLEET_MAX_ATTEMPTS 60000
 
@@ -152,6 +154,13 @@
 	TALLOC_CTX *killed_mem; /* freed once the node's code has returned */
 };
 
+/* A zone that was evacuated at least once. */
+struct fleet_zone {
+	char name[16];
+	bool evacuated;
+	int64_t readable_since_us; /* 0: not readable yet */
+};
+
 struct fleet {
 	TALLOC_CTX *mem;
 	int64_t now_us;
@@ -190,6 +199,8 @@
 	uint64_t burst_mt;
 	struct fleet_rate rates[FLEET_MAX_RATES];
 	int rate_count;
+	struct fleet_zone zones[FLEET_MAX_ZONES];
+	int zone_count;
 	struct fleet_attempt *attempts;
 	int attempt_count;
 	struct fleet_run *runs;
@@ -230,6 +241,8 @@
     uint64_t rate_per_s, uint64_t burst, bool with_key);
 /* Lists the node as "live" or "leaving", or takes it off: "gone". */
 void fleet_publish_host(struct fleet *f, int node, const char *state);
+/* Begins or ends the evacuation of a zone. */
+void fleet_evacuate(struct fleet *f, const char *zone, bool evacuated);
 void fleet_start(struct fleet *f, int node);
 /* Ends the node at once; its connections close. */
 void fleet_kill(struct fleet *f, int node);
--- a/test/support/fleet_calls.c
+++ b/test/support/fleet_calls.c
@@ -114,6 +114,15 @@
 		    "call %s ran on leaving host %s; %d hosts can read the "
 		    "store",
 		    c->marker, n->name, fleet_store_readers(f));
+	if (ir_view_zone_is_evacuated(node_view(n->node), n->zone))
+		fleet_fail(f, "call %s ran on %s, whose view evacuates %s",
+		    c->marker, n->name, n->zone);
+	if (fleet_evacuated_for_us(f, n->zone) >
+	    FLEET_EVACUATED_US + f->max_list_lag_us)
+		fleet_fail(f,
+		    "call %s ran on %s of evacuated zone %s; %d hosts can "
+		    "read the store",
+		    c->marker, n->name, n->zone, fleet_store_readers(f));
 	if (r->remaining_ms > IR_MAX_DEADLINE_MS)
 		fleet_fail(f, "call %s ran after its deadline", c->marker);
 	if (strstr(r->path, fleet_key) != NULL ||
--- a/test/support/fleet_priv.h
+++ b/test/support/fleet_priv.h
@@ -108,6 +108,8 @@
  * while the store is down or stale, or if published_us is 0.
  */
 int64_t fleet_readable_for_us(const struct fleet *f, int64_t published_us);
+/* The same for the evacuation of the zone; 0 if it is not evacuated. */
+int64_t fleet_evacuated_for_us(const struct fleet *f, const char *zone);
 /* Record when a gate gets an attempt and when it sheds one. */
 void fleet_record_forward(
     struct fleet *f, int gate, const struct ir_forward *forward);
--- a/test/support/fleet_store.c
+++ b/test/support/fleet_store.c
@@ -27,7 +27,7 @@
 static bool
 is_host_section(const char *name)
 {
-	return strncmp(name, "host/", 5) == 0;
+	return ir_section_is_of_host_list(ir_section_kind_of(name));
 }
 
 static void
@@ -79,6 +79,10 @@
 		if (f->nodes[i].leaving_readable_since_us == 0)
 			f->nodes[i].leaving_readable_since_us = f->now_us;
 	}
+	for (int i = 0; i < f->zone_count; i++) {
+		if (f->zones[i].readable_since_us == 0)
+			f->zones[i].readable_since_us = f->now_us;
+	}
 	if (f->rate_count > 1 && f->rates[f->rate_count - 2].superseded_us == 0)
 		f->rates[f->rate_count - 2].superseded_us = f->now_us;
 }
@@ -115,6 +119,51 @@
 	talloc_free(text);
 }
 
+static struct fleet_zone *
+find_or_add_zone(struct fleet *f, const char *name)
+{
+	for (int i = 0; i < f->zone_count; i++) {
+		if (strcmp(f->zones[i].name, name) == 0)
+			return &f->zones[i];
+	}
+	if (f->zone_count == FLEET_MAX_ZONES) {
+		fleet_fail(f, "more than FLEET_MAX_ZONES zones evacuated");
+		return &f->zones[0];
+	}
+	(void)snprintf(f->zones[f->zone_count].name,
+	    sizeof(f->zones[f->zone_count].name), "%s", name);
+	return &f->zones[f->zone_count++];
+}
+
+void
+fleet_evacuate(struct fleet *f, const char *zone, bool evacuated)
+{
+	struct fleet_zone *z = find_or_add_zone(f, zone);
+	char name[40], text[80] = "";
+
+	(void)snprintf(name, sizeof(name), "zone/%s", zone);
+	if (evacuated)
+		(void)snprintf(text, sizeof(text),
+		    "{\"name\":\"%s\",\"evacuated\":true}", zone);
+	fleet_publish(f, name, text);
+	if (evacuated && !z->evacuated)
+		z->readable_since_us = 0;
+	z->evacuated = evacuated;
+	fleet_update_readable(f);
+}
+
+int64_t
+fleet_evacuated_for_us(const struct fleet *f, const char *zone)
+{
+	for (int i = 0; i < f->zone_count; i++) {
+		const struct fleet_zone *z = &f->zones[i];
+
+		if (z->evacuated && strcmp(z->name, zone) == 0)
+			return fleet_readable_for_us(f, z->readable_since_us);
+	}
+	return 0;
+}
+
 /* Rates published before the first node starts replace each other. */
 static void
 record_rate(struct fleet *f, uint64_t rate_per_s, uint64_t burst)
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -10,6 +10,7 @@
  * test_fuzz -f COUNT FIRST STEPS  the same; failing seeds are not shrunk
  * test_fuzz -x COUNT FIRST STEPS  like -f, up to the first failing seed
  * test_fuzz -r COUNT FIRST STEPS  like -n, the store may be restored as well
+ * test_fuzz -e COUNT FIRST STEPS  like -r, zones may be evacuated as well
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -43,7 +44,9 @@
 	OP_UPSTREAM,
 	OP_RUN_TIME,
 	OP_DISTURB,
-	OP_RESTORE, /* only in runs with restores: seeds keep their meaning */
+	/* Only in runs with restores, so that seeds keep their meaning. */
+	OP_RESTORE,
+	OP_EVACUATE, /* only in runs with evacuations */
 	OP_COUNT
 };
 
@@ -70,6 +73,7 @@
     [OP_RUN_TIME] = 4,
     [OP_DISTURB] = 6,
     [OP_RESTORE] = 4,
+    [OP_EVACUATE] = 5,
 };
 
 /*
@@ -116,6 +120,7 @@
 	/* Outcomes over all seeds: shows that calls were served and refused. */
 	uint64_t calls, served, refused, unknown, unanswered;
 	bool restores;		      /* runs have OP_RESTORE */
+	bool evacuations;	      /* runs have OP_EVACUATE */
 	bool no_shrink;		      /* failing seeds are not shrunk */
 	bool stop_at_first;	      /* stops at the first failing seed */
 	uint32_t messages_to_disturb; /* random delay or duplicate */
@@ -131,7 +136,9 @@
 static enum op_kind
 random_op_kind(struct fuzz *r)
 {
-	int count = r->restores ? OP_COUNT : OP_RESTORE;
+	int count = r->evacuations ? OP_COUNT
+		    : r->restores  ? OP_EVACUATE
+				   : OP_RESTORE;
 	uint32_t sum = weights[0], at;
 
 	for (int k = 1; k < count; k++)
@@ -326,6 +333,10 @@
 	case OP_RESTORE:
 		fleet_restore_store(f, (int64_t)(o->a % 8000) * IR_US_PER_MS);
 		break;
+	case OP_EVACUATE:
+		if (f->store_correct_since_us != 0)
+			fleet_evacuate(f, f->nodes[a].zone, o->c % 2 == 0);
+		break;
 	case OP_DISTURB:
 		r->messages_to_disturb = o->a % 30;
 		break;
@@ -563,6 +574,8 @@
 			      regressions[i].steps, mem);
 	failed += run_many(r, 1, FIXED_SEEDS, FIXED_STEPS, mem);
 	r->restores = true;
+	failed += run_many(r, 1, FIXED_SEEDS, FIXED_STEPS, mem);
+	r->evacuations = true;
 	return failed + run_many(r, 1, FIXED_SEEDS, FIXED_STEPS, mem) != 0;
 }
 
@@ -584,7 +597,9 @@
 	r->stop_at_first = argc == 5 && strcmp(argv[1], "-x") == 0;
 	r->no_shrink =
 	    r->stop_at_first || (argc == 5 && strcmp(argv[1], "-f") == 0);
-	r->restores = argc == 5 && strcmp(argv[1], "-r") == 0;
+	r->evacuations = argc == 5 && strcmp(argv[1], "-e") == 0;
+	r->restores =
+	    r->evacuations || (argc == 5 && strcmp(argv[1], "-r") == 0);
 	if (r->no_shrink || r->restores ||
 	    (argc == 5 && strcmp(argv[1], "-n") == 0))
 		status = run_many(r, strtoull(argv[3], NULL, 10),
