--- a/test/test_balancer.c
+++ b/test/test_balancer.c
@@ -155,6 +155,26 @@
 		assert_true(f->picked[i] > 50);
 }
 
+static void
+test_hosts_of_evacuated_zones_are_never_picked(void **state)
+{
+	struct fixture *f = *state;
+
+	for (int i = 0; i < PER_ZONE; i++)
+		f->hosts[i].evacuated = true;
+	report_zone(f, 1, 10, 0);
+	pick(f, 300);
+	assert_int_equal(picked_in_zone(f, 0), 0);
+	assert_int_equal(f->shed, 0);
+	for (int i = 0; i < HOSTS; i++)
+		f->hosts[i].evacuated = true;
+	assert_int_equal(pick(f, 1), IR_PICK_NO_HOST);
+	for (int i = 0; i < PER_ZONE; i++)
+		f->hosts[i].evacuated = false;
+	pick(f, 300);
+	assert_int_equal(picked_in_zone(f, 0), 300);
+}
+
 static void
 test_saturated_zone_overflows(void **state)
 {
@@ -499,6 +519,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    BALANCER_TEST(test_prefers_the_same_zone),
+	    BALANCER_TEST(test_hosts_of_evacuated_zones_are_never_picked),
 	    BALANCER_TEST(test_saturated_zone_overflows),
 	    BALANCER_TEST(test_less_loaded_host_is_picked),
 	    BALANCER_TEST(test_own_requests_count_once),
--- a/test/test_gate.c
+++ b/test/test_gate.c
@@ -220,6 +220,28 @@
 	assert_int_equal(heavy, 12);
 }
 
+static void
+test_refuse_queued_ends_what_waits_and_nothing_that_runs(void **state)
+{
+	struct fixture *f = *state;
+	struct item *waiting[3];
+
+	fill_slots(f, MS);
+	for (uint32_t n = 0; n < 3; n++)
+		waiting[n] = offer(f, ir_priority(n, false, 0));
+	assert_int_equal(
+	    ir_gate_refuse_queued(f->gate, f->now, IR_E_WRONG_GATE), 3);
+	for (int n = 0; n < 3; n++) {
+		assert_int_equal(waiting[n]->phase, REFUSED);
+		assert_int_equal(waiting[n]->kind, IR_E_WRONG_GATE);
+	}
+	assert_int_equal(ir_gate_work_count(f->gate), START);
+	assert_int_equal(
+	    ir_gate_refuse_queued(f->gate, f->now, IR_E_WRONG_GATE), 0);
+	finish(f, first_running(f), IR_SAMPLE_OK);
+	assert_int_equal(ir_gate_work_count(f->gate), START - 1);
+}
+
 static void
 test_refuses_work_that_cannot_finish_in_time(void **state)
 {
@@ -668,6 +690,7 @@
 	const struct CMUnitTest tests[] = {
 	    GATE_TEST(test_serves_by_importance_then_inside),
 	    GATE_TEST(test_serves_accounts_by_weight),
+	    GATE_TEST(test_refuse_queued_ends_what_waits_and_nothing_that_runs),
 	    GATE_TEST(test_refuses_work_that_cannot_finish_in_time),
 	    GATE_TEST(test_expected_wait_includes_more_important_work),
 	    GATE_TEST(test_expired_work_uses_no_share_of_its_flow),
--- a/test/test_host_items.c
+++ b/test/test_host_items.c
@@ -226,6 +226,21 @@
 	expect_one_change(f, 200, "host/1", "");
 }
 
+static void
+test_zone_that_returns_and_is_evacuated_again_is_passed_on(void **state)
+{
+	struct fixture *f = *state;
+
+	put_item(f, "z", "zone/1", "evacuated", 1);
+	expect_one_change(f, 0, "zone/1", "evacuated");
+	put_item(f, "z", "zone/1", "", 0);
+	put_item(f, "z", "zone/1", "evacuated", 3);
+	expect_one_change(f, 0, "zone/1", "evacuated");
+	assert_int_equal(f->read.sections[0].revision, 3);
+	put_item(f, "z", "zone/1", "", 0);
+	expect_one_change(f, 0, "zone/1", "");
+}
+
 static void
 test_item_missing_from_a_full_read_is_removed(void **state)
 {
@@ -263,6 +278,8 @@
 		test_entry_that_an_older_copy_brings_back_is_dropped_when_removed),
 	    WITH_HOST_ITEMS(
 		test_removal_after_the_recovery_is_passed_on_at_once),
+	    WITH_HOST_ITEMS(
+		test_zone_that_returns_and_is_evacuated_again_is_passed_on),
 	    WITH_HOST_ITEMS(test_item_missing_from_a_full_read_is_removed),
 	};
 
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -253,6 +253,25 @@
 	talloc_free(v);
 }
 
+static void
+test_key_host_is_not_in_an_evacuated_zone(void **state)
+{
+	struct ir_view *v = contract_view_new(NULL, 1, 20);
+	struct ir_service s = {
+	    .hosts = v->zones[0].hosts, .host_count = v->zones[0].host_count};
+	struct ir_account a = {.name = "acme"};
+
+	for (size_t i = 1; i < v->host_count; i++)
+		v->hosts[i].evacuated = true;
+	assert_ptr_equal(
+	    ir_idempotency_key_host(&s, "acme", "k1"), &v->hosts[0]);
+	v->hosts[0].evacuated = true;
+	assert_null(ir_idempotency_key_host(&s, "acme", "k1"));
+	/* They still issue tokens: their callers are served. */
+	assert_non_null(ir_bucket_issuer(v, &a, 0));
+	talloc_free(v);
+}
+
 /* The view that a new process requests may be large. */
 static void
 test_nearest_reader_is_polled_first(void **state)
@@ -289,6 +308,7 @@
 	    cmocka_unit_test(
 		test_buckets_are_in_different_zones_and_move_little),
 	    cmocka_unit_test(test_key_host_is_live_and_stable),
+	    cmocka_unit_test(test_key_host_is_not_in_an_evacuated_zone),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/test/test_platform_store.c
@@ -0,0 +1,143 @@
+/* Answers of the platform's store: the keys of evacuated zones. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "platform/names.h"
+#include "platform/platform.h"
+
+struct fixture {
+	TALLOC_CTX *mem;
+	struct ir_settings settings;
+	struct ir_store_page page;
+};
+
+static struct fixture
+start(bool evacuations)
+{
+	struct fixture f = {.mem = talloc_new(NULL)};
+
+	f.settings.evacuations = evacuations;
+	return f;
+}
+
+static void
+parse(struct fixture *f, const char *text)
+{
+	struct ir_store_query query = {.hosts = true};
+	const char *error = NULL;
+
+	f->page = (struct ir_store_page){0};
+	if (platform_store_parse(&f->settings, f->mem, &query, 200, text,
+		strlen(text), &f->page, &error) != IR_STORE_OK)
+		fail_msg("%s", error);
+}
+
+static const char *
+target(struct fixture *f, const char *after_key)
+{
+	struct ir_store_query query = {.hosts = true, .after_key = after_key};
+
+	return platform_store_target(&f->settings, f->mem, &query);
+}
+
+static void
+expect_item(
+    const struct fixture *f, size_t i, const char *section, const char *text)
+{
+	assert_true(i < f->page.item_count);
+	assert_string_equal(f->page.items[i].section, section);
+	assert_string_equal(f->page.items[i].text, text);
+}
+
+#define ZONE_ITEM(zone)                                             \
+	"{\"key\":\"" EVACUATE_PREFIX zone "\",\"value\":\"e30=\"," \
+	"\"revision\":7,\"created\":7}"
+
+static void
+test_key_is_the_section_of_its_zone(void **state)
+{
+	struct fixture f = start(true);
+
+	parse(&f, "{\"store_revision\":9,\"items\":[" ZONE_ITEM("z1") "]}");
+	assert_true(f.page.full);
+	assert_null(f.page.next_key);
+	assert_int_equal(f.page.item_count, 1);
+	expect_item(&f, 0, "zone/z1", "{\"name\":\"z1\",\"evacuated\":true}");
+	assert_int_equal(f.page.items[0].created_revision, 7);
+	talloc_free(f.mem);
+}
+
+static void
+test_removed_key_removes_its_section(void **state)
+{
+	struct fixture f = start(true);
+
+	parse(&f,
+	    "{\"store_revision\":9,\"events\":[" ZONE_ITEM(
+		"z1") ",{\"key\":\"" EVACUATE_PREFIX "z1\",\"deleted\":true,"
+		      "\"revision\":9}]}");
+	assert_int_equal(f.page.item_count, 2);
+	assert_string_equal(f.page.items[1].key, f.page.items[0].key);
+	assert_string_equal(f.page.items[1].text, "");
+	assert_int_equal(f.page.items[1].revision, 9);
+	talloc_free(f.mem);
+}
+
+static void
+test_key_without_a_zone_cannot_be_decoded(void **state)
+{
+	struct fixture f = start(true);
+
+	parse(&f, "{\"store_revision\":9,\"items\":[" ZONE_ITEM(
+		      "") "," ZONE_ITEM("z/1") "]}");
+	assert_int_equal(f.page.item_count, 2);
+	assert_null(f.page.items[0].section);
+	assert_null(f.page.items[1].section);
+	talloc_free(f.mem);
+}
+
+static void
+test_key_is_not_read_without_the_setting(void **state)
+{
+	struct fixture f = start(false);
+
+	parse(&f, "{\"store_revision\":9,\"items\":[" ZONE_ITEM("z1") "]}");
+	assert_int_equal(f.page.item_count, 0);
+	assert_null(strstr(target(&f, NULL), "after="));
+	assert_non_null(strstr(target(&f, NULL), SERVERS_PREFIX));
+	talloc_free(f.mem);
+}
+
+/* A page that has keys of others only would otherwise end the read early. */
+static void
+test_next_page_follows_a_page_without_items(void **state)
+{
+	struct fixture f = start(true);
+
+	parse(&f, "{\"store_revision\":9,\"truncated\":true,\"items\":["
+		  "{\"key\":\"op/other\",\"value\":\"\",\"revision\":3}]}");
+	assert_int_equal(f.page.item_count, 0);
+	assert_string_equal(f.page.next_key, "op/other");
+	assert_non_null(strstr(target(&f, "op/other"), "after=op/other"));
+	assert_non_null(strstr(target(&f, NULL), "after=" CONFIG_KEY));
+	assert_true(strcmp(CONFIG_KEY, EVACUATE_PREFIX) < 0);
+	talloc_free(f.mem);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_key_is_the_section_of_its_zone),
+	    cmocka_unit_test(test_removed_key_removes_its_section),
+	    cmocka_unit_test(test_key_without_a_zone_cannot_be_decoded),
+	    cmocka_unit_test(test_key_is_not_read_without_the_setting),
+	    cmocka_unit_test(test_next_page_follows_a_page_without_items),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_section.c
+++ b/test/test_section.c
@@ -308,6 +308,66 @@
 	}
 }
 
+static bool
+is_evacuated(struct fixture *f)
+{
+	return ir_view_zone_is_evacuated(ir_sections_view(f->s), "z1");
+}
+
+/* A full list without the zone, as of this revision. */
+static void
+remove_zones(struct fixture *f, uint64_t revision)
+{
+	ir_sections_remove_absent(f->s, true, NULL, 0, revision);
+}
+
+#define EVACUATED "{\"name\":\"z1\",\"evacuated\":true}"
+
+static void
+test_latest_revision_of_a_zone_holds_in_any_order(void **state)
+{
+	struct fixture f = start();
+
+	put(&f, "host/h1", 1, host_text(f.mem, "h1", "s", 1, "live"));
+	put(&f, "zone/z1", 7, "");
+	put(&f, "zone/z1", 5, EVACUATED);
+	assert_false(is_evacuated(&f));
+	put(&f, "zone/z1", 9, EVACUATED);
+	put(&f, "zone/z1", 8, "");
+	assert_true(is_evacuated(&f));
+	assert_true(ir_view_host(ir_sections_view(f.s), "h1")->evacuated);
+	put(&f, "zone/z1", 9, EVACUATED);
+	put(&f, "zone/z1", 10, "");
+	put(&f, "zone/z1", 9, EVACUATED);
+	assert_false(is_evacuated(&f));
+	assert_false(ir_view_host(ir_sections_view(f.s), "h1")->evacuated);
+	put(&f, "zone/z1", 11, EVACUATED);
+	remove_zones(&f, 10);
+	assert_true(is_evacuated(&f));
+	remove_zones(&f, 12);
+	assert_false(is_evacuated(&f));
+	talloc_free(f.mem);
+}
+
+/* A repeat with an Idempotency-Key whose host moved would run twice. */
+static void
+test_evacuation_counts_as_a_change_of_the_hosts(void **state)
+{
+	struct fixture f = start();
+
+	put(&f, "zone/z1", 5, EVACUATED);
+	assert_int_equal(ir_sections_host_changes(f.s, "s"), 1);
+	assert_int_equal(
+	    put(&f, "zone/z1", 5, EVACUATED), IR_SECTION_NOT_NEWER);
+	assert_int_equal(ir_sections_host_changes(f.s, "s"), 1);
+	put(&f, "zone/z1", 6, "");
+	assert_int_equal(ir_sections_host_changes(f.s, "s"), 2);
+	/* Evacuated and returned between two updates. */
+	put(&f, "zone/z1", 8, "");
+	assert_int_equal(ir_sections_host_changes(f.s, "s"), 3);
+	talloc_free(f.mem);
+}
+
 static void
 test_host_changes(void **state)
 {
@@ -463,6 +523,8 @@
 	    cmocka_unit_test(test_removal_of_a_generation),
 	    cmocka_unit_test(test_any_order_has_the_same_result),
 	    cmocka_unit_test(test_nodes_converge_by_differences),
+	    cmocka_unit_test(test_latest_revision_of_a_zone_holds_in_any_order),
+	    cmocka_unit_test(test_evacuation_counts_as_a_change_of_the_hosts),
 	    cmocka_unit_test(test_host_changes),
 	    cmocka_unit_test(test_remove_absent),
 	    cmocka_unit_test(test_bad_text_is_listed_to_peers),
