--- a/src/core/regions.c
+++ b/src/core/regions.c
@@ -80,7 +80,7 @@
 	for (size_t i = 0; i < s->host_count; i++) {
 		const struct ir_host *h = s->hosts[i];
 
-		if (h->leaving)
+		if (!ir_host_takes_requests(h))
 			continue;
 		if (ir_region_set_has(c->regions, h->region))
 			return false;
--- a/src/zone/balancer.c
+++ b/src/zone/balancer.c
@@ -140,7 +140,7 @@
 	enum distance d = distance_of(p->self, h);
 	double utilization;
 
-	if (h->leaving || is_excluded(p->criteria, h) ||
+	if (!ir_host_takes_requests(h) || is_excluded(p->criteria, h) ||
 	    !is_allowed(p->criteria, h, s) ||
 	    !ir_host_status_is_available(s, p->now))
 		return;
--- a/src/zone/balancer.h
+++ b/src/zone/balancer.h
@@ -34,7 +34,10 @@
 	IR_PICK_SHED, /* some host sheds this priority and no other can take
 			 it, or only the other region is left and the budget
 			 of its link is spent */
-	/* No host is live, reachable, untried and in an allowed region. */
+	/*
+	 * No host is live, reachable, untried, in an allowed region and in a
+	 * zone that is not evacuated.
+	 */
 	IR_PICK_NO_HOST
 };
 
--- a/test/support/fleet_calls.c
+++ b/test/support/fleet_calls.c
@@ -144,6 +144,15 @@
 		fleet_fail(f, "call %s ran in %s instead of %s", c->marker,
 		    n->region, c->required_region);
 	check_account_region(f, n, c);
+	if (ir_view_zone_is_evacuated(node_view(n->node), n->zone))
+		fleet_fail(f, "call %s ran on %s, whose view evacuates %s",
+		    c->marker, n->name, n->zone);
+	if (fleet_evacuated_for_us(f, n->zone) >
+	    FLEET_EVACUATED_US + f->max_list_lag_us)
+		fleet_fail(f,
+		    "call %s ran on %s of evacuated zone %s; %d hosts can "
+		    "read the store",
+		    c->marker, n->name, n->zone, fleet_store_readers(f));
 	if (r->remaining_ms > IR_MAX_DEADLINE_MS)
 		fleet_fail(f, "call %s ran after its deadline", c->marker);
 	if (strstr(r->path, fleet_key) != NULL ||
