--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -138,7 +138,8 @@
 	}
 	m->kind = IR_MSG_REGION_FORWARD;
 	fill_forward(n, &f->forward, a, now);
-	f->regions.regions_val = (char **)(uintptr_t)regions;
+	/* The encoder only reads them. */
+	(void)memcpy(&f->regions.regions_val, &regions, sizeof(regions));
 	f->regions.regions_len = (u_int)ir_region_set_count(regions);
 }
 
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -10,6 +10,7 @@
  * test_fuzz -f COUNT FIRST STEPS  the same; failing seeds are not shrunk
  * test_fuzz -x COUNT FIRST STEPS  like -f, up to the first failing seed
  * test_fuzz -r COUNT FIRST STEPS  like -n, the store may be restored as well
+ * test_fuzz -a COUNT FIRST STEPS  like -r, the account's regions change as well
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -44,6 +45,7 @@
 	OP_RUN_TIME,
 	OP_DISTURB,
 	OP_RESTORE, /* only in runs with restores: seeds keep their meaning */
+	OP_REGIONS, /* only in runs with regions */
 	OP_COUNT
 };
 
@@ -70,6 +72,7 @@
     [OP_RUN_TIME] = 4,
     [OP_DISTURB] = 6,
     [OP_RESTORE] = 4,
+    [OP_REGIONS] = 3,
 };
 
 /*
@@ -116,6 +119,7 @@
 	/* Outcomes over all seeds: shows that calls were served and refused. */
 	uint64_t calls, served, refused, unknown, unanswered;
 	bool restores;		      /* runs have OP_RESTORE */
+	bool regions;		      /* and OP_REGIONS */
 	bool no_shrink;		      /* failing seeds are not shrunk */
 	bool stop_at_first;	      /* stops at the first failing seed */
 	uint32_t messages_to_disturb; /* random delay or duplicate */
@@ -131,7 +135,9 @@
 static enum op_kind
 random_op_kind(struct fuzz *r)
 {
-	int count = r->restores ? OP_COUNT : OP_RESTORE;
+	int count = r->regions	  ? OP_COUNT
+		    : r->restores ? OP_REGIONS
+				  : OP_RESTORE;
 	uint32_t sum = weights[0], at;
 
 	for (int k = 1; k < count; k++)
@@ -292,6 +298,7 @@
 static void
 apply_environment_op(struct fleet *f, struct fuzz *r, const struct op *o)
 {
+	static const char *const only[] = {"r1", "r2", "r2", NULL};
 	static const enum fleet_upstream_mode modes[] = {UPSTREAM_OK,
 	    UPSTREAM_OK, UPSTREAM_SHEDS, UPSTREAM_BREAKS_CONNECTION,
 	    UPSTREAM_HANGS};
@@ -326,6 +333,10 @@
 	case OP_RESTORE:
 		fleet_restore_store(f, (int64_t)(o->a % 8000) * IR_US_PER_MS);
 		break;
+	case OP_REGIONS:
+		if (f->store_correct_since_us != 0)
+			fleet_publish_account_regions(f, only[o->a % 4], NULL);
+		break;
 	case OP_DISTURB:
 		r->messages_to_disturb = o->a % 30;
 		break;
@@ -563,6 +574,8 @@
 			      regressions[i].steps, mem);
 	failed += run_many(r, 1, FIXED_SEEDS, FIXED_STEPS, mem);
 	r->restores = true;
+	failed += run_many(r, 1, FIXED_SEEDS, FIXED_STEPS, mem);
+	r->regions = true;
 	return failed + run_many(r, 1, FIXED_SEEDS, FIXED_STEPS, mem) != 0;
 }
 
@@ -584,7 +597,8 @@
 	r->stop_at_first = argc == 5 && strcmp(argv[1], "-x") == 0;
 	r->no_shrink =
 	    r->stop_at_first || (argc == 5 && strcmp(argv[1], "-f") == 0);
-	r->restores = argc == 5 && strcmp(argv[1], "-r") == 0;
+	r->regions = argc == 5 && strcmp(argv[1], "-a") == 0;
+	r->restores = r->regions || (argc == 5 && strcmp(argv[1], "-r") == 0);
 	if (r->no_shrink || r->restores ||
 	    (argc == 5 && strcmp(argv[1], "-n") == 0))
 		status = run_many(r, strtoull(argv[3], NULL, 10),
