Node: the own gate's refusals are handled before calls time out

Cause: ir_node_tick() ended calls past their deadline before it gave the gate of the same process the chance to refuse what is queued. The gate's deadline is up to 20 ms earlier, so this matters after a pause of the process of more than that: both are due in one tick, and call_abort() answered 504 timeout (unknown) for requests that had waited in the queue and never ran.

Ruled out: to look into the record from call_abort(): it would work for the own gate only as well, and decide in two places.

Change: the gate's tick and the messages to the own node come before the calls' tick. Runs that are in progress at their deadline stay unknown (timeout).

--- a/src/core/node.c
+++ b/src/core/node.c
@@ -309,8 +309,13 @@
 	n->now_us = now;
 	(void)(unsent_send(n, now) && serve_send_unsent(n, now));
 	control_update_lease(n, now);
-	call_tick(n, now);
+	/*
+	 * After a pause of this process both are due: refusals by its own gate
+	 * are handled before its calls time out, as their outcome is known.
+	 */
 	serve_tick(n, now);
+	self_drain(n, now);
+	call_tick(n, now);
 	peer_tick(n, now);
 	suspects_tick(n, now);
 	control_tick(n, now);
--- a/test/test_attempt.c
+++ b/test/test_attempt.c
@@ -12,9 +12,12 @@
 #include "support/fleet.h"
 
 #define ENTRY 0
+#define FLEET_SLOTS 4 /* of each host */
 
 static const struct fleet_request read_request = {
     "t", "read", true, NULL, false, 0, 0, NULL};
+static const struct fleet_request write_request = {
+    "t", "write", true, NULL, false, 0, 0, NULL};
 
 static int
 set_up(void **state)
@@ -138,6 +141,43 @@
 	assert_int_equal(wait_for_answer(f, 2 * IR_US_PER_S), IR_E_HOST_LOST);
 }
 
+/* Leaves host 1 only, and waits until it issues all tokens. */
+static void
+leave_one_host(struct fleet *f)
+{
+	fleet_publish_host(f, 2, "gone");
+	fleet_run(f, 10 * IR_US_PER_S);
+}
+
+/* Fills all slots of the host with runs that do not end. */
+static void
+fill_slots(struct fleet *f, int node)
+{
+	f->nodes[node].upstream_mode = UPSTREAM_HANGS;
+	for (int i = 0; i < FLEET_SLOTS; i++)
+		(void)fleet_call(f, ENTRY, &write_request);
+	fleet_run(f, IR_US_PER_S / 10);
+	assert_in_range(f->run_count, 1, FLEET_SLOTS);
+}
+
+/* The entry's deadline and the gate's were handled in the wrong order. */
+static void
+test_queued_write_is_not_unknown_after_a_pause_of_its_process(void **state)
+{
+	struct fleet *f = *state;
+	struct fleet_request r = write_request;
+	int c;
+
+	leave_one_host(f);
+	fill_slots(f, 1);
+	r.deadline_ms = 500;
+	c = fleet_call(f, 1, &r);
+	fleet_run(f, IR_US_PER_S / 10);
+	fleet_pause(f, 1, IR_US_PER_S);
+	assert_int_equal(wait_for_answer(f, 2 * IR_US_PER_S), IR_E_DEADLINE);
+	assert_int_equal(f->calls[c].runs, 0);
+}
+
 int
 main(void)
 {
@@ -147,6 +187,7 @@
 	    T(test_read_is_retried_while_its_link_stays_lost),
 	    T(test_refused_retry_of_a_running_read_is_not_reported_as_not_run),
 	    T(test_call_does_not_wait_for_a_gate_that_restarted),
+	    T(test_queued_write_is_not_unknown_after_a_pause_of_its_process),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
