Attempts: a link's round trip is kept back from the gate's deadline

Cause: a FORWARD carries the time left less 1/16, at most 20 ms, and the gate counts it from the arrival. Over a round trip of 24 ms (between regions) the gate refused queued work at its deadline, and the refusal arrived up to 12 ms after the entry had answered 504 timeout (unknown).

Ruled out: a larger fixed reserve (shortens the time of near hosts for nothing); waiting past the entry's deadline (the caller may be gone by then).

Change: the link measures the round trip of its HELLO, and attempts keep it back as well, at most 50 ms and a quarter of the time left. An answer that the gate has later than that could not have arrived in time. The wire is unchanged. Deadlines under 160 ms keep back less than the gate's tick of 10 ms besides the round trip; there a refusal may still be late.

Measured: test_refusal_of_a_distant_gate_arrives_before_the_deadline fails before (timeout, unknown), passes after (deadline, not run). test_attempt, test_link, test_fleet and test_node_memory pass; test_matrix, test_fuzz and lint were not run on this commit.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -13,6 +13,12 @@
  */
 #define RETURN_TIME_DIVISOR 16
 #define MAX_RETURN_TIME_US (20 * IR_US_PER_MS)
+/*
+ * The link's round trip is reserved as well, up to these bounds: the gate's
+ * deadline counts from the arrival of the FORWARD.
+ */
+#define ROUND_TRIP_DIVISOR 4
+#define MAX_ROUND_TRIP_US (50 * IR_US_PER_MS)
 
 struct ir_retry_budget *
 attempt_retry_budget(struct ir_node *n, const char *service)
@@ -43,16 +49,23 @@
 	talloc_free(a);
 }
 
+static int64_t
+min_us(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
 static uint32_t
-remaining_us(const struct call *c, int64_t now)
+remaining_us(const struct attempt *a, int64_t now)
 {
-	int64_t left_us = c->deadline_us - now;
-	int64_t reserve_us = left_us / RETURN_TIME_DIVISOR;
+	int64_t left_us = a->call->deadline_us - now;
+	int64_t reserve_us;
 
 	if (left_us <= 0)
 		return 0;
-	if (reserve_us > MAX_RETURN_TIME_US)
-		reserve_us = MAX_RETURN_TIME_US;
+	reserve_us = min_us(left_us / RETURN_TIME_DIVISOR, MAX_RETURN_TIME_US);
+	reserve_us += min_us(a->peer->link.round_trip_us,
+	    min_us(left_us / ROUND_TRIP_DIVISOR, MAX_ROUND_TRIP_US));
 	return (uint32_t)(left_us - reserve_us);
 }
 
@@ -76,7 +89,7 @@
 	f->open = c->open;
 	f->first_attempt = c->first_attempt;
 	f->config_revision = c->config_revision;
-	f->remaining_us = remaining_us(c, now);
+	f->remaining_us = remaining_us(a, now);
 	f->idempotency_key = c->idempotency_key;
 	f->authority = c->authority;
 	f->caller_attempt = c->caller_attempt;
--- a/src/link/link.c
+++ b/src/link/link.c
@@ -80,6 +80,7 @@
 	if (l->state != IR_LINK_CONNECTING)
 		return IR_LINK_NOTHING;
 	l->state = IR_LINK_GREETING;
+	l->hello_sent_us = now;
 	l->received_us = now;
 	l->unanswered_us = now;
 	return IR_LINK_SEND_HELLO;
@@ -98,6 +99,7 @@
 	l->state = IR_LINK_UP;
 	l->incarnation = incarnation;
 	l->connect_failures = 0;
+	l->round_trip_us = now - l->hello_sent_us;
 	l->heartbeat_sent_us = now;
 	ir_link_message_received(l, now);
 	return true;
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -52,6 +52,8 @@
 	int64_t last_tick_us; /* last tick, to detect a pause of this process */
 	int64_t grace_until_us;	   /* the link is not lost before */
 	uint32_t connect_failures; /* since the last accepted HELLO_REPLY */
+	int64_t hello_sent_us;	   /* on the current connection */
+	int64_t round_trip_us;	   /* of the last HELLO; 0: none yet */
 };
 
 void ir_link_init(struct ir_link *l);
--- a/test/test_attempt.c
+++ b/test/test_attempt.c
@@ -178,6 +178,25 @@
 	assert_int_equal(f->calls[c].runs, 0);
 }
 
+/* Between regions the refusal arrived after the entry's deadline. */
+static void
+test_refusal_of_a_distant_gate_arrives_before_the_deadline(void **state)
+{
+	struct fleet *f = *state;
+	struct fleet_request r = write_request;
+	int c;
+
+	leave_one_host(f);
+	f->delay_us = 12 * IR_US_PER_MS;
+	fleet_close(f, ENTRY, 1);
+	fleet_run(f, IR_US_PER_S);
+	fill_slots(f, 1);
+	r.deadline_ms = 1000;
+	c = fleet_call(f, ENTRY, &r);
+	assert_int_equal(wait_for_answer(f, 2 * IR_US_PER_S), IR_E_DEADLINE);
+	assert_int_equal(f->calls[c].runs, 0);
+}
+
 int
 main(void)
 {
@@ -188,6 +207,7 @@
 	    T(test_refused_retry_of_a_running_read_is_not_reported_as_not_run),
 	    T(test_call_does_not_wait_for_a_gate_that_restarted),
 	    T(test_queued_write_is_not_unknown_after_a_pause_of_its_process),
+	    T(test_refusal_of_a_distant_gate_arrives_before_the_deadline),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
