Cold upstreams: the gate keeps the cold rate and sends status checks

Cause: an upstream that has just started tolerates only a configured rate, and ends well above it. The gate started runs at its concurrency limit at once, also after its own restart.

Change: src/upstream/cold_start.c decides from events, the host list and status checks whether the upstream is or may be cold. The gate's rate cap is then at most the cold rate, and counts the runs of the last second towards it. The upstream thread sends status checks. Balancers prefer hosts that are not cold. Only with the setting "cold_starts" and a cold rate of the service.

Ruled out: shares of the rate at entries (rate times the senders, flag up to 2.3 s late), periodic checks (cost), a slow start of each process.

No test of the status check through real sockets yet.

--- a/bench/capacity/bench_node.c
+++ b/bench/capacity/bench_node.c
@@ -139,8 +139,8 @@
 {
 }
 
-static const struct ir_node_ops ops = {
-    on_connect, on_close, on_send, on_run, on_cancel_run, on_answer, on_log};
+static const struct ir_node_ops ops = {on_connect, on_close, on_send, on_run,
+    on_cancel_run, on_answer, on_log, NULL};
 
 static void
 deliver_store_read(struct bench_node *b, bool hosts, bool complete,
--- a/include/ibisrail/counter.h
+++ b/include/ibisrail/counter.h
@@ -40,6 +40,9 @@
 	IR_COUNTER_RING_FULL,	       /* items refused, ring full */
 	IR_COUNTER_CALLS_CUT,	       /* connection closed by this node */
 	IR_COUNTER_RUNS_CRASHED,       /* the upstream ended during them */
+	IR_COUNTER_STATUS_CHECKS,      /* sent to the local upstream */
+	IR_COUNTER_COLD_DELAYED, /* attempts queued while it was not warm */
+	IR_COUNTER_COLD_REFUSED, /* attempts refused while it was not warm */
 	IR_COUNTER_COUNT
 };
 
--- a/include/ibisrail/dialect.h
+++ b/include/ibisrail/dialect.h
@@ -34,6 +34,9 @@
 	const char *not_run;	   /* the request was not run */
 	const char *answer_digest; /* on every answer of an upstream */
 	struct ir_statement_headers statement;
+	/* Answers to status checks. */
+	const char *cold_remaining; /* ms for which the upstream stays cold */
+	const char *upstream_id;    /* of the upstream that answers */
 };
 
 /* An item of the store, decoded to a section of the view. */
--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -102,6 +102,15 @@
 	size_t body_bytes;
 };
 
+/* Result of a status check of the local upstream. */
+struct ir_check_result {
+	bool answered; /* with valid headers */
+	uint16_t status;
+	/* Time for which the upstream stays cold; 0 if not named. */
+	uint32_t cold_remaining_ms;
+	const char *upstream_id; /* "" if not named */
+};
+
 struct ir_node_ops {
 	/*
 	 * Peers. The I/O side reports the end of each connection, also of one
@@ -126,6 +135,11 @@
 	void (*answer)(void *ctx, uint64_t call, const struct ir_answer *a);
 	/* Logs an event. fields: "name=value name=value". */
 	void (*log)(void *ctx, enum ir_event event, const char *fields);
+	/*
+	 * Sends a status check (GET) to the upstream. Its end is reported by
+	 * ir_node_upstream_checked(). NULL: there are no status checks.
+	 */
+	void (*check_upstream)(void *ctx, const char *path);
 };
 
 /* Headers in which an upstream speaks of itself; NULL: there is no such one. */
@@ -158,6 +172,8 @@
 	/* Calls without a key are treated as calls of the local upstream. */
 	bool keyless_calls_from_upstream;
 	struct ir_statement_headers statement_headers; /* not copied */
+	bool cold_starts;     /* upstreams are cold after a start */
+	bool ramp;	      /* raises the load slowly after a start */
 	uint64_t incarnation; /* unique to this process start, above 0 */
 	uint64_t seed;
 	struct ir_memory *memory; /* NULL: the node creates its own */
@@ -180,6 +196,9 @@
 /* The local upstream. */
 void ir_node_run_ended(struct ir_node *n, int64_t now, uint64_t run,
     const struct ir_run_result *res);
+/* A status check ended. res NULL: it got no answer. */
+void ir_node_upstream_checked(
+    struct ir_node *n, int64_t now, const struct ir_check_result *res);
 
 /* Peers. */
 void ir_node_conn_established(struct ir_node *n, int64_t now, uint32_t conn);
@@ -264,6 +283,7 @@
 	int64_t upstream_rate_limit_mt_per_s;
 	int64_t upstream_leaving; /* 1: it says so */
 	int64_t upstream_ended;	  /* 1: and has not answered since */
+	int64_t upstream_cold;	  /* enum ir_cold_state */
 	int64_t suspects;	  /* requests during which upstreams ended */
 	int64_t hosts;		  /* in the host list */
 	int64_t config_revision;
--- a/src/core/dump.c
+++ b/src/core/dump.c
@@ -66,6 +66,12 @@
 	    (int64_t)n->upstream.status.said.rate_mt_per_s);
 	add_bool(o, "upstream_leaving", local_upstream_is_leaving(n, now));
 	add_bool(o, "upstream_ended", n->upstream.ended);
+	add_string(o, "upstream_state",
+	    ir_cold_state_name(ir_cold_start_state(&n->upstream.cold)));
+	add_int(
+	    o, "cold_remaining_ms", local_upstream_cold_remaining_ms(n, now));
+	add_int(
+	    o, "cold_rate_mt_per_s", (int64_t)n->upstream.cold.rate_mt_per_s);
 	add_int(o, "suspects", (int64_t)ir_suspects_count(n->suspects));
 	add_int(o, "records", (int64_t)ir_records_count(n->records));
 	add_int(o, "records_open", (int64_t)ir_records_open_count(n->records));
@@ -186,6 +192,7 @@
 		: -1;
 	out->upstream_leaving = n->upstream.status.said.leaving;
 	out->upstream_ended = n->upstream.ended;
+	out->upstream_cold = ir_cold_start_state(&n->upstream.cold);
 	out->suspects = (int64_t)ir_suspects_count(n->suspects);
 	out->records = (int64_t)ir_records_count(n->records);
 	out->hosts = (int64_t)node_view(n)->host_count;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -27,6 +27,7 @@
 #include "ibisrail/node.h"
 #include "link/link.h"
 #include "link/peer.h"
+#include "upstream/cold_start.h"
 #include "upstream/gate.h"
 #include "upstream/record.h"
 #include "upstream/statement.h"
@@ -169,6 +170,10 @@
 	struct ir_upstream_status status;
 	uint64_t crash_count; /* its ends, since this process started */
 	int64_t crashed_us;   /* last time */
+	struct ir_cold_start cold;
+	enum ir_cold_state cold_state; /* as logged and applied last */
+	bool misdirected; /* an answer named another upstream than listed */
+	bool evacuated;	  /* its zone, in the view applied last */
 };
 
 struct ir_node {
@@ -451,6 +456,17 @@
     struct ir_node *n, int64_t now, const struct ir_upstream_notice *notice);
 /* Whether its answers say that it leaves. */
 bool local_upstream_is_leaving(const struct ir_node *n, int64_t now);
+/* Applies the process's start, to be called before any other event. */
+void local_upstream_init(struct ir_node *n, int64_t now);
+void local_upstream_run_started(struct ir_node *n, int64_t now);
+/* A run was cancelled. */
+void local_upstream_run_dropped(
+    struct ir_node *n, int64_t now, const struct ir_record *r);
+void local_upstream_tick(struct ir_node *n, int64_t now);
+/* Whether the upstream is taken for cold. */
+bool local_upstream_is_cold(const struct ir_node *n);
+/* Time for which it is expected to stay cold; 0 if not known. */
+int64_t local_upstream_cold_remaining_ms(const struct ir_node *n, int64_t now);
 /* Forgets what an upstream said when another one is listed in its place. */
 void local_upstream_view_changed(
     struct ir_node *n, int64_t now, const struct ir_host *self);
--- a/src/core/local_upstream.c
+++ b/src/core/local_upstream.c
@@ -16,6 +16,9 @@
 
 	if (n->upstream.ended && rate > TRIAL_RATE_MT_PER_S)
 		rate = TRIAL_RATE_MT_PER_S;
+	if (ir_cold_start_limits(&n->upstream.cold) &&
+	    rate > n->upstream.cold.rate_mt_per_s)
+		rate = n->upstream.cold.rate_mt_per_s;
 	if (rate == UINT64_MAX)
 		ir_gate_clear_rate_cap(n->gate);
 	else
@@ -31,6 +34,147 @@
 	apply_to_gate(n, now);
 }
 
+bool
+local_upstream_is_cold(const struct ir_node *n)
+{
+	return ir_cold_start_limits(&n->upstream.cold);
+}
+
+int64_t
+local_upstream_cold_remaining_ms(const struct ir_node *n, int64_t now)
+{
+	const struct ir_cold_start *c = &n->upstream.cold;
+
+	if (ir_cold_start_state(c) != IR_COLD_UNTIL || c->until_us <= now)
+		return 0;
+	return (c->until_us - now) / IR_US_PER_MS;
+}
+
+/* Applies and logs a change of the upstream's state; sends a check if due. */
+static void
+follow_cold(struct ir_node *n, int64_t now, const char *cause)
+{
+	struct local_upstream *u = &n->upstream;
+	enum ir_cold_state state = ir_cold_start_state(&u->cold);
+	enum ir_cold_state before = u->cold_state;
+
+	u->cold_state = state;
+	if (state != before) {
+		node_log(n, IR_EVENT_UPSTREAM_COLD,
+		    "state=%s cause=%s remaining_ms=%lld rate_mt_per_s=%llu",
+		    ir_cold_state_name(state), cause,
+		    (long long)local_upstream_cold_remaining_ms(n, now),
+		    (unsigned long long)u->cold.rate_mt_per_s);
+		apply_to_gate(n, now);
+	}
+	if (state != IR_COLD_WARM && before == IR_COLD_WARM)
+		ir_gate_hold_rate_cap(n->gate, now);
+	if (!ir_cold_start_check_due(&u->cold, now))
+		return;
+	ir_cold_start_check_sent(&u->cold, now);
+	ir_counters_add(&n->counters, IR_COUNTER_STATUS_CHECKS, 1);
+	n->ops.check_upstream(n->ctx,
+	    ir_view_service(node_view(n), n->settings.service)->check_path);
+}
+
+void
+local_upstream_init(struct ir_node *n, int64_t now)
+{
+	ir_cold_start_init(&n->upstream.cold, now);
+}
+
+void
+local_upstream_run_started(struct ir_node *n, int64_t now)
+{
+	ir_cold_start_run_started(&n->upstream.cold, now);
+}
+
+void
+local_upstream_run_dropped(
+    struct ir_node *n, int64_t now, const struct ir_record *r)
+{
+	ir_cold_start_run_ended(
+	    &n->upstream.cold, now, r->work.started_us, IR_COLD_RUN_DROPPED);
+	follow_cold(n, now, "runs");
+}
+
+void
+local_upstream_tick(struct ir_node *n, int64_t now)
+{
+	struct ir_load l = ir_gate_load(n->gate, now, "");
+
+	ir_cold_start_tick(&n->upstream.cold, now, l.service_time_us);
+	follow_cold(
+	    n, now, n->upstream.cold_state == IR_COLD_WARM ? "runs" : "time");
+}
+
+/* Whether an answer with this id is of the upstream that is listed. */
+static bool
+is_listed_upstream(struct ir_node *n, const char *id)
+{
+	const struct ir_host *self = node_self(n);
+
+	return id[0] == '\0' || self == NULL || self->upstream_id[0] == '\0' ||
+	       strcmp(self->upstream_id, id) == 0;
+}
+
+/* This status and higher ones mean that the upstream failed. */
+#define MIN_FAILED_STATUS 500
+
+void
+ir_node_upstream_checked(
+    struct ir_node *n, int64_t now, const struct ir_check_result *res)
+{
+	struct ir_cold_start *c = &n->upstream.cold;
+
+	n->now_us = now;
+	if (res == NULL || !res->answered ||
+	    (res->status >= MIN_FAILED_STATUS && res->cold_remaining_ms == 0))
+		ir_cold_start_check_failed(c, now);
+	else
+		ir_cold_start_check_answered(c, now, res->cold_remaining_ms,
+		    is_listed_upstream(n, res->upstream_id));
+	follow_cold(n, now, "check");
+	/* Work that waited may start. */
+	ir_gate_tick(n->gate, now);
+	node_run_deferred(n, now);
+}
+
+static enum ir_cold_run_end
+cold_run_end(const struct ir_run_result *res)
+{
+	switch (res->end) {
+	case IR_RUN_ANSWERED:
+	case IR_RUN_SHED:
+		return IR_COLD_RUN_ANSWERED;
+	case IR_RUN_BROKEN:
+		return IR_COLD_RUN_BROKEN;
+	case IR_RUN_NOT_CONNECTED:
+	case IR_RUN_UPSTREAM_ENDED:
+		return IR_COLD_RUN_REFUSED;
+	default:
+		return IR_COLD_RUN_DROPPED;
+	}
+}
+
+static void
+follow_run_end(struct ir_node *n, int64_t now, const struct ir_record *r,
+    const struct ir_run_result *res)
+{
+	struct local_upstream *u = &n->upstream;
+
+	ir_cold_start_run_ended(
+	    &u->cold, now, r->work.started_us, cold_run_end(res));
+	/* Another upstream has started, and is not listed yet. */
+	if (res->end == IR_RUN_SHED && res->status == HTTP_MISDIRECTED &&
+	    !u->misdirected) {
+		u->misdirected = true;
+		ir_cold_start_suspect(&u->cold, now);
+		follow_cold(n, now, "misdirected");
+	}
+	follow_cold(n, now, "runs");
+}
+
 /* Follows whether the upstream has ended, or has started again. */
 static void
 follow_end(struct ir_node *n, int64_t now, const struct ir_record *r,
@@ -73,6 +217,7 @@
 	struct ir_statement s;
 
 	follow_end(n, now, r, res);
+	follow_run_end(n, now, r, res);
 	if (res->end != IR_RUN_ANSWERED && res->end != IR_RUN_SHED)
 		return;
 	/* A run that started earlier may have been another upstream's. */
@@ -88,13 +233,45 @@
 	apply_to_gate(n, now);
 }
 
+/* Follows what the view says of the service and this host. */
+static void
+follow_cold_in_view(
+    struct ir_node *n, int64_t now, const struct ir_host *self, bool new_id)
+{
+	const struct ir_service *s =
+	    ir_view_service(node_view(n), n->settings.service);
+	struct local_upstream *u = &n->upstream;
+	bool on = n->settings.cold_starts && !n->settings.baseline_policy &&
+		  s != NULL;
+
+	ir_cold_start_configure(&u->cold, now, on ? s->cold_rate_mt_per_s : 0,
+	    on && s->check_path != NULL && n->ops.check_upstream != NULL);
+	follow_cold(n, now, "config");
+	if (self == NULL)
+		return;
+	if (new_id) {
+		u->misdirected = false;
+		ir_cold_start_suspect(&u->cold, now);
+		follow_cold(n, now, "upstream-id");
+	}
+	if (u->evacuated && !self->evacuated) {
+		ir_cold_start_suspect(&u->cold, now);
+		follow_cold(n, now, "evacuation-end");
+	}
+	u->evacuated = self->evacuated;
+	ir_cold_start_set_listed(&u->cold, now, self->cold);
+	follow_cold(n, now, "host-list");
+}
+
 void
 local_upstream_view_changed(
     struct ir_node *n, int64_t now, const struct ir_host *self)
 {
 	struct local_upstream *u = &n->upstream;
+	bool new_id = self != NULL && strcmp(self->upstream_id, u->id) != 0;
 
-	if (self == NULL || strcmp(self->upstream_id, u->id) == 0)
+	follow_cold_in_view(n, now, self, new_id);
+	if (!new_id)
 		return;
 	(void)snprintf(u->id, sizeof(u->id), "%s", self->upstream_id);
 	u->since_us = now;
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -140,6 +140,7 @@
 	n->records = ir_records_new(n, n->settings.memory);
 	n->callee_throttle = ir_throttle_new(n);
 	n->suspects = ir_suspects_new(n);
+	local_upstream_init(n, now);
 	set_lease(n);
 	return n->sections != NULL && n->view_lease != NULL &&
 	       n->balancer != NULL && n->rate_limiter != NULL &&
@@ -310,6 +311,7 @@
 	(void)(unsent_send(n, now) && serve_send_unsent(n, now));
 	control_update_lease(n, now);
 	call_tick(n, now);
+	local_upstream_tick(n, now);
 	serve_tick(n, now);
 	peer_tick(n, now);
 	suspects_tick(n, now);
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -74,6 +74,7 @@
 	out.body_bytes = f->body.body_len;
 	ir_counters_add(&n->counters, IR_COUNTER_RUNS, 1);
 	log_started(n, now, r, &out);
+	local_upstream_run_started(n, now);
 	n->ops.run(n->ctx, &out);
 }
 
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -167,6 +167,8 @@
 	struct ir_node *n = ctx;
 
 	ir_counters_add(&n->counters, IR_COUNTER_GATE_REFUSED, 1);
+	if (local_upstream_is_cold(n))
+		ir_counters_add(&n->counters, IR_COUNTER_COLD_REFUSED, 1);
 	log_gate_refused(n, now, w->owner, kind, retry_after_ms);
 	serve_finish_record(n, now, w->owner, kind, retry_after_ms);
 }
@@ -458,6 +460,9 @@
 	ir_gate_offer(n->gate, now, &r->work);
 	/* If the gate refused it, the record is done and may be freed. */
 	r = ir_records_find(n->records, &f->attempt);
+	if (r != NULL && r->state == IR_RECORD_QUEUED &&
+	    local_upstream_is_cold(n))
+		ir_counters_add(&n->counters, IR_COUNTER_COLD_DELAYED, 1);
 	if (r != NULL && r->state != IR_RECORD_DONE)
 		log_gate_decision(n, now, r, IR_EVENT_GATE_TOOK,
 		    r->state == IR_RECORD_QUEUED ? "state=queued"
@@ -568,6 +573,7 @@
 	if (running) {
 		serve_log_run_ended(n, now, r, ran, 0);
 		n->ops.cancel_run(n->ctx, r->run_id);
+		local_upstream_run_dropped(n, now, r);
 	}
 	ir_gate_cancel(n->gate, now, &r->work);
 	serve_finish_record(n, now, r, running ? ran : not_run, 0);
--- a/src/io/admin/admin.c
+++ b/src/io/admin/admin.c
@@ -99,6 +99,20 @@
 	return (int64_t)ir_memory_held(m, use);
 }
 
+static enum MHD_Result
+respond_metrics(struct ir_admin *a, struct MHD_Connection *connection,
+    struct ir_from_core *m, const struct ir_gauge *gauges, size_t count)
+{
+	const struct ir_metric_set e = {
+	    &m->u.report.counters, gauges, count, &m->u.report.histograms};
+	const char *text = ir_exposition_write(m, a->host, &e);
+
+	if (text == NULL)
+		return MHD_NO;
+	return respond(
+	    connection, MHD_HTTP_OK, IR_EXPOSITION_CONTENT_TYPE, text);
+}
+
 static enum MHD_Result
 respond_counters(struct ir_admin *a, struct MHD_Connection *connection,
     struct ir_from_core *m)
@@ -123,6 +137,9 @@
 	    {"ibisrail_upstream_ended",
 		"Whether the upstream ended and has not answered since.",
 		g->upstream_ended},
+	    {"ibisrail_upstream_cold",
+		"0: the upstream is warm; 1: it may be cold; 2: it is cold.",
+		g->upstream_cold},
 	    {"ibisrail_suspect_requests",
 		"Requests during which upstreams of the service ended.",
 		g->suspects},
@@ -163,14 +180,9 @@
 		"Receive buffers granted to connections, filled or not.",
 		(int64_t)ir_memory_sockets_held(mem)},
 	};
-	const struct ir_metric_set e = {&m->u.report.counters, gauges,
-	    sizeof(gauges) / sizeof(gauges[0]), &m->u.report.histograms};
-	const char *text = ir_exposition_write(m, a->host, &e);
 
-	if (text == NULL)
-		return MHD_NO;
-	return respond(
-	    connection, MHD_HTTP_OK, IR_EXPOSITION_CONTENT_TYPE, text);
+	return respond_metrics(
+	    a, connection, m, gauges, sizeof(gauges) / sizeof(gauges[0]));
 }
 
 static enum MHD_Result
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -98,6 +98,9 @@
 	    .child_separator = l->dialect->child_separator,
 	    .keyless_calls_from_upstream = !s->has_egress,
 	    .statement_headers = l->dialect->headers.statement,
+	    .cold_starts =
+		s->cold_starts && l->dialect->headers.cold_remaining != NULL,
+	    .ramp = s->ramp,
 	    .incarnation = l->incarnation,
 	    .seed = l->seed,
 	    .memory = l->memory,
@@ -162,6 +165,9 @@
 	case IR_TO_CORE_RUN_ENDED:
 		ir_node_run_ended(c->node, now, m->id, &m->u.result);
 		break;
+	case IR_TO_CORE_UPSTREAM_CHECKED:
+		ir_node_upstream_checked(c->node, now, &m->u.check);
+		break;
 	case IR_TO_CORE_PEER_CONNECTED:
 		ir_node_conn_established(c->node, now, m->conn);
 		break;
--- a/src/io/core/core_out.c
+++ b/src/io/core/core_out.c
@@ -230,6 +230,16 @@
 	ir_outbox_push(&c->outboxes[IR_THREAD_UPSTREAM], m);
 }
 
+static void
+on_check_upstream(void *ctx, const char *path)
+{
+	struct core *c = ctx;
+	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_CHECK_UPSTREAM);
+
+	m->u.check_path = ir_text_copy(m, path);
+	ir_outbox_push(&c->outboxes[IR_THREAD_UPSTREAM], m);
+}
+
 static void
 on_answer(void *ctx, uint64_t call, const struct ir_answer *a)
 {
@@ -259,6 +269,7 @@
     .send = on_send,
     .run = on_run,
     .cancel_run = on_cancel_run,
+    .check_upstream = on_check_upstream,
     .answer = on_answer,
     .log = on_log,
 };
--- a/src/io/message.h
+++ b/src/io/message.h
@@ -15,8 +15,9 @@
 
 enum ir_to_core_kind {
 	IR_TO_CORE_CALL,
-	IR_TO_CORE_CALL_ABANDONED, /* its caller closed the connection */
-	IR_TO_CORE_RUN_ENDED,	   /* the upstream answered or failed */
+	IR_TO_CORE_CALL_ABANDONED,   /* its caller closed the connection */
+	IR_TO_CORE_RUN_ENDED,	     /* the upstream answered or failed */
+	IR_TO_CORE_UPSTREAM_CHECKED, /* a status check ended */
 	IR_TO_CORE_PEER_CONNECTED,
 	IR_TO_CORE_PEER_CLOSED,
 	IR_TO_CORE_PEER_MESSAGE,
@@ -55,8 +56,9 @@
 	int64_t since_us;	    /* DRAIN: when the signal may have come */
 	enum ir_report_kind report; /* REPORT_REQUEST */
 	union {
-		struct ir_call call;	     /* CALL */
-		struct ir_run_result result; /* RUN_ENDED */
+		struct ir_call call;	      /* CALL */
+		struct ir_run_result result;  /* RUN_ENDED */
+		struct ir_check_result check; /* UPSTREAM_CHECKED */
 		struct ir_msg msg; /* PEER_MESSAGE; freed by the destructor */
 		struct ir_store_read store;	    /* STORE_READ */
 		const struct ir_settings *settings; /* SETTINGS */
@@ -67,6 +69,7 @@
 	IR_FROM_CORE_ANSWER,
 	IR_FROM_CORE_RUN,
 	IR_FROM_CORE_CANCEL_RUN,
+	IR_FROM_CORE_CHECK_UPSTREAM, /* send a status check */
 	IR_FROM_CORE_PEER_CONNECT,
 	IR_FROM_CORE_PEER_CLOSE,
 	IR_FROM_CORE_PEER_SEND,
@@ -89,6 +92,7 @@
 	union {
 		struct ir_answer answer;	    /* ANSWER */
 		struct ir_run run;		    /* RUN */
+		const char *check_path;		    /* CHECK_UPSTREAM */
 		const struct ir_settings *settings; /* SETTINGS */
 		struct {
 			const char *address; /* PEER_CONNECT */
--- a/src/io/native_dialect.c
+++ b/src/io/native_dialect.c
@@ -62,6 +62,8 @@
 	    .importance = "Ibisrail-Importance",
 	    .not_run = "Ibisrail-Outcome",
 	    .statement = {.rate_limit = "Upstream-Rate-Limit"},
+	    .cold_remaining = "Upstream-Cold-Remaining-Ms",
+	    .upstream_id = "Upstream-Id",
 	},
     .store =
 	{
--- a/src/io/upstream/upstream.c
+++ b/src/io/upstream/upstream.c
@@ -4,6 +4,7 @@
 #include "io/admin/io_log.h"
 #include "io/clock.h"
 #include "io/event_loop.h"
+#include "io/upstream/status_check.h"
 #include "io/upstream/upstream_check.h"
 #include "io/upstream/upstream_conn.h"
 
@@ -124,6 +125,8 @@
 			start_run(u, m);
 			continue;
 		}
+		if (m->kind == IR_FROM_CORE_CHECK_UPSTREAM)
+			ir_status_check_start(u, m->u.check_path);
 		if (m->kind == IR_FROM_CORE_CANCEL_RUN)
 			cancel_run(u, m->id);
 		if (m->kind == IR_FROM_CORE_STOP)
@@ -193,6 +196,7 @@
 	while (u->idle_conns != NULL)
 		ir_upstream_conn_close(u->idle_conns);
 	ir_upstream_check_stop(u);
+	TALLOC_FREE(u->status_check);
 	ir_outbox_clear(&u->outbox);
 	return 0;
 }
--- a/src/io/upstream/upstream_conn.h
+++ b/src/io/upstream/upstream_conn.h
@@ -80,7 +80,8 @@
 	int check_fd;			  /* -1: no check is going on */
 	struct tevent_fd *check_event;
 	struct tevent_timer *check_timer;
-	uint32_t paused_count; /* connections with read_paused */
+	struct status_check *status_check; /* that is going on, or NULL */
+	uint32_t paused_count;		   /* connections with read_paused */
 	bool sweep_scheduled;
 	bool stopping;
 };
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -232,6 +232,21 @@
 	"One of the runs with this event at that time may have ended it.",
 	"Look at the upstream's own log. The same method, path and account at "
 	"several ends name the request that causes them."},
+    {IR_EVENT_UPSTREAM_COLD,
+	"state: warm, may-be-cold or cold; cause: config (also at "
+	"the start of this process), upstream-id, evacuation-end, host-list, "
+	"misdirected, runs, time or check; remaining_ms: for which it is "
+	"expected to stay cold; "
+	"rate_mt_per_s: of runs while it is not warm, in thousandths a second",
+	"Whether the local upstream takes only its service's cold rate has "
+	"changed. While it is not warm, this host starts runs at that rate and "
+	"other hosts are preferred.",
+	"Nothing after a start of the upstream. may-be-cold for long: the "
+	"upstream does not answer its status check."},
+    {IR_EVENT_CHECK_BAD, "status; value: of the header that is malformed",
+	"The local upstream answered a status check with a value that is not a "
+	"number of milliseconds. The check is repeated.",
+	"Correct the upstream."},
     {IR_EVENT_BUCKET_HANDED,
 	"account: its name; bucket: its number; to: the host",
 	"A token bucket of an account was handed over to another host.",
--- a/src/metric/counter.c
+++ b/src/metric/counter.c
@@ -70,6 +70,12 @@
 	"Calls in progress whose caller's connection this node closed."},
     [IR_COUNTER_RUNS_CRASHED] = {"ibisrail_runs_crashed_total",
 	"Runs during which the local upstream ended."},
+    [IR_COUNTER_STATUS_CHECKS] = {"ibisrail_status_checks_total",
+	"Status checks sent to the local upstream."},
+    [IR_COUNTER_COLD_DELAYED] = {"ibisrail_cold_delayed_total",
+	"Work that the gate queued while its upstream was or may be cold."},
+    [IR_COUNTER_COLD_REFUSED] = {"ibisrail_cold_refused_total",
+	"Work that the gate refused while its upstream was or may be cold."},
 };
 
 const char *
--- a/src/upstream/gate.c
+++ b/src/upstream/gate.c
@@ -106,6 +106,12 @@
 	ir_rate_cap_clear(&g->rate_cap);
 }
 
+void
+ir_gate_hold_rate_cap(struct ir_gate *g, int64_t now)
+{
+	ir_rate_cap_hold(&g->rate_cap, now);
+}
+
 static uint32_t
 current_limit(const struct ir_gate *g)
 {
--- a/src/upstream/gate.h
+++ b/src/upstream/gate.h
@@ -80,6 +80,9 @@
  */
 void ir_gate_set_rate_cap(struct ir_gate *g, int64_t now, uint64_t mt_per_s);
 void ir_gate_clear_rate_cap(struct ir_gate *g);
+/* Counts the runs of the last second towards the cap; see ir_rate_cap_hold().
+ */
+void ir_gate_hold_rate_cap(struct ir_gate *g, int64_t now);
 /* Starts, queues or refuses w. */
 void ir_gate_offer(struct ir_gate *g, int64_t now, struct ir_work *w);
 /* Ends work that was started; does nothing for other work. */
--- a/src/zone/balancer.c
+++ b/src/zone/balancer.c
@@ -57,6 +57,7 @@
 	bool probe; /* ignores shed levels */
 	bool shed;  /* some host sheds the request */
 	struct sample available[DISTANCE_COUNT];
+	struct sample available_cold[DISTANCE_COUNT];
 	struct sample saturated[DISTANCE_COUNT];
 };
 
@@ -126,6 +127,7 @@
 	const struct ir_host_status *s =
 	    ir_host_status_find(p->balancer->statuses, h->name);
 	enum distance d = distance_of(p->self, h);
+	struct sample *free = h->cold ? p->available_cold : p->available;
 	double utilization;
 
 	if (h->leaving || is_excluded(p->criteria, h) ||
@@ -140,7 +142,7 @@
 	}
 	utilization = ir_host_status_utilization(
 	    s, p->now, h->slots != 0 ? h->slots : p->slots);
-	add_to_sample(utilization < 1 ? &p->available[d] : &p->saturated[d],
+	add_to_sample(utilization < 1 ? &free[d] : &p->saturated[d],
 	    &p->balancer->random, h, utilization);
 }
 
@@ -186,7 +188,8 @@
 
 /*
  * The host to use within the given number of distances: the nearest one that
- * is not saturated, else the nearest.
+ * is neither saturated nor cold, else the nearest that is not saturated, else
+ * the nearest.
  */
 static const struct ir_host *
 pick_candidate(const struct pick *p, int distances)
@@ -197,6 +200,10 @@
 		if (p->available[d].count > 0)
 			return less_utilized(&p->available[d], random);
 	}
+	for (int d = 0; d < distances; d++) {
+		if (p->available_cold[d].count > 0)
+			return less_utilized(&p->available_cold[d], random);
+	}
 	for (int d = 0; d < distances; d++) {
 		if (p->saturated[d].count > 0)
 			return less_utilized(&p->saturated[d], random);
--- a/test/support/fleet.c
+++ b/test/support/fleet.c
@@ -348,6 +348,7 @@
 	s.initial_slots = 4;
 	s.statement_headers.rate_limit = FLEET_LIMIT_HEADER;
 	s.statement_headers.leaving = FLEET_LEAVING_HEADER;
+	s.cold_starts = f->cold_rate_per_s != 0;
 	s.store_read_period_us = f->store_wait_us;
 	if (f->tolerant) {
 		s.rate_tolerance_fraction = 0.25;
@@ -469,6 +470,9 @@
 	case EVENT_STORE_READ:
 		fleet_deliver_store(f, ev);
 		break;
+	case EVENT_CHECKED:
+		fleet_deliver_check(f, ev);
+		break;
 	}
 }
 
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -110,6 +110,8 @@
 	int64_t at_us;
 };
 
+/* Requests a second beyond 1.5 times its rate that end a cold upstream. */
+#define FLEET_COLD_SLACK 8
 /* How long an upstream that ended takes to start again. */
 #define FLEET_UPSTREAM_RESTART_US (3 * IR_US_PER_S)
 #define FLEET_REWRITE_PAUSE_US (2 * IR_US_PER_S)
@@ -137,6 +139,10 @@
 	/* When its answers first named a limit, said that it leaves. */
 	int64_t first_limit_us;
 	int64_t first_leaving_us;
+	int64_t cold_until_us;	    /* of its upstream */
+	bool listed_cold;	    /* in the host list */
+	bool checks_fail;	    /* status checks get no answer */
+	int checks;		    /* status checks sent to its upstream */
 	const char *callee_service; /* service that its runs call; NULL: none */
 	bool fails_with_callee;	    /* answers 500 if that call fails */
 	int64_t next_store_poll_us;
@@ -165,6 +171,10 @@
 	/* The contract tolerates requests over the rate; views are believed
 	   unconfirmed. To be set before fleet_publish_defaults(). */
 	bool tolerant;
+	/* Requests a second that a cold upstream of "s" takes; 0: cold starts
+	   are off. To be set before fleet_publish_defaults(). */
+	uint32_t cold_rate_per_s;
+	int64_t check_us; /* until a status check is answered */
 	bool store_down;
 	bool store_cut[FLEET_MAX_NODES]; /* the node cannot reach the store */
 	bool store_stale; /* answers with the stale revisions below */
--- a/test/support/fleet_calls.c
+++ b/test/support/fleet_calls.c
@@ -218,6 +218,53 @@
 	return end != NULL ? fleet_find_call(f, end + 1) : NULL;
 }
 
+/* Whether a cold upstream got more than the bound in the last second. */
+static bool
+is_over_cold_bound(const struct fleet *f, int node)
+{
+	int count = 0;
+
+	if (f->now_us >= f->nodes[node].cold_until_us)
+		return false;
+	for (int i = f->run_count - 1; i >= 0; i--) {
+		if (f->runs[i].at_us <= f->now_us - IR_US_PER_S)
+			break;
+		count += f->runs[i].node == node;
+	}
+	return count > (int)f->cold_rate_per_s * 3 / 2 + FLEET_COLD_SLACK;
+}
+
+static void
+op_check_upstream(void *ctx, const char *path)
+{
+	struct fleet_node *n = ctx;
+	struct fleet *f = n->fleet;
+
+	n->checks++;
+	fleet_schedule(f, fleet_event(f, EVENT_CHECKED, (int)(n - f->nodes),
+			      f->now_us + f->check_us));
+}
+
+void
+fleet_deliver_check(struct fleet *f, struct fleet_event *ev)
+{
+	struct fleet_node *n = &f->nodes[ev->node];
+	struct ir_check_result res = {
+	    .answered = true, .status = 200, .upstream_id = ""};
+
+	if (!n->alive)
+		return;
+	if (f->now_us < n->cold_until_us)
+		res.cold_remaining_ms =
+		    (uint32_t)((n->cold_until_us - f->now_us) / IR_US_PER_MS) +
+		    1;
+	if (n->checks_fail || n->upstream_mode == UPSTREAM_HANGS ||
+	    f->now_us < n->upstream_down_until_us)
+		ir_node_upstream_checked(n->node, f->now_us, NULL);
+	else
+		ir_node_upstream_checked(n->node, f->now_us, &res);
+}
+
 static void
 op_run(void *ctx, const struct ir_run *r)
 {
@@ -249,7 +296,8 @@
 		return;
 	}
 	check_run(f, node, r, c);
-	if (strstr(r->path, fleet_deadly) != NULL) {
+	if (strstr(r->path, fleet_deadly) != NULL ||
+	    is_over_cold_bound(f, node)) {
 		crash_upstream(f, node, r->id);
 		return;
 	}
@@ -475,4 +523,5 @@
     .cancel_run = op_cancel_run,
     .answer = op_answer,
     .log = op_log,
+    .check_upstream = op_check_upstream,
 };
--- a/test/support/fleet_priv.h
+++ b/test/support/fleet_priv.h
@@ -14,7 +14,8 @@
 	EVENT_CLOSED,
 	EVENT_RUN_ENDED,
 	EVENT_EGRESS_CALL,
-	EVENT_STORE_READ
+	EVENT_STORE_READ,
+	EVENT_CHECKED
 };
 
 /* An event that will be delivered to a node. */
@@ -94,6 +95,7 @@
     void *ctx, uint32_t conn, uint32_t xid, const struct ir_msg *m);
 struct fleet_call *fleet_find_call(struct fleet *f, const char *marker);
 void fleet_deliver_run_end(struct fleet *f, struct fleet_event *ev);
+void fleet_deliver_check(struct fleet *f, struct fleet_event *ev);
 void fleet_deliver_egress(struct fleet *f, struct fleet_event *ev);
 void fleet_deliver_store(struct fleet *f, struct fleet_event *ev);
 void fleet_poll_store(struct fleet *f, int node);
--- a/test/support/fleet_store.c
+++ b/test/support/fleet_store.c
@@ -102,6 +102,8 @@
 	if (n->upstream_id != NULL)
 		text = talloc_asprintf_append(
 		    text, ",\"upstream_id\":\"%s\"", n->upstream_id);
+	if (n->listed_cold)
+		text = talloc_strdup_append(text, ",\"cold\":true");
 	text = talloc_strdup_append(text, "}");
 	if (strcmp(state, "gone") == 0)
 		text[0] = '\0';
@@ -198,6 +200,12 @@
 	    "\"deadline_ms\":5000,\"idempotent\":true,\"open\":true,"
 	    "\"retries\":1}]}",
 	    (unsigned long long)f->config_revision + 1, name);
+	if (f->cold_rate_per_s != 0 && strcmp(name, "s") == 0) {
+		text[strlen(text) - 1] = '\0';
+		text = talloc_asprintf_append(text,
+		    ",\"cold_rate_per_s\":%u,\"check_path\":\"/health\"}",
+		    f->cold_rate_per_s);
+	}
 	fleet_publish(f, section, text);
 	talloc_free(text);
 }
--- a/test/test_node_memory.c
+++ b/test/test_node_memory.c
@@ -115,8 +115,8 @@
 {
 }
 
-static const struct ir_node_ops ops = {
-    on_connect, on_close, on_send, on_run, on_cancel_run, on_answer, on_log};
+static const struct ir_node_ops ops = {on_connect, on_close, on_send, on_run,
+    on_cancel_run, on_answer, on_log, NULL};
 
 static void
 publish(struct gate_fixture *g, bool hosts, const char *const (*texts)[2],
