Tests: status checks through sockets, runs counted at the switch to cold

Cause: the reading of status checks and the hold of the rate cap had no test of their own.

Change: test_upstream_run checks warm, cold, malformed, cut and missing answers; test_rate_cap checks that runs of the last second count, and older ones do not.

--- a/test/test_rate_cap.c
+++ b/test/test_rate_cap.c
@@ -101,6 +101,41 @@
 	assert_int_equal(ir_rate_cap_wait_us(&c, 0, 3), 3 * IR_US_PER_S / 2);
 }
 
+/* Runs just before the cap is set must count in the second after it. */
+static void
+test_hold_counts_runs_of_the_last_second(void **state)
+{
+	for (int before = 0; before <= 40; before += 5) {
+		struct ir_rate_cap c = {0};
+		int64_t now = 7 * IR_US_PER_S;
+		int runs;
+
+		for (int i = 0; i < before; i++)
+			ir_rate_cap_take(&c, now);
+		ir_rate_cap_set(&c, now, 13000);
+		ir_rate_cap_hold(&c, now);
+		runs = start_runs(&c, &now, IR_US_PER_S);
+		if (before <= 13)
+			assert_in_range(before + runs, 12, 18);
+		else
+			assert_in_range(runs, 0, 1);
+	}
+}
+
+static void
+test_hold_forgets_older_runs(void **state)
+{
+	struct ir_rate_cap c = {0};
+	int64_t now = 7 * IR_US_PER_S;
+
+	for (int i = 0; i < 100; i++)
+		ir_rate_cap_take(&c, now);
+	now += IR_US_PER_S + 60 * IR_US_PER_MS;
+	ir_rate_cap_set(&c, now, 13000);
+	ir_rate_cap_hold(&c, now);
+	assert_int_equal(ir_rate_cap_wait_us(&c, now, 1), 0);
+}
+
 int
 main(void)
 {
@@ -111,6 +146,8 @@
 	    cmocka_unit_test(test_rate_of_0_leaves_a_run_every_two_seconds),
 	    cmocka_unit_test(test_lower_and_higher_rates_take_effect_at_once),
 	    cmocka_unit_test(test_wait_grows_with_what_is_ahead),
+	    cmocka_unit_test(test_hold_counts_runs_of_the_last_second),
+	    cmocka_unit_test(test_hold_forgets_older_runs),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_upstream_run.c
+++ b/test/test_upstream_run.c
@@ -123,6 +123,13 @@
 	     "3\r\nabc\r\n"},
     {"/endless", "HTTP/1.1 200 OK\r\n\r\nabc"},
     {"/none", "HTTP/1.1 204 OK\r\n\r\n"},
+    {"/check-warm", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+    {"/check-cold", "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n"
+		    "Upstream-Cold-Remaining-Ms: 2400\r\n"
+		    "Upstream-Id: u7\r\nContent-Length: 0\r\n\r\n"},
+    {"/check-bad", "HTTP/1.1 200 OK\r\nUpstream-Cold-Remaining-Ms: 2s\r\n"
+		   "Content-Length: 0\r\n\r\n"},
+    {"/check-cut", "HTTP/1.1 200 OK\r\nUpstream-Cold-"},
 };
 
 /* One byte per segment, so that the parser gets each token in pieces. */
@@ -405,6 +412,44 @@
 	talloc_free(m);
 }
 
+static struct ir_to_core *
+check_status(struct fixture *f, const char *path)
+{
+	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_CHECK_UPSTREAM);
+	struct ir_to_core *result;
+
+	m->u.check_path = path;
+	ir_ring_push(f->channel->from_core, m);
+	result = next_message(f);
+	assert_int_equal(result->kind, IR_TO_CORE_UPSTREAM_CHECKED);
+	return result;
+}
+
+static void
+expect_check_result(struct fixture *f, const char *path, bool answered,
+    uint32_t remaining_ms, const char *id)
+{
+	struct ir_to_core *m = check_status(f, path);
+
+	assert_int_equal(m->u.check.answered, answered);
+	assert_int_equal(m->u.check.cold_remaining_ms, remaining_ms);
+	assert_string_equal(m->u.check.upstream_id, id);
+	talloc_free(m);
+}
+
+static void
+test_status_checks_are_read(void **state)
+{
+	expect_check_result(*state, "/check-warm", true, 0, "");
+	assert_true(last_request_has("GET /check-warm HTTP/1.1\r\n"));
+	expect_check_result(*state, "/check-cold", true, 2400, "u7");
+	/* A malformed value must not end the cold state. */
+	expect_check_result(*state, "/check-bad", false, 0, "");
+	expect_check_result(*state, "/check-cut", false, 0, "");
+	expect_check_result(*state, "/hang", false, 0, "");
+	assert_int_equal(sem_wait(&hang_closed), 0);
+}
+
 static void
 test_answers_are_classified(void **state)
 {
@@ -606,6 +651,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
 		test_complete_answer, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_status_checks_are_read, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_answers_are_classified, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
