--- a/include/ibisrail/counter.h
+++ b/include/ibisrail/counter.h
@@ -42,6 +42,9 @@
 	IR_COUNTER_RUNS_CRASHED,       /* the upstream ended during them */
 	IR_COUNTER_REGION_REFUSED, /* by an entry or gate, for their region */
 	IR_COUNTER_EVACUATION_REFUSED, /* by the gate; its zone is evacuated */
+	IR_COUNTER_STATUS_CHECKS,      /* sent to the local upstream */
+	IR_COUNTER_COLD_DELAYED, /* attempts queued while it was not warm */
+	IR_COUNTER_COLD_REFUSED, /* attempts refused while it was not warm */
 	IR_COUNTER_COUNT
 };
 
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -140,6 +140,7 @@
 	n->records = ir_records_new(n, n->settings.memory);
 	n->callee_throttle = ir_throttle_new(n);
 	n->suspects = ir_suspects_new(n);
+	local_upstream_init(n, now);
 	set_lease(n);
 	return n->sections != NULL && n->view_lease != NULL &&
 	       n->balancer != NULL && n->rate_limiter != NULL &&
@@ -309,6 +310,7 @@
 	n->now_us = now;
 	(void)(unsent_send(n, now) && serve_send_unsent(n, now));
 	control_update_lease(n, now);
+	local_upstream_tick(n, now);
 	/*
 	 * After a pause of this process both are due: refusals by its own gate
 	 * are handled before its calls time out, as their outcome is known.
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -255,6 +255,21 @@
 	"account "
 	"with those in which the service has hosts. At a gate: nothing, if it "
 	"ends within seconds of a change."},
+    {IR_EVENT_UPSTREAM_COLD,
+	"state: warm, may-be-cold or cold; cause: config (also at "
+	"the start of this process), upstream-id, evacuation-end, host-list, "
+	"misdirected, runs, time or check; remaining_ms: for which it is "
+	"expected to stay cold; "
+	"rate_mt_per_s: of runs while it is not warm, in thousandths a second",
+	"Whether the local upstream takes only its service's cold rate has "
+	"changed. While it is not warm, this host starts runs at that rate and "
+	"other hosts are preferred.",
+	"Nothing after a start of the upstream. may-be-cold for long: the "
+	"upstream does not answer its status check."},
+    {IR_EVENT_CHECK_BAD, "status; value: of the header that is malformed",
+	"The local upstream answered a status check with a value that is not a "
+	"number of milliseconds. The check is repeated.",
+	"Correct the upstream."},
     {IR_EVENT_BUCKET_HANDED,
 	"account: its name; bucket: its number; to: the host",
 	"A token bucket of an account was handed over to another host.",
