Gate: follows the slots and the speed that its upstream reports

Cause: a seventh of the machines takes 2.5 times as long for 600 ms at a time. The moving average of run times (weight 1/16) shows a phase late and keeps it after its end, so that deadline checks, the queue bound and the service time that peers get are wrong in both directions.

Where it has the fourth figure, 95% of the slots bound the limit from above (all of them below ten), run times are normalised by the slowdown, and the expected time is their average at the present speed; waits for callees are averaged apart. The highest bit of service_time_us tells peers that the time is for the present speed. Counter, two gauges, state and the event upstream-reports.

Ruled out: a new field of ir_load (earlier builds cannot read it); a capability (says what a build can, not whether its upstream reports now); a faster moving average (takes each long request for a slow phase).

Measured: test_gate, 10 ms runs, then runs of 25 ms at 2.5: the reported time is within 2% after three answers, and again after the phase.

--- a/include/ibisrail/counter.h
+++ b/include/ibisrail/counter.h
@@ -40,6 +40,7 @@
 	IR_COUNTER_RING_FULL,	       /* items refused, ring full */
 	IR_COUNTER_CALLS_CUT,	       /* connection closed by this node */
 	IR_COUNTER_RUNS_CRASHED,       /* the upstream ended during them */
+	IR_COUNTER_LOAD_REPORTS_REFUSED, /* of the upstream: no use */
 	IR_COUNTER_COUNT
 };
 
--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -132,6 +132,7 @@
 struct ir_statement_headers {
 	const char *rate_limit; /* requests a second that it takes, decimal */
 	const char *leaving;	/* value 1: it takes no new work and will end */
+	const char *load;	/* its load and speed: upstream/load_report.h */
 };
 
 struct ir_node_settings {
@@ -264,8 +265,11 @@
 	int64_t upstream_rate_limit_mt_per_s;
 	int64_t upstream_leaving; /* 1: it says so */
 	int64_t upstream_ended;	  /* 1: and has not answered since */
-	int64_t suspects;	  /* requests during which upstreams ended */
-	int64_t hosts;		  /* in the host list */
+	int64_t upstream_slots;	  /* as reported with its speed; 0: unknown */
+	/* Duration of work as reported, 100 is usual; -1: unknown. */
+	int64_t upstream_work_percent;
+	int64_t suspects; /* requests during which upstreams ended */
+	int64_t hosts;	  /* in the host list */
 	int64_t config_revision;
 	int64_t list_revision;
 	int64_t records;     /* attempts recorded by the gate */
--- a/src/core/dump.c
+++ b/src/core/dump.c
@@ -49,6 +49,17 @@
 	return o;
 }
 
+/* As reported by the local upstream; -1: unknown. */
+static int64_t
+work_percent(const struct ir_node *n, int64_t now)
+{
+	const struct ir_upstream_load *l = &n->upstream.load;
+
+	if (ir_upstream_load_slowdown(l, now) <= 0)
+		return -1;
+	return l->report.work_percent;
+}
+
 static struct json_object *
 dump_gate(struct ir_node *n, int64_t now)
 {
@@ -59,12 +70,14 @@
 	add_int(o, "running", l.running);
 	add_int(o, "queued", l.queued);
 	add_int(o, "shed_level", l.shed_level);
-	add_int(o, "service_time_us", l.service_time_us);
+	add_int(o, "service_time_us", ir_load_service_time_us(&l));
 	add_bool(o, "leaving", l.leaving);
 	add_bool(o, "upstream_limited", n->upstream.status.said.limited);
 	add_int(o, "upstream_rate_mt_per_s",
 	    (int64_t)n->upstream.status.said.rate_mt_per_s);
 	add_bool(o, "upstream_leaving", local_upstream_is_leaving(n, now));
+	add_int(o, "upstream_slots", ir_upstream_load_slots(&n->upstream.load));
+	add_int(o, "upstream_work_percent", work_percent(n, now));
 	add_bool(o, "upstream_ended", n->upstream.ended);
 	add_int(o, "suspects", (int64_t)ir_suspects_count(n->suspects));
 	add_int(o, "records", (int64_t)ir_records_count(n->records));
@@ -186,6 +199,8 @@
 		: -1;
 	out->upstream_leaving = n->upstream.status.said.leaving;
 	out->upstream_ended = n->upstream.ended;
+	out->upstream_slots = ir_upstream_load_slots(&n->upstream.load);
+	out->upstream_work_percent = work_percent(n, now);
 	out->suspects = (int64_t)ir_suspects_count(n->suspects);
 	out->records = (int64_t)ir_records_count(n->records);
 	out->hosts = (int64_t)node_view(n)->host_count;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -28,6 +28,7 @@
 #include "link/link.h"
 #include "link/peer.h"
 #include "upstream/gate.h"
+#include "upstream/load_report.h"
 #include "upstream/record.h"
 #include "upstream/statement.h"
 #include "upstream/suspects.h"
@@ -167,8 +168,9 @@
 	int64_t ended_us;
 	bool answered; /* since then, to this process */
 	struct ir_upstream_status status;
-	uint64_t crash_count; /* its ends, since this process started */
-	int64_t crashed_us;   /* last time */
+	struct ir_upstream_load load; /* as it reports it */
+	uint64_t crash_count;	      /* its ends, since this process started */
+	int64_t crashed_us;	      /* last time */
 };
 
 struct ir_node {
@@ -449,6 +451,8 @@
  */
 void local_upstream_handle_notice(
     struct ir_node *n, int64_t now, const struct ir_upstream_notice *notice);
+/* Passes the reported slots and present speed on to the gate. */
+void local_upstream_tick(struct ir_node *n, int64_t now);
 /* Whether its answers say that it leaves. */
 bool local_upstream_is_leaving(const struct ir_node *n, int64_t now);
 /* Forgets what an upstream said when another one is listed in its place. */
--- a/src/core/local_upstream.c
+++ b/src/core/local_upstream.c
@@ -66,6 +66,43 @@
 	    s->limited, (unsigned long long)s->rate_mt_per_s, s->leaving);
 }
 
+void
+local_upstream_tick(struct ir_node *n, int64_t now)
+{
+	const struct ir_upstream_load *l = &n->upstream.load;
+
+	if (n->settings.baseline_policy)
+		return;
+	ir_gate_set_report(n->gate, ir_upstream_load_slots(l),
+	    ir_upstream_load_slowdown(l, now));
+}
+
+/* Takes the report of its own load from an answer of the upstream. */
+static void
+read_load_report(struct ir_node *n, int64_t now, const struct ir_record *r,
+    const struct ir_run_result *res)
+{
+	struct ir_upstream_load *l = &n->upstream.load;
+	enum ir_load_report_change change;
+	bool refused;
+
+	/* Another upstream than the one listed has answered. */
+	if (res->status == HTTP_MISDIRECTED)
+		return;
+	change = ir_upstream_load_answered(l, now,
+	    n->settings.statement_headers.load, res->headers, res->header_count,
+	    &refused);
+	if (refused)
+		ir_counters_add(
+		    &n->counters, IR_COUNTER_LOAD_REPORTS_REFUSED, 1);
+	if (change != IR_LOAD_REPORT_SAME)
+		node_log(n, IR_EVENT_UPSTREAM_REPORTS,
+		    "attempt=%s speed=%d slots=%u work_percent=%u",
+		    r->attempt_text, l->reports_speed, l->report.slots,
+		    l->report.work_percent);
+	local_upstream_tick(n, now);
+}
+
 void
 local_upstream_run_ended(struct ir_node *n, int64_t now,
     const struct ir_record *r, const struct ir_run_result *res)
@@ -79,6 +116,7 @@
 	if (r->work.started_us < n->upstream.since_us)
 		return;
 	n->upstream.answered = true;
+	read_load_report(n, now, r, res);
 	s = ir_statement_read(
 	    &n->settings.statement_headers, res->headers, res->header_count);
 	if (!ir_upstream_status_apply(
@@ -101,6 +139,8 @@
 	u->answered = false;
 	u->ended = false;
 	memset(&u->status, 0, sizeof(u->status));
+	memset(&u->load, 0, sizeof(u->load));
+	local_upstream_tick(n, now);
 	apply_to_gate(n, now);
 }
 
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -310,6 +310,7 @@
 	(void)(unsent_send(n, now) && serve_send_unsent(n, now));
 	control_update_lease(n, now);
 	call_tick(n, now);
+	local_upstream_tick(n, now);
 	serve_tick(n, now);
 	peer_tick(n, now);
 	suspects_tick(n, now);
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -141,7 +141,7 @@
 	    "expected_ms=%u left_ms=%lld retry_ms=%u",
 	    node_log_id(id, r->forward->caller_attempt, &r->forward->request),
 	    r->attempt_text, detail, l.running, l.queued, l.limit,
-	    (unsigned)(l.service_time_us / IR_US_PER_MS),
+	    (unsigned)(ir_load_service_time_us(&l) / IR_US_PER_MS),
 	    (long long)((r->work.deadline_us - now) / IR_US_PER_MS),
 	    retry_after_ms);
 }
--- a/src/link/peer.x
+++ b/src/link/peer.x
@@ -80,6 +80,7 @@
 	unsigned int shed_level;	/* lower priorities are refused */
 	/* The shed level for the account of the request. */
 	unsigned int account_shed_level;
+	/* Expected time of a run; with IR_LOAD_SPEED_KNOWN, upstream/gate.h. */
 	unsigned int service_time_us;
 	bool leaving;
 };
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -232,6 +232,14 @@
 	"One of the runs with this event at that time may have ended it.",
 	"Look at the upstream's own log. The same method, path and account at "
 	"several ends name the request that causes them."},
+    {IR_EVENT_UPSTREAM_REPORTS,
+	"attempt: whose answer showed it; speed: 1 when reports appeared, 0 "
+	"when they stopped; slots, work_percent: as reported last, 100 is the "
+	"usual duration of work",
+	"The local upstream has begun to report how fast its machine is, or "
+	"for a second its answers had no such report that could be used.",
+	"speed 0 without a new version of the upstream: compare the load "
+	"header of its answers with ibisrail_load_reports_refused_total."},
     {IR_EVENT_BUCKET_HANDED,
 	"account: its name; bucket: its number; to: the host",
 	"A token bucket of an account was handed over to another host.",
--- a/src/log/event.c
+++ b/src/log/event.c
@@ -40,6 +40,7 @@
     {IR_EVENT_CALL_ENDED, IR_LEVEL_NOTICE, "call-ended"},
     {IR_EVENT_UPSTREAM_STATEMENT, IR_LEVEL_NOTICE, "upstream-statement"},
     {IR_EVENT_RUN_CRASHED, IR_LEVEL_WARNING, "run-crashed"},
+    {IR_EVENT_UPSTREAM_REPORTS, IR_LEVEL_NOTICE, "upstream-reports"},
     {IR_EVENT_BUCKET_HANDED, IR_LEVEL_NOTICE, "bucket-handed"},
     {IR_EVENT_BUCKET_TAKEN, IR_LEVEL_NOTICE, "bucket-taken"},
     {0, IR_LEVEL_DEBUG, NULL},
--- a/src/metric/counter.c
+++ b/src/metric/counter.c
@@ -70,6 +70,8 @@
 	"Calls in progress whose caller's connection this node closed."},
     [IR_COUNTER_RUNS_CRASHED] = {"ibisrail_runs_crashed_total",
 	"Runs during which the local upstream ended."},
+    [IR_COUNTER_LOAD_REPORTS_REFUSED] = {"ibisrail_load_reports_refused_total",
+	"Answers of the local upstream whose report of its load was no use."},
 };
 
 const char *
--- a/src/upstream/gate.c
+++ b/src/upstream/gate.c
@@ -25,6 +25,12 @@
 /* How long an empty flow keeps its credit and shed level. */
 #define FLOW_IDLE_US (10 * IR_US_PER_S)
 /* Retry times that are sent with refusals. */
+/*
+ * Some services take 1.3 times as long beyond 95% of their slots, which costs
+ * more than the slots left free. With few slots one of them costs more.
+ */
+#define USED_SLOTS_PERCENT 95
+#define MIN_SLOTS_LEFT_FREE 10
 #define RETRY_BASE_US (50 * IR_US_PER_MS)
 #define MIN_RETRY_MS 10
 #define MAX_RETRY_MS 5000
@@ -40,7 +46,15 @@
 	int64_t last_expiry_us;
 	struct ir_limit limit;
 	struct ir_rate_cap rate_cap; /* named by the upstream itself */
-	double mean_run_us; /* moving average; includes waits for callees */
+	double mean_run_us;   /* moving average; includes waits for callees */
+	uint32_t slots_bound; /* by the upstream's reports; 0: none */
+	double slowdown;      /* by the upstream's reports; 0: unknown */
+	/*
+	 * Moving averages over runs while the slowdown was known: work at the
+	 * usual speed, and the time spent waiting for callees.
+	 */
+	double mean_work_us;
+	double mean_callee_wait_us;
 	struct ir_queue *queue;
 	struct ir_shed shed;
 };
@@ -49,6 +63,9 @@
 static int64_t
 expected_run_us(const struct ir_gate *g)
 {
+	if (g->slowdown > 0 && g->mean_work_us > 0)
+		return (int64_t)(g->slowdown * g->mean_work_us +
+				 g->mean_callee_wait_us);
 	return (int64_t)g->mean_run_us;
 }
 
@@ -94,6 +111,15 @@
 	g->reported_slots = slots;
 }
 
+void
+ir_gate_set_report(struct ir_gate *g, uint32_t slots, double slowdown)
+{
+	if (slots >= MIN_SLOTS_LEFT_FREE)
+		slots = (uint32_t)((uint64_t)slots * USED_SLOTS_PERCENT / 100);
+	g->slots_bound = slots;
+	g->slowdown = slowdown;
+}
+
 void
 ir_gate_set_rate_cap(struct ir_gate *g, int64_t now, uint64_t mt_per_s)
 {
@@ -107,7 +133,7 @@
 }
 
 static uint32_t
-current_limit(const struct ir_gate *g)
+limit_without_bound(const struct ir_gate *g)
 {
 	if (g->reported_slots > 0)
 		return g->reported_slots;
@@ -116,6 +142,15 @@
 	return ir_limit_current(&g->limit);
 }
 
+static uint32_t
+current_limit(const struct ir_gate *g)
+{
+	uint32_t limit = limit_without_bound(g);
+
+	return g->slots_bound > 0 && g->slots_bound < limit ? g->slots_bound
+							    : limit;
+}
+
 /* Expected time until n requests have left the queue. */
 static int64_t
 expected_wait_us(const struct ir_gate *g, int64_t now, uint32_t n)
@@ -236,6 +271,7 @@
 	w->flow = NULL;
 	w->state = IR_WORK_RUNNING;
 	w->started_us = now;
+	w->start_slowdown = g->slowdown;
 	g->running++;
 	ir_rate_cap_take(&g->rate_cap, now);
 	g->ops.start(g->ctx, now, w);
@@ -362,11 +398,39 @@
 }
 
 static void
-update_mean_run_time(struct ir_gate *g, double us)
+update_mean(double *mean_us, double us)
+{
+	if (*mean_us <= 0)
+		*mean_us = us;
+	*mean_us += RUN_TIME_WEIGHT * (us - *mean_us);
+}
+
+/*
+ * The speed may have changed during the run, so that the mean of the slowdowns
+ * at its start and end is taken.
+ */
+static void
+update_mean_work(struct ir_gate *g, const struct ir_work *w, int64_t run_us)
+{
+	double slowdown = g->slowdown;
+	int64_t work_us = run_us - w->callee_wait_us;
+
+	if (slowdown <= 0)
+		return;
+	if (w->start_slowdown > 0)
+		slowdown = (slowdown + w->start_slowdown) / 2;
+	if (g->mean_work_us <= 0)
+		g->mean_callee_wait_us = (double)w->callee_wait_us;
+	g->mean_callee_wait_us += RUN_TIME_WEIGHT * ((double)w->callee_wait_us -
+							g->mean_callee_wait_us);
+	update_mean(&g->mean_work_us, (double)work_us / slowdown);
+}
+
+static void
+update_mean_run_time(struct ir_gate *g, const struct ir_work *w, int64_t run_us)
 {
-	if (g->mean_run_us <= 0)
-		g->mean_run_us = us;
-	g->mean_run_us += RUN_TIME_WEIGHT * (us - g->mean_run_us);
+	update_mean(&g->mean_run_us, (double)run_us);
+	update_mean_work(g, w, run_us);
 }
 
 static void
@@ -384,7 +448,7 @@
 	int64_t run_us = now - w->started_us;
 
 	if (s == IR_SAMPLE_OK)
-		update_mean_run_time(g, (double)run_us);
+		update_mean_run_time(g, w, run_us);
 	if (s == IR_SAMPLE_CALLEE_REFUSED)
 		count_wasted_run(g, now, w);
 	/* Time spent waiting for callees does not depend on this upstream. */
@@ -439,6 +503,23 @@
 		load->limit = load->running + load->queued;
 }
 
+/*
+ * Expected time of a run, for balancers. At its present speed it includes the
+ * wait for the rate cap, which the limit does not show.
+ */
+static uint32_t
+reported_service_time(const struct ir_gate *g, int64_t now)
+{
+	int64_t us = expected_run_us(g);
+
+	if (g->slowdown <= 0 || g->mean_work_us <= 0)
+		return (uint32_t)us;
+	us += ir_rate_cap_wait_us(&g->rate_cap, now, g->queue->count + 1);
+	if (us >= IR_LOAD_SPEED_KNOWN)
+		us = IR_LOAD_SPEED_KNOWN - 1;
+	return (uint32_t)us | IR_LOAD_SPEED_KNOWN;
+}
+
 struct ir_load
 ir_gate_load(const struct ir_gate *g, int64_t now, const char *account)
 {
@@ -446,7 +527,7 @@
 	    .limit = current_limit(g),
 	    .running = g->running,
 	    .queued = g->queue->count,
-	    .service_time_us = (uint32_t)expected_run_us(g),
+	    .service_time_us = reported_service_time(g, now),
 	};
 
 	if (g->policy == IR_GATE_BASELINE)
--- a/src/upstream/gate.h
+++ b/src/upstream/gate.h
@@ -42,6 +42,7 @@
 	enum ir_work_state state;
 	int64_t offered_us;
 	int64_t started_us;
+	double start_slowdown; /* of the upstream at started_us; 0: unknown */
 	struct ir_flow *flow;
 	struct ir_work *prev;
 	struct ir_work *next;
@@ -59,6 +60,25 @@
 	IR_GATE_BASELINE /* static limit, first in first out, no checks */
 };
 
+/*
+ * Set in ir_load.service_time_us if the time is for the upstream's present
+ * speed, as it reports it. Gates without such reports never set it: no run
+ * takes 35 minutes. Processes of earlier builds do not use the field.
+ */
+#define IR_LOAD_SPEED_KNOWN 0x80000000U
+
+static inline bool
+ir_load_speed_known(const struct ir_load *l)
+{
+	return (l->service_time_us & IR_LOAD_SPEED_KNOWN) != 0;
+}
+
+static inline uint32_t
+ir_load_service_time_us(const struct ir_load *l)
+{
+	return l->service_time_us & ~IR_LOAD_SPEED_KNOWN;
+}
+
 struct ir_gate;
 
 /*
@@ -74,6 +94,12 @@
  * need not be estimated. 0 makes the limit adaptive again.
  */
 void ir_gate_set_reported_slots(struct ir_gate *g, uint32_t slots);
+/*
+ * Follows the reports of the upstream: its slots, which bound the limit, and
+ * how much longer than usual (1.0) work takes there now. 0 for either:
+ * unknown.
+ */
+void ir_gate_set_report(struct ir_gate *g, uint32_t slots, double slowdown);
 /*
  * Sets the rate of runs, in thousandths a second, that the upstream itself says
  * it takes, whatever the limit.
--- a/test/support/fleet.c
+++ b/test/support/fleet.c
@@ -347,6 +347,7 @@
 	s.zone = n->zone;
 	s.initial_slots = 4;
 	s.statement_headers.rate_limit = FLEET_LIMIT_HEADER;
+	s.statement_headers.load = FLEET_LOAD_HEADER;
 	s.statement_headers.leaving = FLEET_LEAVING_HEADER;
 	s.store_read_period_us = f->store_wait_us;
 	if (f->tolerant) {
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -134,6 +134,7 @@
 	int crashes;			/* ends of its upstream */
 	const char *rate_limit;		/* named in each answer; NULL: none */
 	bool says_leaving;		/* in each answer */
+	const char *load_report;	/* in each answer; NULL: none */
 	/* When its answers first named a limit, said that it leaves. */
 	int64_t first_limit_us;
 	int64_t first_leaving_us;
--- a/test/support/fleet_calls.c
+++ b/test/support/fleet_calls.c
@@ -300,6 +300,8 @@
 		if (n->first_limit_us == 0)
 			n->first_limit_us = f->now_us;
 	}
+	if (n->load_report != NULL)
+		add_answer_header(ev, FLEET_LOAD_HEADER, n->load_report);
 	if (n->says_leaving) {
 		add_answer_header(ev, FLEET_LEAVING_HEADER, "1");
 		if (n->first_leaving_us == 0)
--- a/test/support/fleet_priv.h
+++ b/test/support/fleet_priv.h
@@ -5,8 +5,9 @@
 #include "support/fleet.h"
 
 #define FLEET_LIMIT_HEADER "Test-Limit"
+#define FLEET_LOAD_HEADER "Test-Load"
 #define FLEET_LEAVING_HEADER "Test-Leaving"
-#define FLEET_MAX_ANSWER_HEADERS 2
+#define FLEET_MAX_ANSWER_HEADERS 3
 
 enum fleet_event_kind {
 	EVENT_MESSAGE,
--- a/test/test_gate.c
+++ b/test/test_gate.c
@@ -611,6 +611,95 @@
 	assert_int_equal(offer(f, 0)->phase, RUNNING);
 }
 
+/* Runs one request of this duration at this speed; returns the report. */
+static struct ir_load
+run_at_speed(struct fixture *f, int64_t run_us, double slowdown)
+{
+	struct item *i;
+
+	ir_gate_set_report(f->gate, 36, slowdown);
+	i = offer(f, 0);
+	f->now += run_us;
+	finish(f, i, IR_SAMPLE_OK);
+	return ir_gate_load(f->gate, f->now, "");
+}
+
+static void
+test_slow_phase_shows_at_once_and_ends_at_once(void **state)
+{
+	struct fixture *f = *state;
+	struct ir_load l = {0};
+
+	for (int n = 0; n < 50; n++)
+		l = run_at_speed(f, 10 * MS, 1.0);
+	assert_true(ir_load_speed_known(&l));
+	assert_in_range(ir_load_service_time_us(&l), 9900, 10100);
+	for (int n = 0; n < 3; n++)
+		l = run_at_speed(f, 25 * MS, 2.5);
+	assert_in_range(ir_load_service_time_us(&l), 24500, 25500);
+	for (int n = 0; n < 3; n++)
+		l = run_at_speed(f, 10 * MS, 1.0);
+	assert_in_range(ir_load_service_time_us(&l), 9800, 10200);
+}
+
+static void
+test_time_of_callees_does_not_follow_the_speed(void **state)
+{
+	struct fixture *f = *state;
+	struct item *i;
+	struct ir_load l;
+
+	ir_gate_set_report(f->gate, 36, 1.0);
+	i = offer(f, 0);
+	f->now += 30 * MS;
+	i->work.callee_wait_us = 20 * MS;
+	finish(f, i, IR_SAMPLE_OK);
+	ir_gate_set_report(f->gate, 36, 2.0);
+	l = ir_gate_load(f->gate, f->now, "");
+	assert_int_equal(ir_load_service_time_us(&l), 40 * MS);
+}
+
+static void
+test_gate_without_reported_speed_reports_plain_run_time(void **state)
+{
+	struct fixture *f = *state;
+	struct ir_load l;
+
+	(void)run_at_speed(f, 10 * MS, 1.0);
+	l = run_at_speed(f, 26 * MS, 0);
+	assert_false(ir_load_speed_known(&l));
+	assert_int_equal(l.service_time_us, 11 * MS);
+}
+
+static void
+test_reported_slots_bound_the_limit_from_above_only(void **state)
+{
+	struct fixture *f = *state;
+
+	ir_gate_set_report(f->gate, 100, 1.0);
+	assert_int_equal(ir_gate_load(f->gate, f->now, "").limit, START);
+	ir_gate_set_reported_slots(f->gate, 36);
+	assert_int_equal(ir_gate_load(f->gate, f->now, "").limit, 36);
+	ir_gate_set_report(f->gate, 20, 1.0);
+	assert_int_equal(ir_gate_load(f->gate, f->now, "").limit, 19);
+	ir_gate_set_report(f->gate, 4, 1.0);
+	assert_int_equal(ir_gate_load(f->gate, f->now, "").limit, 4);
+	ir_gate_set_report(f->gate, 0, 0);
+	assert_int_equal(ir_gate_load(f->gate, f->now, "").limit, 36);
+}
+
+static void
+test_deadlines_follow_the_reported_speed(void **state)
+{
+	struct fixture *f = *state;
+
+	(void)run_at_speed(f, 10 * MS, 1.0);
+	assert_int_equal(offer(f, 0)->phase, RUNNING);
+	assert_int_equal(offer_work(f, "a", 1, 0, 15 * MS)->phase, RUNNING);
+	ir_gate_set_report(f->gate, 36, 2.5);
+	assert_int_equal(offer_work(f, "a", 1, 0, 15 * MS)->phase, REFUSED);
+}
+
 static void
 test_random_against_oracle(void **state)
 {
@@ -667,6 +756,11 @@
 {
 	const struct CMUnitTest tests[] = {
 	    GATE_TEST(test_serves_by_importance_then_inside),
+	    GATE_TEST(test_slow_phase_shows_at_once_and_ends_at_once),
+	    GATE_TEST(test_time_of_callees_does_not_follow_the_speed),
+	    GATE_TEST(test_gate_without_reported_speed_reports_plain_run_time),
+	    GATE_TEST(test_reported_slots_bound_the_limit_from_above_only),
+	    GATE_TEST(test_deadlines_follow_the_reported_speed),
 	    GATE_TEST(test_serves_accounts_by_weight),
 	    GATE_TEST(test_refuses_work_that_cannot_finish_in_time),
 	    GATE_TEST(test_expected_wait_includes_more_important_work),
--- a/test/test_statement.c
+++ b/test/test_statement.c
@@ -8,7 +8,7 @@
 #include "core/unconst.h"
 #include "upstream/statement.h"
 
-static const struct ir_statement_headers names = {"Limit", "Leaving"};
+static const struct ir_statement_headers names = {"Limit", "Leaving", NULL};
 
 static struct ir_header
 header(const char *name, const char *value)
