Balancer: chooses by expected completion time where speeds are reported

Cause: the balancer compares requests by limit, so that a host that takes 2.5 times as long, or is three times as slow as another, gets the same share of its limit, and a zone is left only when all of its hosts are full.

Change: completion_time.c estimates the time until a request is done from the report, its age, own requests since and the distance. If a host that may be picked has a report with a known speed, the lower time of a random pair for each distance decides, a farther one if it saves 10% to 30% (random). Bytes to the other region cost 1 us each, within the budget as before.

--- a/src/zone/balancer.c
+++ b/src/zone/balancer.c
@@ -4,6 +4,7 @@
 #include "core/random.h"
 #include "ibisrail/limits.h"
 #include "zone/balancer.h"
+#include "zone/completion_time.h"
 #include "zone/host_status.h"
 
 /*
@@ -20,6 +21,19 @@
 #define LINK_BURST_US IR_US_PER_S
 #define MAX_LINK_REFILL_US (3600 * IR_US_PER_S)
 
+/*
+ * Time a byte of a request costs on the link between regions, in addition to
+ * its budget: a request of 10 KB goes there only if it saves 10 ms.
+ */
+#define OTHER_REGION_US_PER_BYTE 1.0
+/*
+ * A farther host must save this fraction of the expected time at the nearer
+ * one. Drawn at random for each request, so that senders do not all change
+ * zones at the same difference.
+ */
+#define MIN_SAVING_PERCENT 10
+#define MAX_SAVING_PERCENT 30
+
 enum distance {
 	SAME_ZONE,
 	SAME_REGION,
@@ -34,6 +48,20 @@
 	double utilization[2];
 };
 
+/* To a host and back. */
+static const double network_us[DISTANCE_COUNT] = {
+    [SAME_ZONE] = 400,
+    [SAME_REGION] = 2500,
+    [OTHER_REGION] = 40000,
+};
+
+/* Two hosts drawn at random of equal distance, and what is known of them. */
+struct timed_sample {
+	uint32_t count;
+	const struct ir_host *host[2];
+	struct ir_host_estimate estimate[2];
+};
+
 struct ir_balancer {
 	uint64_t random;
 	struct ir_host_status_table *statuses;
@@ -54,8 +82,9 @@
 	const struct ir_pick_criteria *criteria;
 	uint32_t slots; /* of the service, if a host gives none */
 	int64_t max_level_age_us;
-	bool probe; /* ignores shed levels */
-	bool shed;  /* some host sheds the request */
+	bool probe;	  /* ignores shed levels */
+	bool shed;	  /* some host sheds the request */
+	bool speed_known; /* of some host that may be picked */
 	struct sample available[DISTANCE_COUNT];
 	struct sample saturated[DISTANCE_COUNT];
 };
@@ -120,26 +149,43 @@
 							     : s->host[first];
 }
 
-static void
-add_candidate(struct pick *p, const struct ir_host *h)
+/* Whether h may be picked; notes when it is only for its shed level. */
+static bool
+may_pick(
+    struct pick *p, const struct ir_host *h, const struct ir_host_status *s)
 {
-	const struct ir_host_status *s =
-	    ir_host_status_find(p->balancer->statuses, h->name);
-	enum distance d = distance_of(p->self, h);
-	double utilization;
-
 	if (h->leaving || is_excluded(p->criteria, h) ||
 	    !ir_host_status_is_available(s, p->now))
-		return;
+		return false;
 	if (p->criteria->priority < ir_host_status_shed_level(s, p->now,
 					p->criteria->account,
 					p->max_level_age_us) &&
 	    !p->probe) {
 		p->shed = true;
-		return;
+		return false;
 	}
-	utilization = ir_host_status_utilization(
-	    s, p->now, h->slots != 0 ? h->slots : p->slots);
+	return true;
+}
+
+static uint32_t
+slots_of(const struct pick *p, const struct ir_host *h)
+{
+	return h->slots != 0 ? h->slots : p->slots;
+}
+
+static void
+add_candidate(struct pick *p, const struct ir_host *h)
+{
+	const struct ir_host_status *s =
+	    ir_host_status_find(p->balancer->statuses, h->name);
+	enum distance d = distance_of(p->self, h);
+	double utilization;
+
+	if (!may_pick(p, h, s))
+		return;
+	p->speed_known =
+	    p->speed_known || ir_host_status_speed_known(s, p->now);
+	utilization = ir_host_status_utilization(s, p->now, slots_of(p, h));
 	add_to_sample(utilization < 1 ? &p->available[d] : &p->saturated[d],
 	    &p->balancer->random, h, utilization);
 }
@@ -204,6 +250,91 @@
 	return NULL;
 }
 
+static void
+add_to_timed_sample(struct timed_sample *s, uint64_t *random,
+    const struct ir_host *h, const struct ir_host_estimate *e)
+{
+	uint32_t i = s->count++;
+
+	if (i >= 2)
+		i = ir_random_below(random, s->count);
+	if (i >= 2)
+		return;
+	s->host[i] = h;
+	s->estimate[i] = *e;
+}
+
+/* The host of the sample with the lower expected time, which is set. */
+static const struct ir_host *
+sooner_done(const struct timed_sample *s, const struct ir_service_estimate *all,
+    double away_us, uint64_t *random, double *time_us)
+{
+	uint32_t first = s->count > 1 ? ir_random_below(random, 2) : 0;
+	uint32_t other = s->count > 1 ? 1 - first : 0;
+	double other_us =
+	    ir_completion_time_us(&s->estimate[other], all, away_us);
+
+	*time_us = ir_completion_time_us(&s->estimate[first], all, away_us);
+	if (other_us >= *time_us)
+		return s->host[first];
+	*time_us = other_us;
+	return s->host[other];
+}
+
+/* Of the best hosts of each distance: the nearest unless others save time. */
+static const struct ir_host *
+pick_soonest(const struct pick *p, const struct timed_sample *samples,
+    const struct ir_service_estimate *all, int distances)
+{
+	uint64_t *random = &p->balancer->random;
+	uint32_t saving = MIN_SAVING_PERCENT +
+			  ir_random_below(random,
+			      MAX_SAVING_PERCENT - MIN_SAVING_PERCENT + 1);
+	const struct ir_host *best = NULL;
+	double best_us = 0;
+
+	for (int d = 0; d < distances; d++) {
+		double away_us = network_us[d];
+		const struct ir_host *h;
+		double us;
+
+		if (samples[d].count == 0)
+			continue;
+		if (d == OTHER_REGION)
+			away_us += OTHER_REGION_US_PER_BYTE *
+				   p->criteria->request_bytes;
+		h = sooner_done(&samples[d], all, away_us, random, &us);
+		if (best != NULL && us > best_us * (100 - saving) / 100)
+			continue;
+		best = h;
+		best_us = us;
+	}
+	return best;
+}
+
+/* The host with the lowest expected time of pairs drawn for each distance. */
+static const struct ir_host *
+pick_by_time(struct pick *p, const struct ir_service *service, int distances)
+{
+	struct timed_sample samples[DISTANCE_COUNT] = {0};
+	struct ir_service_estimate all = {0};
+
+	for (size_t i = 0; i < service->host_count; i++) {
+		const struct ir_host *h = service->hosts[i];
+		const struct ir_host_status *s =
+		    ir_host_status_find(p->balancer->statuses, h->name);
+		struct ir_host_estimate e;
+
+		if (!may_pick(p, h, s))
+			continue;
+		e = ir_host_status_estimate(s, p->now, slots_of(p, h));
+		ir_service_estimate_add(&all, &e);
+		add_to_timed_sample(&samples[distance_of(p->self, h)],
+		    &p->balancer->random, h, &e);
+	}
+	return pick_soonest(p, samples, &all, distances);
+}
+
 static void
 record_result(struct ir_balancer *b, bool shed)
 {
@@ -243,16 +374,17 @@
 	const struct ir_service *s = ir_view_service(v, criteria->service);
 	struct pick p = {
 	    .balancer = b, .now = now, .self = self, .criteria = criteria};
-	bool link_allowed;
+	int distances;
 
 	*host = NULL;
 	*retry_after_ms = 0;
 	if (s == NULL)
 		return IR_PICK_NO_HOST;
 	collect_candidates(&p, s);
-	link_allowed = refill_link_budget(b, now, v, self);
-	*host =
-	    pick_candidate(&p, link_allowed ? DISTANCE_COUNT : OTHER_REGION);
+	distances =
+	    refill_link_budget(b, now, v, self) ? DISTANCE_COUNT : OTHER_REGION;
+	*host = p.speed_known ? pick_by_time(&p, s, distances)
+			      : pick_candidate(&p, distances);
 	if (*host != NULL) {
 		record_result(b, false);
 		return IR_PICK_OK;
--- a/src/zone/balancer.h
+++ b/src/zone/balancer.h
@@ -6,7 +6,9 @@
  * budget of the link between regions. Among hosts of equal distance, two are
  * drawn at random and the one with the lower utilization is taken. Nearer
  * hosts that are saturated or shed the request are passed over while farther
- * ones have capacity. See docs/design/choice.md.
+ * ones have capacity. If a host has reported the speed of its upstream, the
+ * expected time until the request is done decides instead, of two hosts at
+ * random for each distance. See docs/design/choice.md.
  */
 #ifndef IR_ZONE_BALANCER_H
 #define IR_ZONE_BALANCER_H
--- a/src/zone/host_status.c
+++ b/src/zone/host_status.c
@@ -4,6 +4,7 @@
 
 #include "core/unconst.h"
 
+#include "upstream/gate.h"
 #include "upstream/priority.h"
 #include "zone/host_status.h"
 
@@ -258,6 +259,36 @@
 	return (double)requests / limit;
 }
 
+bool
+ir_host_status_speed_known(const struct ir_host_status *s, int64_t now)
+{
+	return s != NULL && s->has_load && ir_load_speed_known(&s->load) &&
+	       now - s->load_received_us < IR_REPORT_WEIGHT_END_US;
+}
+
+struct ir_host_estimate
+ir_host_status_estimate(
+    const struct ir_host_status *s, int64_t now, uint32_t slots)
+{
+	struct ir_host_estimate e = {.limit = slots > 0 ? slots : 1};
+
+	if (s == NULL)
+		return e;
+	e.in_flight = s->in_flight;
+	if (!s->has_load || now - s->load_received_us > LOAD_VALID_US)
+		return e;
+	e.reported = true;
+	e.age_us = now - s->load_received_us;
+	if (s->load.limit > 0)
+		e.limit = s->load.limit;
+	e.present = s->load.running + s->load.queued;
+	if (s->in_flight > s->in_flight_at_report)
+		e.sent_since = s->in_flight - s->in_flight_at_report;
+	e.speed_known = ir_load_speed_known(&s->load);
+	e.service_time_us = ir_load_service_time_us(&s->load);
+	return e;
+}
+
 uint32_t
 ir_host_status_shed_level(const struct ir_host_status *s, int64_t now,
     const char *account, int64_t max_age_us)
--- a/src/zone/host_status.h
+++ b/src/zone/host_status.h
@@ -15,6 +15,7 @@
 #include "ibisrail/limits.h"
 #include "link/peer.h"
 #include "upstream/statement.h"
+#include "zone/completion_time.h"
 
 /* Shed levels for an account are freed when they are older. */
 #define IR_ACCOUNT_LEVEL_MAX_AGE_US (200 * IR_US_PER_MS)
@@ -115,6 +116,14 @@
 double ir_host_status_utilization(
     const struct ir_host_status *s, int64_t now, uint32_t slots);
 
+/*
+ * What is known of the host's load and speed. slots as above; s may be NULL.
+ */
+struct ir_host_estimate ir_host_status_estimate(
+    const struct ir_host_status *s, int64_t now, uint32_t slots);
+/* Whether a report that still counts has the speed of the host's upstream. */
+bool ir_host_status_speed_known(const struct ir_host_status *s, int64_t now);
+
 /*
  * The lowest priority that the host accepts from an account, by reports no
  * older than max_age_us; 0 (all priorities) if there is no such report.
--- a/test/test_balancer.c
+++ b/test/test_balancer.c
@@ -6,6 +6,7 @@
 
 #include <cmocka.h>
 
+#include "core/random.h"
 #include "ibisrail/limits.h"
 #include "upstream/priority.h"
 #include "zone/balancer.h"
@@ -494,11 +495,65 @@
 	assert_int_equal(pick(f, 1), IR_PICK_OK);
 }
 
+/* A random operation on the balancer; reports have no known speed. */
+static void
+random_step(struct fixture *f, uint64_t *random)
+{
+	const char *host = f->hosts[ir_random_below(random, HOSTS)].name;
+	struct ir_load load = {0};
+
+	load.limit = ir_random_below(random, 20);
+	load.running = ir_random_below(random, 20);
+	load.queued = ir_random_below(random, 4);
+	load.service_time_us = ir_random_below(random, 200000);
+	if (ir_random_below(random, 2) == 0)
+		load.shed_level = ir_random_below(random, 8 << IR_RANK_BITS);
+	f->now += ir_random_below(random, 40 * MS);
+	switch (ir_random_below(random, 4)) {
+	case 0:
+		ir_balancer_load_reported(f->balancer, f->now, host, &load);
+		break;
+	case 1:
+		ir_balancer_request_done(
+		    f->balancer, f->now, host, "a", &load, MS);
+		break;
+	case 2:
+		ir_balancer_set_reachable(
+		    f->balancer, f->now, host, ir_random_below(random, 8) != 0);
+		break;
+	default:
+		ir_balancer_request_sent(f->balancer, f->now, host, false, 9);
+	}
+}
+
+/* The digest is that of the balancer that did not use speeds (33633eb). */
+static void
+test_choices_without_reported_speed_are_those_of_the_previous_rule(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t random = 7, digest = 0;
+
+	for (int n = 0; n < 20000; n++) {
+		const struct ir_host *h;
+
+		random_step(f, &random);
+		f->criteria.priority =
+		    ir_random_below(&random, 8 << IR_RANK_BITS);
+		(void)ir_balancer_pick(f->balancer, f->now, &f->view,
+		    &f->hosts[0], &f->criteria, &h, &f->retry_after_ms);
+		digest = 31 * digest + f->retry_after_ms +
+			 (h != NULL ? (uint64_t)(h - f->hosts) + 1 : 0);
+	}
+	assert_int_equal(digest, 0xf601b2063309f22e);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    BALANCER_TEST(test_prefers_the_same_zone),
+	    BALANCER_TEST(
+		test_choices_without_reported_speed_are_those_of_the_previous_rule),
 	    BALANCER_TEST(test_saturated_zone_overflows),
 	    BALANCER_TEST(test_less_loaded_host_is_picked),
 	    BALANCER_TEST(test_own_requests_count_once),
