--- a/include/ibisrail/counter.h
+++ b/include/ibisrail/counter.h
@@ -45,6 +45,7 @@
 	IR_COUNTER_STATUS_CHECKS,      /* sent to the local upstream */
 	IR_COUNTER_COLD_DELAYED, /* attempts queued while it was not warm */
 	IR_COUNTER_COLD_REFUSED, /* attempts refused while it was not warm */
+	IR_COUNTER_LOAD_REPORTS_REFUSED, /* of the upstream: no use */
 	IR_COUNTER_COUNT
 };
 
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -29,6 +29,7 @@
 #include "link/peer.h"
 #include "upstream/cold_start.h"
 #include "upstream/gate.h"
+#include "upstream/load_report.h"
 #include "upstream/record.h"
 #include "upstream/statement.h"
 #include "upstream/suspects.h"
@@ -175,8 +176,9 @@
 	int64_t ended_us;
 	bool answered; /* since then, to this process */
 	struct ir_upstream_status status;
-	uint64_t crash_count; /* its ends, since this process started */
-	int64_t crashed_us;   /* last time */
+	struct ir_upstream_load load; /* as it reports it */
+	uint64_t crash_count;	      /* its ends, since this process started */
+	int64_t crashed_us;	      /* last time */
 	struct ir_cold_start cold;
 	enum ir_cold_state cold_state; /* as logged and applied last */
 	bool misdirected; /* an answer named another upstream than listed */
--- a/src/log/event.c
+++ b/src/log/event.c
@@ -44,6 +44,7 @@
     {IR_EVENT_REGION_REFUSED, IR_LEVEL_NOTICE, "region-refused"},
     {IR_EVENT_UPSTREAM_COLD, IR_LEVEL_NOTICE, "upstream-cold"},
     {IR_EVENT_CHECK_BAD, IR_LEVEL_WARNING, "check-bad"},
+    {IR_EVENT_UPSTREAM_REPORTS, IR_LEVEL_NOTICE, "upstream-reports"},
     {IR_EVENT_BUCKET_HANDED, IR_LEVEL_NOTICE, "bucket-handed"},
     {IR_EVENT_BUCKET_TAKEN, IR_LEVEL_NOTICE, "bucket-taken"},
     {0, IR_LEVEL_DEBUG, NULL},
--- a/src/metric/counter.c
+++ b/src/metric/counter.c
@@ -80,6 +80,8 @@
 	"Work that the gate queued while its upstream was or may be cold."},
     [IR_COUNTER_COLD_REFUSED] = {"ibisrail_cold_refused_total",
 	"Work that the gate refused while its upstream was or may be cold."},
+    [IR_COUNTER_LOAD_REPORTS_REFUSED] = {"ibisrail_load_reports_refused_total",
+	"Answers of the local upstream whose report of its load was no use."},
 };
 
 const char *
