--- a/src/io/admin/admin.c
+++ b/src/io/admin/admin.c
@@ -113,12 +113,24 @@
 	    connection, MHD_HTTP_OK, IR_EXPOSITION_CONTENT_TYPE, text);
 }
 
-static enum MHD_Result
-respond_counters(struct ir_admin *a, struct MHD_Connection *connection,
-    struct ir_from_core *m)
+#define MAX_GAUGES 64
+
+/* A growing list of gauges. */
+struct gauge_list {
+	struct ir_gauge gauges[MAX_GAUGES];
+	size_t count;
+};
+
+static void
+append_gauges(struct gauge_list *l, const struct ir_gauge *gauges, size_t count)
+{
+	for (size_t i = 0; i < count && l->count < MAX_GAUGES; i++)
+		l->gauges[l->count++] = gauges[i];
+}
+
+static void
+append_node_gauges(struct gauge_list *l, const struct ir_node_gauges *g)
 {
-	const struct ir_node_gauges *g = &m->u.report.gauges;
-	const struct ir_memory *mem = &m->u.report.memory;
 	const struct ir_gauge gauges[] = {
 	    {"ibisrail_calls", "Requests that have no answer yet.", g->calls},
 	    {"ibisrail_gate_running", "Runs at the local upstream.",
@@ -161,6 +173,15 @@
 		g->list_revision},
 	    {"ibisrail_view_age_milliseconds",
 		"Since the view was confirmed; -1: never.", g->view_age_ms},
+	};
+
+	append_gauges(l, gauges, sizeof(gauges) / sizeof(gauges[0]));
+}
+
+static void
+append_memory_gauges(struct gauge_list *l, const struct ir_memory *mem)
+{
+	const struct ir_gauge gauges[] = {
 	    {"ibisrail_memory_limit_bytes",
 		"Above it the process is ended, or the default that divides.",
 		(int64_t)mem->limit_bytes},
@@ -189,8 +210,18 @@
 		(int64_t)ir_memory_sockets_held(mem)},
 	};
 
-	return respond_metrics(
-	    a, connection, m, gauges, sizeof(gauges) / sizeof(gauges[0]));
+	append_gauges(l, gauges, sizeof(gauges) / sizeof(gauges[0]));
+}
+
+static enum MHD_Result
+respond_counters(struct ir_admin *a, struct MHD_Connection *connection,
+    struct ir_from_core *m)
+{
+	struct gauge_list l = {.count = 0};
+
+	append_node_gauges(&l, &m->u.report.gauges);
+	append_memory_gauges(&l, &m->u.report.memory);
+	return respond_metrics(a, connection, m, l.gauges, l.count);
 }
 
 static enum MHD_Result
