Ramp-up of an upstream that starts or recovers

With "ramp": true a gate limits concurrent runs after a start, a recovery, the end of the cold period or a new upstream id.

--- a/src/core/dump.c
+++ b/src/core/dump.c
@@ -100,6 +100,7 @@
 	    o, "cold_remaining_ms", local_upstream_cold_remaining_ms(n, now));
 	add_int(
 	    o, "cold_rate_mt_per_s", (int64_t)n->upstream.cold.rate_mt_per_s);
+	add_int(o, "ramp_limit", ir_gate_ramp_limit(n->gate));
 	add_int(o, "suspects", (int64_t)ir_suspects_count(n->suspects));
 	add_int(o, "records", (int64_t)ir_records_count(n->records));
 	add_int(o, "records_open", (int64_t)ir_records_open_count(n->records));
--- a/src/core/local_upstream.c
+++ b/src/core/local_upstream.c
@@ -32,6 +32,8 @@
 		return;
 	n->upstream.ended = ended;
 	apply_to_gate(n, now);
+	if (!ended)
+		ir_gate_begin_ramp(n->gate, now);
 }
 
 bool
@@ -69,6 +71,8 @@
 	}
 	if (state != IR_COLD_WARM && before == IR_COLD_WARM)
 		ir_gate_hold_rate_cap(n->gate, now);
+	if (state == IR_COLD_WARM && before != IR_COLD_WARM)
+		ir_gate_begin_ramp(n->gate, now);
 	if (!ir_cold_start_check_due(&u->cold, now))
 		return;
 	ir_cold_start_check_sent(&u->cold, now);
@@ -81,6 +85,10 @@
 local_upstream_init(struct ir_node *n, int64_t now)
 {
 	ir_cold_start_init(&n->upstream.cold, now);
+	if (n->gate == NULL || !n->settings.ramp || n->settings.baseline_policy)
+		return;
+	ir_gate_enable_ramp(n->gate);
+	ir_gate_begin_ramp(n->gate, now);
 }
 
 void
@@ -327,6 +335,7 @@
 	memset(&u->load, 0, sizeof(u->load));
 	apply_report(n, now);
 	apply_to_gate(n, now);
+	ir_gate_begin_ramp(n->gate, now);
 }
 
 /* Whether the notice is of the upstream listed now, or none is known yet. */
--- a/src/upstream/gate.c
+++ b/src/upstream/gate.c
@@ -4,6 +4,7 @@
 #include "core/random.h"
 #include "ibisrail/limits.h"
 #include "upstream/queue.h"
+#include "upstream/ramp.h"
 #include "upstream/rate_cap.h"
 #include "upstream/shed.h"
 
@@ -46,6 +47,8 @@
 	int64_t last_expiry_us;
 	struct ir_limit limit;
 	struct ir_rate_cap rate_cap; /* named by the upstream itself */
+	bool ramp_enabled;
+	struct ir_ramp ramp;
 	double mean_run_us;   /* moving average; includes waits for callees */
 	uint32_t slots_bound; /* by the upstream's reports; 0: none */
 	double slowdown;      /* by the upstream's reports; 0: unknown */
@@ -149,14 +152,55 @@
 }
 
 static uint32_t
-current_limit(const struct ir_gate *g)
+bounded(const struct ir_gate *g, uint32_t limit)
 {
-	uint32_t limit = limit_without_bound(g);
-
 	return g->slots_bound > 0 && g->slots_bound < limit ? g->slots_bound
 							    : limit;
 }
 
+static uint32_t
+regular_limit(const struct ir_gate *g)
+{
+	return bounded(g, limit_without_bound(g));
+}
+
+/*
+ * After a start or an outage the adaptive limit is low, and grows up to most of
+ * the slots whatever the latency. The ramp has to last until then. Above the
+ * slots that limit allows queueing in the upstream, which would seem to be
+ * slower rounds, and finds it by itself.
+ */
+static uint32_t
+ramp_target(const struct ir_gate *g)
+{
+	return bounded(g, g->reported_slots > 0 ? g->reported_slots : g->slots);
+}
+
+static uint32_t
+current_limit(const struct ir_gate *g)
+{
+	return ir_ramp_limit(&g->ramp, regular_limit(g));
+}
+
+void
+ir_gate_enable_ramp(struct ir_gate *g)
+{
+	g->ramp_enabled = true;
+}
+
+void
+ir_gate_begin_ramp(struct ir_gate *g, int64_t now)
+{
+	if (g->ramp_enabled)
+		ir_ramp_begin(&g->ramp, now, ramp_target(g));
+}
+
+uint32_t
+ir_gate_ramp_limit(const struct ir_gate *g)
+{
+	return g->ramp.allowed;
+}
+
 /* Expected time until n requests have left the queue. */
 static int64_t
 expected_wait_us(const struct ir_gate *g, int64_t now, uint32_t n)
@@ -377,6 +421,7 @@
 void
 ir_gate_offer(struct ir_gate *g, int64_t now, struct ir_work *w)
 {
+	ir_ramp_tick(&g->ramp, now, ramp_target(g));
 	w->state = IR_WORK_NEW;
 	w->offered_us = now;
 	w->flow = get_flow(g, now, w);
@@ -448,6 +493,20 @@
 		ir_shed_count_wasted(&g->shed, f);
 }
 
+static void
+update_ramp(struct ir_gate *g, int64_t now, const struct ir_work *w,
+    enum ir_sample s, int64_t latency_us)
+{
+	uint32_t regular = regular_limit(g);
+
+	if (s == IR_SAMPLE_OK)
+		ir_ramp_run_good(
+		    &g->ramp, now, w->started_us, latency_us, regular);
+	else if (s == IR_SAMPLE_SHED || s == IR_SAMPLE_FAILED)
+		ir_ramp_run_bad(&g->ramp, now, w->started_us, regular);
+	ir_ramp_tick(&g->ramp, now, ramp_target(g));
+}
+
 static void
 end_run(struct ir_gate *g, int64_t now, struct ir_work *w, enum ir_sample s)
 {
@@ -460,6 +519,7 @@
 	/* Time spent waiting for callees does not depend on this upstream. */
 	ir_limit_sample(
 	    &g->limit, now, s, run_us - w->callee_wait_us, g->running);
+	update_ramp(g, now, w, s, run_us - w->callee_wait_us);
 	g->running--;
 	w->state = IR_WORK_ENDED;
 	start_queued(g, now);
@@ -504,6 +564,7 @@
 void
 ir_gate_tick(struct ir_gate *g, int64_t now)
 {
+	ir_ramp_tick(&g->ramp, now, ramp_target(g));
 	expire_queued(g, now);
 	ir_shed_tick(&g->shed, g->queue, now);
 	start_queued(g, now);
--- a/src/upstream/gate.h
+++ b/src/upstream/gate.h
@@ -110,6 +110,12 @@
 /* Counts the runs of the last second towards the cap; see ir_rate_cap_hold().
  */
 void ir_gate_hold_rate_cap(struct ir_gate *g, int64_t now);
+/* Lets ir_gate_begin_ramp() take effect. */
+void ir_gate_enable_ramp(struct ir_gate *g);
+/* The upstream has started or recovered: raises the limit step by step. */
+void ir_gate_begin_ramp(struct ir_gate *g, int64_t now);
+/* Limit of the ramp; 0 if there is none. */
+uint32_t ir_gate_ramp_limit(const struct ir_gate *g);
 /* Starts, queues or refuses w. */
 void ir_gate_offer(struct ir_gate *g, int64_t now, struct ir_work *w);
 /* Ends work that was started; does nothing for other work. */
