--- a/src/upstream/ramp.h
+++ b/src/upstream/ramp.h
@@ -1,9 +1,9 @@
 /*
  * Limits the concurrency of an upstream that has started or recovered.
  *
- * Starts at a share of the regular limit and doubles after each round of runs
- * that was good and not slower than the fastest one; otherwise it halves.
- * After that it rises by a quarter a round.
+ * Starts at a share of the target. Doubles after each round of runs that was
+ * good and not clearly slower than the fastest one; otherwise it halves, and
+ * from then on rises by a quarter after each good round.
  * A good round at the target ends it: without that round a limit that is too
  * high would go unnoticed in the last step.
  * Designed for one upstream with enough load to use its limit. With less load
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -189,6 +189,7 @@
 	/* Requests a second that a cold upstream of "s" takes; 0: cold starts
 	   are off. To be set before fleet_publish_defaults(). */
 	uint32_t cold_rate_per_s;
+	bool ramp;	  /* setting of nodes that start from now on */
 	int64_t check_us; /* until a status check is answered */
 	bool store_down;
 	bool store_cut[FLEET_MAX_NODES]; /* the node cannot reach the store */
--- a/test/test_upstream_cold.c
+++ b/test/test_upstream_cold.c
@@ -7,6 +7,7 @@
 
 #include "core/internal.h"
 #include "support/fleet_press.h"
+#include "upstream/ramp.h"
 
 /* The bound of the users' rule: 13 a second, times 1.5, and 8 more. */
 #define COLD_RATE 13
@@ -26,7 +27,7 @@
     "s", "write", true, NULL, false, 0, 0, NULL};
 
 static struct fleet *
-make_fleet(uint64_t seed)
+make_fleet_with(uint64_t seed, bool ramp)
 {
 	static const char *const regions[] = {"r1", "r1", "r2", "r2"};
 	static const char *const zones[] = {"z1", "z2", "z3", "z4"};
@@ -34,6 +35,7 @@
 
 	f->cold_rate_per_s = COLD_RATE;
 	f->check_us = CHECK_US;
+	f->ramp = ramp;
 	for (int i = 0; i < UPSTREAMS; i++) {
 		int s = fleet_add_node(f, "s", regions[i], zones[i]);
 
@@ -49,6 +51,12 @@
 	return f;
 }
 
+static struct fleet *
+make_fleet(uint64_t seed)
+{
+	return make_fleet_with(seed, false);
+}
+
 /* 400 requests a second, as many at each entry. */
 static void
 press(struct fleet *f, int64_t for_us)
@@ -283,6 +291,29 @@
 	fleet_finish(f);
 }
 
+/* The full load at the end of the cold period, unless the setting is absent. */
+static void
+test_end_of_cold_begins_the_ramp_if_set(void **state)
+{
+	for (int ramp = 0; ramp <= 1; ramp++) {
+		struct fleet *f = make_fleet_with(9, ramp != 0);
+		const struct ir_gate *gate = f->nodes[0].node->gate;
+		bool seen = false;
+
+		fleet_run(f, IR_RAMP_MAX_US);
+		assert_int_equal(ir_gate_ramp_limit(gate), 0);
+		make_cold(f, 0);
+		for (int i = 0; i < 500; i++) {
+			fleet_run(f, 10 * IR_US_PER_MS);
+			seen = seen || ir_gate_ramp_limit(gate) > 0;
+		}
+		assert_int_equal(seen, ramp != 0);
+		fleet_run(f, IR_RAMP_MAX_US);
+		assert_int_equal(ir_gate_ramp_limit(gate), 0);
+		talloc_free(f);
+	}
+}
+
 int
 main(void)
 {
@@ -297,6 +328,7 @@
 		test_silent_upstream_that_comes_back_cold_is_spared),
 	    cmocka_unit_test(test_all_cold_serve_the_important_first),
 	    cmocka_unit_test(test_end_of_cold_leaves_no_gap),
+	    cmocka_unit_test(test_end_of_cold_begins_the_ramp_if_set),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
