--- a/src/upstream/gate.c
+++ b/src/upstream/gate.c
@@ -25,13 +25,13 @@
 #define EXPIRY_INTERVAL_US IR_US_PER_MS
 /* How long an empty flow keeps its credit and shed level. */
 #define FLOW_IDLE_US (10 * IR_US_PER_S)
-/* Retry times that are sent with refusals. */
 /*
  * Some services take 1.3 times as long beyond 95% of their slots, which costs
  * more than the slots left free. With few slots one of them costs more.
  */
 #define USED_SLOTS_PERCENT 95
 #define MIN_SLOTS_LEFT_FREE 10
+/* Retry times that are sent with refusals. */
 #define RETRY_BASE_US (50 * IR_US_PER_MS)
 #define MIN_RETRY_MS 10
 #define MAX_RETRY_MS 5000
