View: allowed regions have a name of the project

Cause: the fields of routes and accounts were called allowed_regions, which is the name of a field of the platform's configuration. Such names belong to platform/ only; the sections call it "regions".

Ruled out: cold_start, which a search for the platform's names also finds; it is the field's own term, and the platform's is cold_start_s, which src does not have.

Change: ir_route.regions and ir_account.regions. No change of behaviour.

--- a/src/conf/publication.c
+++ b/src/conf/publication.c
@@ -177,7 +177,7 @@
 	a->burst_mt = (uint64_t)llround(burst * MT_PER_TOKEN);
 	a->weight = (uint32_t)ir_json_int(in, obj, path, "weight", 1, 1000);
 	read_digests(in, obj, path, a);
-	a->allowed_regions = read_regions(in, obj, path);
+	a->regions = read_regions(in, obj, path);
 }
 
 /* Compares structs whose first member is their name or digest. */
@@ -448,7 +448,7 @@
 	r->open = ir_json_bool(in, obj, path, "open");
 	r->retries = (uint8_t)ir_json_int(in, obj, path, "retries", 0, 10);
 	read_route_services(in, obj, path, r);
-	r->allowed_regions = read_regions(in, obj, path);
+	r->regions = read_regions(in, obj, path);
 }
 
 static int
--- a/src/core/dump.c
+++ b/src/core/dump.c
@@ -151,8 +151,7 @@
 		add_int(o, "tokens_held",
 		    ir_rate_limiter_tokens(n->rate_limiter, now, a->name));
 		add_string(o, "regions",
-		    ir_region_set_text(
-			a->allowed_regions, regions, sizeof(regions)));
+		    ir_region_set_text(a->regions, regions, sizeof(regions)));
 		json_object_array_add(list, o);
 	}
 	return list;
--- a/src/core/regions.c
+++ b/src/core/regions.c
@@ -22,7 +22,7 @@
 	const struct ir_account *a = ir_view_account(node_view(n), account);
 
 	if (a != NULL)
-		restrict_to(mem, set, a->allowed_regions);
+		restrict_to(mem, set, a->regions);
 }
 
 static void
@@ -34,7 +34,7 @@
 	if (authority != NULL && authority[0] != '\0')
 		route = ir_view_route(node_view(n), authority, path);
 	if (route != NULL)
-		restrict_to(mem, set, route->allowed_regions);
+		restrict_to(mem, set, route->regions);
 	restrict_to_account(n, mem, set, account);
 }
 
@@ -67,7 +67,7 @@
 	ir_key_digest(key, digest);
 	a = ir_view_account_by_key(v, digest);
 	if (a != NULL)
-		restrict_to(c, &c->regions, a->allowed_regions);
+		restrict_to(c, &c->regions, a->regions);
 }
 
 bool
--- a/src/host/view.h
+++ b/src/host/view.h
@@ -88,9 +88,9 @@
 	const char *authority; /* host name, of a fleet route */
 	const struct ir_route_service *services;
 	size_t service_count;
-	const char *const *allowed_regions; /* ends with NULL; NULL: all */
-	uint32_t target_ms; /* target latency; 0: the deadline */
-	uint8_t importance; /* 0 to 3; 3 is shed last */
+	const char *const *regions; /* ends with NULL; NULL: all */
+	uint32_t target_ms;	    /* target latency; 0: the deadline */
+	uint8_t importance;	    /* 0 to 3; 3 is shed last */
 	bool idempotent;
 	bool open;	 /* needs no API key */
 	uint8_t retries; /* retry tokens of a request that begins here */
@@ -122,7 +122,7 @@
 	bool unlimited;		  /* has no rate limit */
 	const char **key_digests; /* lower-case hexadecimal SHA-256 */
 	size_t key_digest_count;
-	const char *const *allowed_regions; /* ends with NULL; NULL: all */
+	const char *const *regions; /* ends with NULL; NULL: all */
 };
 
 struct ir_host {
--- a/src/host/view_build.c
+++ b/src/host/view_build.c
@@ -190,11 +190,11 @@
 	uint64_t hash = 0;
 
 	for (size_t i = 0; i < v->route_count; i++)
-		hash = hash_regions(v->routes[i].allowed_regions,
+		hash = hash_regions(v->routes[i].regions,
 		    v->routes[i].authority, v->routes[i].path, hash);
 	for (size_t i = 0; i < v->account_count; i++)
-		hash = hash_regions(v->accounts[i].allowed_regions,
-		    v->accounts[i].name, "", hash);
+		hash = hash_regions(
+		    v->accounts[i].regions, v->accounts[i].name, "", hash);
 	v->regions_hash = hash;
 }
 
--- a/test/support/fleet_calls.c
+++ b/test/support/fleet_calls.c
@@ -93,7 +93,7 @@
 
 	if (!c->needs_key)
 		return;
-	if (a != NULL && !ir_region_set_has(a->allowed_regions, n->region))
+	if (a != NULL && !ir_region_set_has(a->regions, n->region))
 		fleet_fail(f, "call %s ran in %s, which %s does not allow",
 		    c->marker, n->region, n->name);
 	if (f->only_region != NULL && strcmp(f->only_region, n->region) != 0 &&
--- a/test/test_regions.c
+++ b/test/test_regions.c
@@ -315,8 +315,8 @@
 	fleet_run(f, 4 * IR_US_PER_S);
 	for (int i = 0; i < f->node_count; i++) {
 		a = ir_view_account(node_view(f->nodes[i].node), "a");
-		assert_string_equal(a->allowed_regions[0], "r2");
-		assert_null(a->allowed_regions[1]);
+		assert_string_equal(a->regions[0], "r2");
+		assert_null(a->regions[1]);
 	}
 	f->required_region = "r2";
 	assert_int_equal(call_all(f, 2 * IR_US_PER_S), 2 * f->node_count);
