Core: what all files share is in context.c

node.c was both the top of src/core (creation, ticks) and what every other file calls (view, own host, random numbers, log), so that fourteen files formed one circle of calls. The shared part moves to context.c, which calls none of the others, and the load that is reported to peers to load.c.

Moves code only.

--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -252,7 +252,7 @@
 	int64_t refuse_at_us; /* stopping: callers are refused from then on */
 };
 
-/* node.c */
+/* context.c */
 const struct ir_view *node_view(struct ir_node *n);
 /* This host's entry in the list, or NULL when it is not listed. */
 const struct ir_host *node_self(struct ir_node *n);
@@ -284,26 +284,28 @@
 /* Logs an event; fmt yields name=value pairs, cut off at 1023 bytes. */
 void node_log(struct ir_node *n, enum ir_event e, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
+/*
+ * IR_OK when a request with this key may act for this account now, else
+ * IR_E_VIEW_UNCONFIRMED, IR_E_NO_KEY or IR_E_KEY_UNKNOWN. With an unconfirmed
+ * view requests of open routes are refused too, as this host may by now be
+ * listed as leaving.
+ */
+enum ir_error node_check_key(struct ir_node *n, int64_t now, bool open,
+    const char *account, const char *key_digest);
+
+/* load.c */
 /*
  * The load to report to peers. While memory is short or the zone is evacuated,
  * both shed levels are UINT32_MAX, so that they send no new work.
  */
 struct ir_load node_load(struct ir_node *n, int64_t now, const char *account);
+/* node.c */
 /*
  * Does the work that event handlers must not do while they run: applies a
  * changed view, delivers messages to this node and starts runs. To be called at
  * the end of each event.
  */
 void node_run_deferred(struct ir_node *n, int64_t now);
-/*
- * IR_OK when a request with this key may act for this account now, else
- * IR_E_VIEW_UNCONFIRMED, IR_E_NO_KEY or IR_E_KEY_UNKNOWN. With an unconfirmed
- * view requests of open routes are refused too, as this host may by now be
- * listed as leaving.
- */
-enum ir_error node_check_key(struct ir_node *n, int64_t now, bool open,
-    const char *account, const char *key_digest);
-
 /* evacuation.c */
 /* Whether the zone of this host is evacuated, as far as the host is listed. */
 bool evacuation_is_here(struct ir_node *n);
