Core: entry points of events are in one file

Each module had public entry points that did the deferred work at their end, and so called back up to the tick. event.c now has one function for each event of the I/O side: it sets the time, passes the event on and does the deferred work.

Ruled out: a callback for the deferred work in context.c; the circle would have stayed, hidden behind a pointer. The deferred work is now also done after a run ended that is not known any more, and after events of unknown connections, where it finds nothing to do.

--- a/src/core/call.c
+++ b/src/core/call.c
@@ -142,14 +142,6 @@
 	c->attempt = a;
 }
 
-void
-call_abandon(struct ir_node *n, int64_t now, struct call *c, const char *reason)
-{
-	ir_counters_add(&n->counters, IR_COUNTER_CANCELLED, 1);
-	log_call_ended(n, now, c, IR_E_CANCELLED, 0, reason);
-	free_call(n, now, c);
-}
-
 /* Refuses a call that was not admitted. */
 static void
 refuse_unadmitted(struct ir_node *n, const struct ir_call *in, enum ir_error e)
@@ -219,12 +211,11 @@
 }
 
 void
-ir_node_call(struct ir_node *n, int64_t now, const struct ir_call *in)
+call_accept(struct ir_node *n, int64_t now, const struct ir_call *in)
 {
 	struct call *c = NULL;
 	enum ir_error e;
 
-	n->now_us = now;
 	ir_counters_add(&n->counters,
 	    in->egress ? IR_COUNTER_EGRESS_CALLS : IR_COUNTER_CALLS, 1);
 	e = admit_check_sizes(in);
@@ -240,7 +231,6 @@
 		if (c != NULL)
 			free_unadmitted(c);
 		refuse_unadmitted(n, in, e);
-		node_run_deferred(n, now);
 		return;
 	}
 	HASH_ADD(hh, n->calls, id, sizeof(c->id), c);
@@ -251,20 +241,20 @@
 	ir_retry_budget_add_first_attempt(
 	    attempt_retry_budget(n, c->service), now);
 	call_start(n, now, c);
-	node_run_deferred(n, now);
 }
 
 void
-ir_node_caller_disconnected(
+call_disconnected(
     struct ir_node *n, int64_t now, uint64_t id, const char *reason)
 {
 	struct call *c;
 
-	n->now_us = now;
 	HASH_FIND(hh, n->calls, &id, sizeof(id), c);
-	if (c != NULL)
-		call_abandon(n, now, c, reason);
-	node_run_deferred(n, now);
+	if (c == NULL)
+		return;
+	ir_counters_add(&n->counters, IR_COUNTER_CANCELLED, 1);
+	log_call_ended(n, now, c, IR_E_CANCELLED, 0, reason);
+	free_call(n, now, c);
 }
 
 /*
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -125,14 +125,13 @@
 }
 
 void
-ir_node_store_read(
+control_store_read(
     struct ir_node *n, int64_t now, const struct ir_store_read *r)
 {
 	uint64_t reached =
 	    r->reached_revision != 0 ? r->reached_revision : r->revision;
 	uint64_t current = current_revision(n, r->is_host_list);
 
-	n->now_us = now;
 	control_update_lease(n, now);
 	ir_counters_add(&n->counters, IR_COUNTER_STORE_READS, 1);
 	if (n->store_down)
@@ -149,19 +148,16 @@
 		n->view_lease, r->request_sent_us, r->is_host_list, reached))
 		node_log(n, IR_EVENT_STORE_STALE, "revision=%llu held=%llu",
 		    (unsigned long long)reached, (unsigned long long)current);
-	node_run_deferred(n, now);
 }
 
 void
-ir_node_store_failed(struct ir_node *n, int64_t now, int64_t request_sent_us)
+control_store_failed(struct ir_node *n, int64_t now, int64_t request_sent_us)
 {
-	n->now_us = now;
 	if (!n->store_down)
 		node_log(n, IR_EVENT_STORE_FAILED, "after_ms=%lld",
 		    (long long)((now - request_sent_us) / IR_US_PER_MS));
 	n->store_down = true;
 	ir_view_lease_store_failed(n->view_lease, request_sent_us);
-	node_run_deferred(n, now);
 }
 
 bool
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -299,13 +299,6 @@
  * both shed levels are UINT32_MAX, so that they send no new work.
  */
 struct ir_load node_load(struct ir_node *n, int64_t now, const char *account);
-/* node.c */
-/*
- * Does the work that event handlers must not do while they run: applies a
- * changed view, delivers messages to this node and starts runs. To be called at
- * the end of each event.
- */
-void node_run_deferred(struct ir_node *n, int64_t now);
 /* evacuation.c */
 /* Whether the zone of this host is evacuated, as far as the host is listed. */
 bool evacuation_is_here(struct ir_node *n);
@@ -394,9 +387,11 @@
  */
 const struct ir_host *call_take_retry(
     struct ir_node *n, int64_t now, struct call *c);
-/* Ends the call without an answer: the caller has disconnected. */
-void call_abandon(
-    struct ir_node *n, int64_t now, struct call *c, const char *reason);
+/* A request of a caller or of the local upstream. */
+void call_accept(struct ir_node *n, int64_t now, const struct ir_call *in);
+/* Ends the call without an answer: its caller has disconnected. */
+void call_disconnected(
+    struct ir_node *n, int64_t now, uint64_t id, const char *reason);
 /* Aborts the calls whose deadline has passed. */
 void call_tick(struct ir_node *n, int64_t now);
 /* Tries the account's calls that wait for tokens, in order of arrival. */
@@ -484,6 +479,8 @@
     const struct ir_record *r, enum ir_error e, unsigned status);
 /* Starts the runs to which the gate has given slots. */
 void serve_start_runs(struct ir_node *n, int64_t now);
+void serve_run_ended(struct ir_node *n, int64_t now, uint64_t run,
+    const struct ir_run_result *res);
 
 /* local_upstream.c */
 /*
@@ -506,6 +503,9 @@
 /* A run was cancelled. */
 void local_upstream_run_dropped(
     struct ir_node *n, int64_t now, const struct ir_record *r);
+/* Result of a status check. */
+void local_upstream_checked(
+    struct ir_node *n, int64_t now, const struct ir_check_result *res);
 void local_upstream_tick(struct ir_node *n, int64_t now);
 /* Whether the upstream is taken for cold. */
 bool local_upstream_is_cold(const struct ir_node *n);
@@ -592,6 +592,12 @@
  */
 bool peer_reply(
     struct ir_node *n, uint32_t conn, uint32_t xid, const struct ir_msg *m);
+/* Events of connections, see ir_node_conn_established() and others. */
+void peer_conn_established(struct ir_node *n, int64_t now, uint32_t conn);
+void peer_conn_closed(struct ir_node *n, int64_t now, uint32_t conn);
+void peer_conn_progress(struct ir_node *n, int64_t now, uint32_t conn);
+void peer_message_received(struct ir_node *n, int64_t now, uint32_t conn,
+    uint32_t xid, const struct ir_msg *m);
 void peer_tick(struct ir_node *n, int64_t now);
 bool peer_is_self(struct ir_node *n, const struct peer *p);
 
@@ -629,6 +635,11 @@
 void self_drain(struct ir_node *n, int64_t now);
 
 /* control.c */
+/* Result of a read of the store. */
+void control_store_read(
+    struct ir_node *n, int64_t now, const struct ir_store_read *r);
+void control_store_failed(
+    struct ir_node *n, int64_t now, int64_t request_sent_us);
 /*
  * Handles a VIEW, GRANT or HANDOVER message or its request; others are
  * ignored. p is the peer that a reply came from, NULL for requests.
--- a/src/core/local_upstream.c
+++ b/src/core/local_upstream.c
@@ -143,12 +143,11 @@
 #define MIN_FAILED_STATUS 500
 
 void
-ir_node_upstream_checked(
+local_upstream_checked(
     struct ir_node *n, int64_t now, const struct ir_check_result *res)
 {
 	struct ir_cold_start *c = &n->upstream.cold;
 
-	n->now_us = now;
 	if (res == NULL || !res->answered ||
 	    (res->status >= MIN_FAILED_STATUS && res->cold_remaining_ms == 0))
 		ir_cold_start_check_failed(c, now);
@@ -158,7 +157,6 @@
 	follow_cold(n, now, "check");
 	/* Work that waited may start. */
 	ir_gate_tick(n->gate, now);
-	node_run_deferred(n, now);
 }
 
 static enum ir_cold_run_end
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -1,4 +1,4 @@
-/* The node: creation, ticks, stop. */
+/* The node: its creation, settings and state. */
 #include <sodium.h>
 #include <string.h>
 #include <xxhash.h>
@@ -177,54 +177,6 @@
 	return NULL;
 }
 
-void
-node_run_deferred(struct ir_node *n, int64_t now)
-{
-	control_view_changed(n, now);
-	do {
-		self_drain(n, now);
-		serve_start_runs(n, now);
-	} while (n->self_head != NULL || n->runs_to_start);
-}
-
-bool
-ir_node_send_unsent(struct ir_node *n, int64_t now)
-{
-	n->now_us = now;
-	return serve_send_unsent(n, now) && n->unsent_replies == NULL;
-}
-
-void
-ir_node_tick(struct ir_node *n, int64_t now)
-{
-	n->now_us = now;
-	(void)(unsent_send(n, now) && serve_send_unsent(n, now));
-	control_update_lease(n, now);
-	local_upstream_tick(n, now);
-	/*
-	 * After a pause of this process both are due: refusals by its own gate
-	 * are handled before its calls time out, as their outcome is known.
-	 */
-	serve_tick(n, now);
-	self_drain(n, now);
-	call_tick(n, now);
-	peer_tick(n, now);
-	suspects_tick(n, now);
-	control_tick(n, now);
-	node_run_deferred(n, now);
-}
-
-void
-ir_node_stop(struct ir_node *n, int64_t now, int64_t refuse_us)
-{
-	n->now_us = now;
-	n->stopping = true;
-	n->refuse_at_us = refuse_us;
-	node_log(n, IR_EVENT_STOPPING, "calls=%u open_records=%zu",
-	    HASH_COUNT(n->calls), ir_records_open_count(n->records));
-	node_run_deferred(n, now);
-}
-
 bool
 ir_node_is_idle(const struct ir_node *n)
 {
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -492,12 +492,11 @@
 }
 
 void
-ir_node_message_received(struct ir_node *n, int64_t now, uint32_t conn,
+peer_message_received(struct ir_node *n, int64_t now, uint32_t conn,
     uint32_t xid, const struct ir_msg *m)
 {
 	struct conn *c = conn_find(n, conn);
 
-	n->now_us = now;
 	ir_counters_add(&n->counters, IR_COUNTER_MESSAGES_RECEIVED, 1);
 	if (c != NULL && c->peer != NULL && !ir_msg_is_call(m) &&
 	    c->peer->link.conn == conn) {
@@ -513,36 +512,31 @@
 	} else {
 		reject_message(n, conn, m);
 	}
-	node_run_deferred(n, now);
 }
 
 void
-ir_node_conn_established(struct ir_node *n, int64_t now, uint32_t conn)
+peer_conn_established(struct ir_node *n, int64_t now, uint32_t conn)
 {
 	struct conn *c = conn_find(n, conn);
 
-	n->now_us = now;
 	if (c == NULL || c->peer == NULL || c->peer->link.conn != conn)
 		return;
 	if (ir_link_connected(&c->peer->link, now) == IR_LINK_SEND_HELLO)
 		send_hello(n, now, c->peer);
-	node_run_deferred(n, now);
 }
 
 void
-ir_node_conn_closed(struct ir_node *n, int64_t now, uint32_t conn)
+peer_conn_closed(struct ir_node *n, int64_t now, uint32_t conn)
 {
 	struct conn *c = conn_find(n, conn);
 	struct peer *p;
 
-	n->now_us = now;
 	if (c == NULL)
 		return;
 	p = c->peer;
 	conn_remove(n, c);
 	if (p != NULL && p->link.conn == conn && p->link.state != IR_LINK_DOWN)
 		close_lost_link(n, now, p, "closed");
-	node_run_deferred(n, now);
 }
 
 /* Sends what had no room before. */
@@ -564,11 +558,10 @@
 }
 
 void
-ir_node_conn_progress(struct ir_node *n, int64_t now, uint32_t conn)
+peer_conn_progress(struct ir_node *n, int64_t now, uint32_t conn)
 {
 	struct conn *c = conn_find(n, conn);
 
-	n->now_us = now;
 	if (c != NULL && c->peer != NULL && c->peer->link.conn == conn)
 		ir_link_bytes_moved(&c->peer->link, now);
 }
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -209,13 +209,12 @@
 }
 
 void
-ir_node_run_ended(struct ir_node *n, int64_t now, uint64_t run,
+serve_run_ended(struct ir_node *n, int64_t now, uint64_t run,
     const struct ir_run_result *res)
 {
 	struct ir_record *r = ir_records_by_run(n->records, run);
 	enum ir_error e = error_of_run(n, res);
 
-	n->now_us = now;
 	if (r == NULL)
 		return;
 	if (e == IR_OK && !copy_answer(r, res)) {
@@ -234,5 +233,4 @@
 	ir_gate_done(n->gate, now, &r->work, sample_of_run(r, res));
 	serve_finish_record(
 	    n, now, r, e, may_retry_later(e) ? node_jitter_ms(n, 100) : 0);
-	node_run_deferred(n, now);
 }
