Core: transport, links and dispatch of messages are apart

peers.c sent messages and also passed received ones to every module. Now peers.c has connections and sending, links.c greetings, heartbeats and the loss of links, and dispatch.c, above the modules, knows which message is for which. Messages that were kept are repeated through a callback.

Moves code only.

--- a/src/core/event.c
+++ b/src/core/event.c
@@ -10,7 +10,7 @@
 {
 	control_view_changed(n, now);
 	do {
-		self_drain(n, now);
+		dispatch_own_messages(n, now);
 		serve_start_runs(n, now);
 	} while (n->self_head != NULL || n->runs_to_start);
 }
@@ -71,7 +71,7 @@
 ir_node_conn_established(struct ir_node *n, int64_t now, uint32_t conn)
 {
 	n->now_us = now;
-	peer_conn_established(n, now, conn);
+	link_conn_established(n, now, conn);
 	run_deferred(n, now);
 }
 
@@ -79,7 +79,7 @@
 ir_node_conn_closed(struct ir_node *n, int64_t now, uint32_t conn)
 {
 	n->now_us = now;
-	peer_conn_closed(n, now, conn);
+	link_conn_closed(n, now, conn);
 	run_deferred(n, now);
 }
 
@@ -87,7 +87,7 @@
 ir_node_conn_progress(struct ir_node *n, int64_t now, uint32_t conn)
 {
 	n->now_us = now;
-	peer_conn_progress(n, now, conn);
+	link_conn_progress(n, now, conn);
 }
 
 void
@@ -95,7 +95,7 @@
     uint32_t xid, const struct ir_msg *m)
 {
 	n->now_us = now;
-	peer_message_received(n, now, conn, xid, m);
+	dispatch_message(n, now, conn, xid, m);
 	run_deferred(n, now);
 }
 
@@ -110,7 +110,8 @@
 ir_node_tick(struct ir_node *n, int64_t now)
 {
 	n->now_us = now;
-	(void)(unsent_send(n, now) && serve_send_unsent(n, now));
+	(void)(unsent_send(n, now, dispatch_repeat_request) &&
+	       serve_send_unsent(n, now));
 	control_update_lease(n, now);
 	local_upstream_tick(n, now);
 	/*
@@ -118,9 +119,9 @@
 	 * are handled before its calls time out, as their outcome is known.
 	 */
 	serve_tick(n, now);
-	self_drain(n, now);
+	dispatch_own_messages(n, now);
 	call_tick(n, now);
-	peer_tick(n, now);
+	link_tick(n, now);
 	suspects_tick(n, now);
 	control_tick(n, now);
 	run_deferred(n, now);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -592,28 +592,22 @@
  */
 bool peer_reply(
     struct ir_node *n, uint32_t conn, uint32_t xid, const struct ir_msg *m);
-/* Events of connections, see ir_node_conn_established() and others. */
-void peer_conn_established(struct ir_node *n, int64_t now, uint32_t conn);
-void peer_conn_closed(struct ir_node *n, int64_t now, uint32_t conn);
-void peer_conn_progress(struct ir_node *n, int64_t now, uint32_t conn);
-void peer_message_received(struct ir_node *n, int64_t now, uint32_t conn,
-    uint32_t xid, const struct ir_msg *m);
-void peer_tick(struct ir_node *n, int64_t now);
 bool peer_is_self(struct ir_node *n, const struct peer *p);
 
 /* Encodes a message for later, under mem. NULL if out of memory. */
 struct pending_message *pending_message_new(
     TALLOC_CTX *mem, uint32_t xid, const struct ir_msg *m);
-/* Handles a request sent by the host named from, which may be this host. */
-void peer_handle_request(struct ir_node *n, int64_t now, uint32_t conn,
-    uint32_t xid, const char *from, const struct ir_msg *m);
-/* Handles a reply of p to a message of this node. */
-void peer_handle_reply(struct ir_node *n, int64_t now, struct peer *p,
-    uint32_t xid, const struct ir_msg *m);
-
-/* Handles a request that was kept again, if its connection still exists. */
-void peer_repeat_request(struct ir_node *n, int64_t now, uint32_t conn,
-    uint32_t xid, const struct ir_msg *m);
+/* The connection with this number, or NULL. */
+struct conn *peer_conn_find(struct ir_node *n, uint32_t id);
+/* p: the peer that this node connected to, or NULL. NULL if out of memory. */
+struct conn *peer_conn_add(struct ir_node *n, uint32_t id, struct peer *p);
+void peer_conn_remove(struct ir_node *n, struct conn *c);
+void peer_connect(struct ir_node *n, int64_t now, struct peer *p);
+/* Closes the connection of the peer's link, if it has one. */
+void peer_disconnect(struct ir_node *n, struct peer *p);
+/* Sends, or forgets, the messages that wait for the link. */
+void peer_send_pending(struct ir_node *n, int64_t now, struct peer *p);
+void peer_drop_pending(struct peer *p);
 
 /* unsent.c */
 /* Replies; when there is no room now, keeps the reply until it is sent. */
@@ -625,14 +619,17 @@
  */
 void unsent_keep(
     struct ir_node *n, uint32_t conn, uint32_t xid, const struct ir_msg *m);
+/* Handles a request that was kept again. */
+typedef void (*unsent_repeat_fn)(struct ir_node *n, int64_t now, uint32_t conn,
+    uint32_t xid, const struct ir_msg *m);
 /* Sends what is kept, oldest first. Returns whether nothing is left. */
-bool unsent_send(struct ir_node *n, int64_t now);
+bool unsent_send(struct ir_node *n, int64_t now, unsent_repeat_fn repeat);
 
 /* self.c */
 /* Queues a message to this node; dropped if out of memory. */
 void self_send(struct ir_node *n, uint32_t xid, const struct ir_msg *m);
-/* Handles the queued messages, and those queued while doing so. */
-void self_drain(struct ir_node *n, int64_t now);
+/* Takes the oldest one, which the caller frees; NULL if there is none. */
+struct pending_message *self_next(struct ir_node *n);
 
 /* control.c */
 /* Result of a read of the store. */
@@ -659,4 +656,29 @@
 bool control_send_token_request(void *ctx, int64_t now,
     const struct ir_host *issuer, const struct ir_grant_request *request);
 
+/* links.c */
+/* Events of connections, see ir_node_conn_established() and others. */
+void link_conn_established(struct ir_node *n, int64_t now, uint32_t conn);
+void link_conn_closed(struct ir_node *n, int64_t now, uint32_t conn);
+void link_conn_progress(struct ir_node *n, int64_t now, uint32_t conn);
+/* HELLO and HEARTBEAT of a peer, and its replies to those of this node. */
+void link_hello(
+    struct ir_node *n, uint32_t conn, uint32_t xid, const struct ir_hello *h);
+void link_hello_reply(struct ir_node *n, int64_t now, struct peer *p,
+    const struct ir_hello_reply *r);
+void link_heartbeat(struct ir_node *n, int64_t now, uint32_t conn, uint32_t xid,
+    const char *from, const struct ir_heartbeat *h);
+void link_heartbeat_reply(struct ir_node *n, int64_t now, struct peer *p,
+    const struct ir_heartbeat *h);
+void link_tick(struct ir_node *n, int64_t now);
+
+/* dispatch.c */
+void dispatch_message(struct ir_node *n, int64_t now, uint32_t conn,
+    uint32_t xid, const struct ir_msg *m);
+/* Handles a request that was kept again, if its connection still exists. */
+void dispatch_repeat_request(struct ir_node *n, int64_t now, uint32_t conn,
+    uint32_t xid, const struct ir_msg *m);
+/* Handles the messages to this node, and those queued while doing so. */
+void dispatch_own_messages(struct ir_node *n, int64_t now);
+
 #endif
--- a/src/core/unsent.c
+++ b/src/core/unsent.c
@@ -59,18 +59,18 @@
 /* A request that is repeated is kept again when there is still no room. */
 static bool
 repeat_request(struct ir_node *n, int64_t now, struct unsent_reply *u,
-    uint32_t xid, const struct ir_msg *m)
+    uint32_t xid, const struct ir_msg *m, unsent_repeat_fn repeat)
 {
 	uint32_t count = n->unsent_reply_count;
 
-	peer_repeat_request(n, now, u->conn, xid, m);
+	repeat(n, now, u->conn, xid, m);
 	free_reply(n, u);
 	return n->unsent_reply_count < count;
 }
 
 /* Returns whether there was room. */
 static bool
-send_first(struct ir_node *n, int64_t now)
+send_first(struct ir_node *n, int64_t now, unsent_repeat_fn repeat)
 {
 	struct unsent_reply *u = n->unsent_replies;
 	struct ir_msg m;
@@ -81,7 +81,7 @@
 	if (ir_codec_decode(u->message->data, u->message->size_bytes, &xid, &m,
 		&error) == 0) {
 		if (ir_msg_is_call(&m))
-			room = repeat_request(n, now, u, xid, &m);
+			room = repeat_request(n, now, u, xid, &m, repeat);
 		else if ((room = peer_reply(n, u->conn, xid, &m)))
 			free_reply(n, u);
 	} else {
@@ -92,10 +92,10 @@
 }
 
 bool
-unsent_send(struct ir_node *n, int64_t now)
+unsent_send(struct ir_node *n, int64_t now, unsent_repeat_fn repeat)
 {
 	while (n->unsent_replies != NULL) {
-		if (!send_first(n, now))
+		if (!send_first(n, now, repeat))
 			return false;
 	}
 	return true;
