Core: a run's children and its end are below and above serve.c

serve.c and call.c shared the list of a run's calls, serve.c and run.c the end of runs. The list goes to children.c below both; aborting runs, with the tick of the records, goes to run.c above serve.c. Encoding of messages for later goes to pending.c, so that self.c and peers.c do not need each other.

Moves code only.

--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -135,7 +135,7 @@
 	if (r->work.deadline_us < c->deadline_us)
 		c->deadline_us = r->work.deadline_us;
 	c->parent = r;
-	serve_child_started(r, c->start_us, c);
+	children_add(r, c->start_us, c);
 }
 
 /*
@@ -244,7 +244,7 @@
 	if (r->work.deadline_us < c->deadline_us)
 		c->deadline_us = r->work.deadline_us;
 	c->parent = r;
-	serve_child_started(r, c->start_us, c);
+	children_add(r, c->start_us, c);
 	return IR_OK;
 }
 
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -70,7 +70,7 @@
 	if (c->state == CALL_AWAITING_TOKEN)
 		DL_DELETE2(n->token_waiters, c, wait_prev, wait_next);
 	if (c->parent != NULL)
-		serve_child_ended(c->parent, now, c);
+		children_remove(c->parent, now, c);
 	HASH_DEL(n->calls, c);
 	ir_memory_release(
 	    n->settings.memory, IR_MEMORY_CALLS, c->accounted_bytes);
@@ -182,7 +182,7 @@
 free_unadmitted(struct call *c)
 {
 	if (c->parent != NULL)
-		serve_child_ended(c->parent, c->start_us, c);
+		children_remove(c->parent, c->start_us, c);
 	talloc_free(c);
 }
 
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -47,7 +47,7 @@
 		serve_status(n, now, conn, xid, &m->ir_msg_u.status);
 		break;
 	case IR_MSG_CANCEL:
-		serve_cancel(n, now, &m->ir_msg_u.cancel);
+		run_cancel(n, now, &m->ir_msg_u.cancel);
 		break;
 	case IR_MSG_SUSPECT_REPORT:
 		suspects_handle_report(n, now, &m->ir_msg_u.suspect_report);
--- a/src/core/event.c
+++ b/src/core/event.c
@@ -11,7 +11,7 @@
 	control_view_changed(n, now);
 	do {
 		dispatch_own_messages(n, now);
-		serve_start_runs(n, now);
+		run_start_all(n, now);
 	} while (n->self_head != NULL || n->runs_to_start);
 }
 
@@ -37,7 +37,7 @@
     const struct ir_run_result *res)
 {
 	n->now_us = now;
-	serve_run_ended(n, now, run, res);
+	run_ended(n, now, run, res);
 	run_deferred(n, now);
 }
 
@@ -118,7 +118,7 @@
 	 * After a pause of this process both are due: refusals by its own gate
 	 * are handled before its calls time out, as their outcome is known.
 	 */
-	serve_tick(n, now);
+	run_tick(n, now);
 	dispatch_own_messages(n, now);
 	call_tick(n, now);
 	link_tick(n, now);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -312,6 +312,11 @@
 void evacuation_view_changed(
     struct ir_node *n, int64_t now, const struct ir_view *v);
 
+/* children.c */
+/* Adds c to, or removes it from, the calls that the run of r waits for. */
+void children_add(struct ir_record *r, int64_t now, struct call *c);
+void children_remove(struct ir_record *r, int64_t now, struct call *c);
+
 /* admit.c */
 /*
  * Returns the running record whose caller gave the attempt id that precedes the
@@ -331,7 +336,7 @@
 /*
  * Checks route, key and parent of a call and sets the fields that depend on
  * them: deadline, account, importance, retry tokens. On an error the call may
- * already be linked to its parent; serve_child_ended() then unlinks it.
+ * already be linked to its parent; children_remove() then unlinks it.
  */
 enum ir_error admit_call(
     struct ir_node *n, int64_t now, struct call *c, const struct ir_call *in);
@@ -441,9 +446,6 @@
  * earlier versions also know.
  */
 enum ir_error serve_check_regions(struct ir_node *n, struct ir_record *r);
-/* Adds c to, or removes it from, the calls that the run of r waits for. */
-void serve_child_started(struct ir_record *r, int64_t now, struct call *c);
-void serve_child_ended(struct ir_record *r, int64_t now, struct call *c);
 extern const struct ir_gate_ops serve_gate_ops;
 /*
  * FORWARD: if the attempt has a record, answers from the record; otherwise
@@ -461,9 +463,6 @@
  */
 void serve_status(struct ir_node *n, int64_t now, uint32_t conn, uint32_t xid,
     const struct ir_attempt_ref *r);
-/* CANCEL: ends the attempt, unless it runs with an Idempotency-Key. */
-void serve_cancel(
-    struct ir_node *n, int64_t now, const struct ir_attempt_ref *r);
 /* Ends a record with e, aborts its child calls and sends its answer. */
 void serve_finish_record(struct ir_node *n, int64_t now, struct ir_record *r,
     enum ir_error e, uint32_t retry_after_ms);
@@ -471,16 +470,16 @@
  * Sends answers that had no room, oldest first. Returns whether all were sent.
  */
 bool serve_send_unsent(struct ir_node *n, int64_t now);
-void serve_tick(struct ir_node *n, int64_t now);
 
 /* run.c */
-/* Logs the end of a run; to be called while r still has its request. */
-void serve_log_run_ended(struct ir_node *n, int64_t now,
-    const struct ir_record *r, enum ir_error e, unsigned status);
 /* Starts the runs to which the gate has given slots. */
-void serve_start_runs(struct ir_node *n, int64_t now);
-void serve_run_ended(struct ir_node *n, int64_t now, uint64_t run,
+void run_start_all(struct ir_node *n, int64_t now);
+void run_ended(struct ir_node *n, int64_t now, uint64_t run,
     const struct ir_run_result *res);
+/* CANCEL: ends the attempt, unless it runs with an Idempotency-Key. */
+void run_cancel(struct ir_node *n, int64_t now, const struct ir_attempt_ref *r);
+/* Aborts what is past its deadline, and ticks the gate and the records. */
+void run_tick(struct ir_node *n, int64_t now);
 
 /* local_upstream.c */
 /*
@@ -594,9 +593,6 @@
     struct ir_node *n, uint32_t conn, uint32_t xid, const struct ir_msg *m);
 bool peer_is_self(struct ir_node *n, const struct peer *p);
 
-/* Encodes a message for later, under mem. NULL if out of memory. */
-struct pending_message *pending_message_new(
-    TALLOC_CTX *mem, uint32_t xid, const struct ir_msg *m);
 /* The connection with this number, or NULL. */
 struct conn *peer_conn_find(struct ir_node *n, uint32_t id);
 /* p: the peer that this node connected to, or NULL. NULL if out of memory. */
@@ -609,6 +605,11 @@
 void peer_send_pending(struct ir_node *n, int64_t now, struct peer *p);
 void peer_drop_pending(struct peer *p);
 
+/* pending.c */
+/* Encodes a message for later, under mem. NULL if out of memory. */
+struct pending_message *pending_message_new(
+    TALLOC_CTX *mem, uint32_t xid, const struct ir_msg *m);
+
 /* unsent.c */
 /* Replies; when there is no room now, keeps the reply until it is sent. */
 void unsent_reply(
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -99,19 +99,6 @@
 	return p->link.state == IR_LINK_UP;
 }
 
-struct pending_message *
-pending_message_new(TALLOC_CTX *mem, uint32_t xid, const struct ir_msg *m)
-{
-	struct pending_message *q = talloc_zero(mem, struct pending_message);
-
-	if (q == NULL)
-		return NULL;
-	q->size_bytes = ir_codec_encode(q, xid, m, &q->data);
-	if (q->size_bytes == 0)
-		TALLOC_FREE(q);
-	return q;
-}
-
 uint32_t
 peer_send(
     struct ir_node *n, int64_t now, struct peer *p, const struct ir_msg *m)
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -1,12 +1,12 @@
-/* Runs of requests by the local upstream: start, result and answer. */
+/* Runs of requests by the local upstream: start, result, answer and abort. */
 #include <stdio.h>
 #include <string.h>
 
 #include "core/internal.h"
+#include "upstream/priority.h"
 
 /* Characters of a path that a log line shows. */
 #define MAX_LOGGED_PATH 256
-#include "upstream/priority.h"
 
 /* Work queued before this host began to leave may start for this long. */
 #define LEAVE_GRACE_US IR_US_PER_S
@@ -27,8 +27,8 @@
 	    run->remaining_ms, run->upstream_id);
 }
 
-void
-serve_log_run_ended(struct ir_node *n, int64_t now, const struct ir_record *r,
+static void
+log_run_ended(struct ir_node *n, int64_t now, const struct ir_record *r,
     enum ir_error e, unsigned status)
 {
 	char id[NODE_LOG_ID_BYTES];
@@ -120,7 +120,7 @@
 }
 
 void
-serve_start_runs(struct ir_node *n, int64_t now)
+run_start_all(struct ir_node *n, int64_t now)
 {
 	n->now_us = now;
 	while (n->runs_to_start) {
@@ -209,7 +209,7 @@
 }
 
 void
-serve_run_ended(struct ir_node *n, int64_t now, uint64_t run,
+run_ended(struct ir_node *n, int64_t now, uint64_t run,
     const struct ir_run_result *res)
 {
 	struct ir_record *r = ir_records_by_run(n->records, run);
@@ -222,7 +222,7 @@
 		node_log(n, IR_EVENT_UPSTREAM_BROKEN,
 		    "attempt=%s reason=answer-not-kept", r->attempt_text);
 	}
-	serve_log_run_ended(n, now, r, e, res->status);
+	log_run_ended(n, now, r, e, res->status);
 	if (res->end == IR_RUN_UPSTREAM_ENDED)
 		log_crashed(n, now, r);
 	suspects_run_ended(n, now, r, res->end);
@@ -234,3 +234,58 @@
 	serve_finish_record(
 	    n, now, r, e, may_retry_later(e) ? node_jitter_ms(n, 100) : 0);
 }
+
+/*
+ * Ends a record before its answer and frees its slot or its place in the queue.
+ * The error is ran if the upstream has begun to run it, else not_run.
+ */
+static void
+abort_record(struct ir_node *n, int64_t now, struct ir_record *r,
+    enum ir_error not_run, enum ir_error ran)
+{
+	bool running = r->state == IR_RECORD_RUNNING;
+
+	if (running) {
+		log_run_ended(n, now, r, ran, 0);
+		n->ops.cancel_run(n->ctx, r->run_id);
+		local_upstream_run_dropped(n, now, r);
+	}
+	ir_gate_cancel(n->gate, now, &r->work);
+	serve_finish_record(n, now, r, running ? ran : not_run, 0);
+}
+
+void
+run_cancel(struct ir_node *n, int64_t now, const struct ir_attempt_ref *ref)
+{
+	struct ir_record *r;
+
+	if (ref->gate_incarnation != n->settings.incarnation)
+		return;
+	r = ir_records_find(n->records, &ref->attempt);
+	if (r == NULL || r->state == IR_RECORD_DONE)
+		return;
+	if (r->state == IR_RECORD_RUNNING && r->idempotency_key != NULL)
+		return;
+	ir_counters_add(&n->counters, IR_COUNTER_CANCELLED, 1);
+	abort_record(n, now, r, IR_E_CANCELLED, IR_E_UPSTREAM_FAILED);
+}
+
+/* Aborts a record past its deadline. Queued ones are refused by the gate. */
+static void
+expire_started(void *ctx, struct ir_record *r)
+{
+	struct ir_node *n = ctx;
+
+	if (r->state != IR_RECORD_QUEUED && n->now_us >= r->work.deadline_us)
+		abort_record(n, n->now_us, r, IR_E_DEADLINE, IR_E_TIMEOUT);
+}
+
+void
+run_tick(struct ir_node *n, int64_t now)
+{
+	n->now_us = now;
+	ir_records_each_open(n->records, expire_started, n);
+	ir_gate_tick(n->gate, now);
+	ir_records_expire(n->records, now);
+	ir_throttle_free_idle(n->callee_throttle, now);
+}
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -94,22 +94,6 @@
 	return true;
 }
 
-void
-serve_child_started(struct ir_record *r, int64_t now, struct call *c)
-{
-	if (r->children == NULL)
-		r->callee_wait_start_us = now;
-	DL_APPEND2(r->children, c, sibling_prev, sibling_next);
-}
-
-void
-serve_child_ended(struct ir_record *r, int64_t now, struct call *c)
-{
-	DL_DELETE2(r->children, c, sibling_prev, sibling_next);
-	if (r->children == NULL)
-		r->work.callee_wait_us += now - r->callee_wait_start_us;
-}
-
 static void
 abort_children(struct ir_node *n, int64_t now, struct ir_record *r)
 {
@@ -602,58 +586,3 @@
 	add_waiter(r, conn, xid, &ref->attempt, true);
 	serve_finish_record(n, now, r, IR_E_NEVER_RECEIVED, 0);
 }
-
-/*
- * Ends a record before its answer and frees its slot or its place in the queue.
- * The error is ran if the upstream has begun to run it, else not_run.
- */
-static void
-abort_record(struct ir_node *n, int64_t now, struct ir_record *r,
-    enum ir_error not_run, enum ir_error ran)
-{
-	bool running = r->state == IR_RECORD_RUNNING;
-
-	if (running) {
-		serve_log_run_ended(n, now, r, ran, 0);
-		n->ops.cancel_run(n->ctx, r->run_id);
-		local_upstream_run_dropped(n, now, r);
-	}
-	ir_gate_cancel(n->gate, now, &r->work);
-	serve_finish_record(n, now, r, running ? ran : not_run, 0);
-}
-
-void
-serve_cancel(struct ir_node *n, int64_t now, const struct ir_attempt_ref *ref)
-{
-	struct ir_record *r;
-
-	if (ref->gate_incarnation != n->settings.incarnation)
-		return;
-	r = ir_records_find(n->records, &ref->attempt);
-	if (r == NULL || r->state == IR_RECORD_DONE)
-		return;
-	if (r->state == IR_RECORD_RUNNING && r->idempotency_key != NULL)
-		return;
-	ir_counters_add(&n->counters, IR_COUNTER_CANCELLED, 1);
-	abort_record(n, now, r, IR_E_CANCELLED, IR_E_UPSTREAM_FAILED);
-}
-
-/* Aborts a record past its deadline. Queued ones are refused by the gate. */
-static void
-expire_started(void *ctx, struct ir_record *r)
-{
-	struct ir_node *n = ctx;
-
-	if (r->state != IR_RECORD_QUEUED && n->now_us >= r->work.deadline_us)
-		abort_record(n, n->now_us, r, IR_E_DEADLINE, IR_E_TIMEOUT);
-}
-
-void
-serve_tick(struct ir_node *n, int64_t now)
-{
-	n->now_us = now;
-	ir_records_each_open(n->records, expire_started, n);
-	ir_gate_tick(n->gate, now);
-	ir_records_expire(n->records, now);
-	ir_throttle_free_idle(n->callee_throttle, now);
-}
