Core: attempts tell their calls what became of them by operations

attempt.c and call.c named each other. Attempts now end through struct attempt_ops, which call.c fills in; its functions are static.

Moves code only.

--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -137,7 +137,7 @@
 	struct call *c = a->call;
 
 	free_attempt(n, a);
-	call_retry(n, now, c, e, 0);
+	n->attempt_ops->retry(n, now, c, e, 0);
 }
 
 /* A call without allowed regions is sent as to earlier versions. */
@@ -200,7 +200,7 @@
 
 	if (a == NULL || p == NULL) {
 		talloc_free(a);
-		call_give_up(n, now, c, IR_E_OVERLOAD, 0);
+		n->attempt_ops->give_up(n, now, c, IR_E_OVERLOAD, 0);
 		return;
 	}
 	ir_balancer_host_tried(n->balancer, now, p->name);
@@ -245,9 +245,9 @@
 		return;
 	c->upstream_attempts++;
 	if (c->idempotent)
-		call_retry(n, now, c, IR_E_HOST_LOST, 0);
+		n->attempt_ops->retry(n, now, c, IR_E_HOST_LOST, 0);
 	else
-		call_fail(n, now, c, IR_E_HOST_LOST, 0);
+		n->attempt_ops->fail(n, now, c, IR_E_HOST_LOST, 0);
 }
 
 void
@@ -282,7 +282,7 @@
 	if (c->attempt != a || !c->idempotent || c->retry_quota->tokens == 0)
 		return;
 	c->upstream_attempts++;
-	h = call_take_retry(n, now, c);
+	h = n->attempt_ops->take_retry(n, now, c);
 	if (h == NULL) {
 		c->upstream_attempts--;
 		return;
@@ -350,7 +350,7 @@
 	answer.header_count = r->headers.headers_len;
 	answer.body = (const uint8_t *)r->body.body_val;
 	answer.body_bytes = r->body.body_len;
-	call_answer(n, now, c, &answer);
+	n->attempt_ops->answer(n, now, c, &answer);
 }
 
 /*
@@ -378,11 +378,11 @@
 	    o != IR_OUTCOME_NOT_RUN || e == IR_E_UPSTREAM_SHED;
 	c->may_have_run = c->may_have_run || o != IR_OUTCOME_NOT_RUN;
 	if (o == IR_OUTCOME_NOT_RUN)
-		call_not_run(n, now, c, e, r->retry_after_ms);
+		n->attempt_ops->not_run(n, now, c, e, r->retry_after_ms);
 	else if (o == IR_OUTCOME_UNKNOWN && c->idempotent)
-		call_retry(n, now, c, e, 0);
+		n->attempt_ops->retry(n, now, c, e, 0);
 	else
-		call_give_up(n, now, c, e, 0);
+		n->attempt_ops->give_up(n, now, c, e, 0);
 }
 
 /* Handles the failure of an attempt while a later one is in progress. */
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -77,8 +77,8 @@
 	talloc_free(c);
 }
 
-void
-call_answer(
+static void
+answer(
     struct ir_node *n, int64_t now, struct call *c, const struct ir_answer *a)
 {
 	ir_counters_add(&n->counters, IR_COUNTER_ANSWERED, 1);
@@ -106,8 +106,8 @@
 	}
 }
 
-void
-call_fail(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
+static void
+fail(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
     uint32_t retry_after_ms)
 {
 	bool in_doubt = c->may_have_run || c->lost_attempts != NULL;
@@ -128,14 +128,14 @@
 	free_call(n, now, c);
 }
 
-void
-call_give_up(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
+static void
+give_up(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
     uint32_t retry_after_ms)
 {
 	struct attempt *a = c->lost_attempts;
 
 	if (a == NULL || now >= c->deadline_us) {
-		call_fail(n, now, c, e, retry_after_ms);
+		fail(n, now, c, e, retry_after_ms);
 		return;
 	}
 	DL_DELETE2(c->lost_attempts, a, lost_prev, lost_next);
@@ -210,53 +210,6 @@
 		   CALL_OVERHEAD_BYTES + in->body_bytes);
 }
 
-void
-call_accept(struct ir_node *n, int64_t now, const struct ir_call *in)
-{
-	struct call *c = NULL;
-	enum ir_error e;
-
-	ir_counters_add(&n->counters,
-	    in->egress ? IR_COUNTER_EGRESS_CALLS : IR_COUNTER_CALLS, 1);
-	e = admit_check_sizes(in);
-	if (e == IR_OK && n->stopping && now >= n->refuse_at_us && !in->egress)
-		e = IR_E_STOPPING;
-	if (e == IR_OK && !can_accept_call(n, in))
-		e = IR_E_OVERLOAD;
-	if (e == IR_OK) {
-		c = admit_copy_call(n, now, in);
-		e = c == NULL ? IR_E_OVERLOAD : admit_call(n, now, c, in);
-	}
-	if (e != IR_OK) {
-		if (c != NULL)
-			free_unadmitted(c);
-		refuse_unadmitted(n, in, e);
-		return;
-	}
-	HASH_ADD(hh, n->calls, id, sizeof(c->id), c);
-	c->accounted_bytes = ir_memory_tree_bytes(c);
-	ir_memory_hold(n->settings.memory, IR_MEMORY_CALLS, c->accounted_bytes);
-	c->state = CALL_IN_FLIGHT;
-	log_admitted(n, now, c);
-	ir_retry_budget_add_first_attempt(
-	    attempt_retry_budget(n, c->service), now);
-	call_start(n, now, c);
-}
-
-void
-call_disconnected(
-    struct ir_node *n, int64_t now, uint64_t id, const char *reason)
-{
-	struct call *c;
-
-	HASH_FIND(hh, n->calls, &id, sizeof(id), c);
-	if (c == NULL)
-		return;
-	ir_counters_add(&n->counters, IR_COUNTER_CANCELLED, 1);
-	log_call_ended(n, now, c, IR_E_CANCELLED, 0, reason);
-	free_call(n, now, c);
-}
-
 /*
  * Chooses the host of the next attempt. If there is none, returns NULL and sets
  * *e. Sets *retry_ms to the time after which to retry if it is known, else to
@@ -376,23 +329,24 @@
 }
 
 /*
- * Takes the token after choosing the host, so that none is spent where no host
- * is available.
+ * Starts the first attempt. Takes the token after choosing the host, so that
+ * none is spent where no host is available. Without a token the call fails, or
+ * waits for call_retry_token_waiters().
  */
-void
-call_start(struct ir_node *n, int64_t now, struct call *c)
+static void
+start_call(struct ir_node *n, int64_t now, struct call *c)
 {
 	const struct ir_host *h;
 	enum ir_error e = IR_E_NO_HOST;
 	uint32_t retry_ms;
 
 	if (now >= c->deadline_us) {
-		call_fail(n, now, c, IR_E_DEADLINE, 0);
+		fail(n, now, c, IR_E_DEADLINE, 0);
 		return;
 	}
 	h = choose_host(n, now, c, &e, &retry_ms);
 	if (h == NULL) {
-		call_fail(n, now, c, e, retry_ms);
+		fail(n, now, c, e, retry_ms);
 		return;
 	}
 	switch (take_token(n, now, c, &retry_ms)) {
@@ -400,7 +354,7 @@
 		wait_for_token(n, c);
 		return;
 	case IR_TAKE_DENIED:
-		call_fail(n, now, c, IR_E_RATE, retry_ms);
+		fail(n, now, c, IR_E_RATE, retry_ms);
 		return;
 	default:
 		break;
@@ -437,8 +391,8 @@
 	return ok;
 }
 
-const struct ir_host *
-call_take_retry(struct ir_node *n, int64_t now, struct call *c)
+static const struct ir_host *
+take_retry(struct ir_node *n, int64_t now, struct call *c)
 {
 	const struct ir_host *h;
 	enum ir_error e; /* the caller has its own */
@@ -450,26 +404,26 @@
 	return h != NULL && may_retry(n, now, c) ? h : NULL;
 }
 
-void
-call_retry(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
+static void
+retry(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
     uint32_t retry_after_ms)
 {
-	const struct ir_host *h = call_take_retry(n, now, c);
+	const struct ir_host *h = take_retry(n, now, c);
 
 	if (h != NULL)
 		attempt_start(n, now, c, h);
 	else
-		call_give_up(n, now, c, e, retry_after_ms);
+		give_up(n, now, c, e, retry_after_ms);
 }
 
-void
-call_not_run(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
+static void
+not_run(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
     uint32_t retry_after_ms)
 {
 	if (ir_error_info(e)->retry_elsewhere)
-		call_retry(n, now, c, e, retry_after_ms);
+		retry(n, now, c, e, retry_after_ms);
 	else
-		call_give_up(n, now, c, e, retry_after_ms);
+		give_up(n, now, c, e, retry_after_ms);
 }
 
 void
@@ -478,7 +432,7 @@
 {
 	bool sent = c->attempt != NULL && c->attempt->state != ATTEMPT_UNSENT;
 
-	call_fail(n, now, c, sent ? IR_E_TIMEOUT : not_run, 0);
+	fail(n, now, c, sent ? IR_E_TIMEOUT : not_run, 0);
 }
 
 void
@@ -500,6 +454,62 @@
 	DL_FOREACH_SAFE2(n->token_waiters, c, tmp, wait_next)
 	{
 		if (strcmp(c->account, account) == 0)
-			call_start(n, now, c);
+			start_call(n, now, c);
 	}
 }
+
+void
+call_accept(struct ir_node *n, int64_t now, const struct ir_call *in)
+{
+	struct call *c = NULL;
+	enum ir_error e;
+
+	ir_counters_add(&n->counters,
+	    in->egress ? IR_COUNTER_EGRESS_CALLS : IR_COUNTER_CALLS, 1);
+	e = admit_check_sizes(in);
+	if (e == IR_OK && n->stopping && now >= n->refuse_at_us && !in->egress)
+		e = IR_E_STOPPING;
+	if (e == IR_OK && !can_accept_call(n, in))
+		e = IR_E_OVERLOAD;
+	if (e == IR_OK) {
+		c = admit_copy_call(n, now, in);
+		e = c == NULL ? IR_E_OVERLOAD : admit_call(n, now, c, in);
+	}
+	if (e != IR_OK) {
+		if (c != NULL)
+			free_unadmitted(c);
+		refuse_unadmitted(n, in, e);
+		return;
+	}
+	HASH_ADD(hh, n->calls, id, sizeof(c->id), c);
+	c->accounted_bytes = ir_memory_tree_bytes(c);
+	ir_memory_hold(n->settings.memory, IR_MEMORY_CALLS, c->accounted_bytes);
+	c->state = CALL_IN_FLIGHT;
+	log_admitted(n, now, c);
+	ir_retry_budget_add_first_attempt(
+	    attempt_retry_budget(n, c->service), now);
+	start_call(n, now, c);
+}
+
+void
+call_disconnected(
+    struct ir_node *n, int64_t now, uint64_t id, const char *reason)
+{
+	struct call *c;
+
+	HASH_FIND(hh, n->calls, &id, sizeof(id), c);
+	if (c == NULL)
+		return;
+	ir_counters_add(&n->counters, IR_COUNTER_CANCELLED, 1);
+	log_call_ended(n, now, c, IR_E_CANCELLED, 0, reason);
+	free_call(n, now, c);
+}
+
+const struct attempt_ops call_attempt_ops = {
+    .answer = answer,
+    .not_run = not_run,
+    .retry = retry,
+    .take_retry = take_retry,
+    .give_up = give_up,
+    .fail = fail,
+};
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -99,6 +99,48 @@
 	UT_hash_handle hh;
 };
 
+/*
+ * How attempts tell their calls what became of them. Each but take_retry() may
+ * end the call and free it.
+ */
+struct attempt_ops {
+	/* Passes the upstream's answer to the caller. */
+	void (*answer)(struct ir_node *n, int64_t now, struct call *c,
+	    const struct ir_answer *a);
+	/*
+	 * A gate refused the attempt, which did not run: tries another host if
+	 * e allows it, else fails the call.
+	 */
+	void (*not_run)(struct ir_node *n, int64_t now, struct call *c,
+	    enum ir_error e, uint32_t retry_after_ms);
+	/*
+	 * Retries at another host after an attempt that ended in e. If there is
+	 * no time, retry token or retry budget of the service left, give_up().
+	 */
+	void (*retry)(struct ir_node *n, int64_t now, struct call *c,
+	    enum ir_error e, uint32_t retry_after_ms);
+	/*
+	 * Takes what a retry costs and returns the host to retry at. NULL if
+	 * there is none, or no time, retry token or retry budget left.
+	 */
+	const struct ir_host *(*take_retry)(
+	    struct ir_node *n, int64_t now, struct call *c);
+	/*
+	 * The current attempt ended in e and the call is not retried: waits for
+	 * an earlier attempt whose link was lost, if there is one, else fails
+	 * the call.
+	 */
+	void (*give_up)(struct ir_node *n, int64_t now, struct call *c,
+	    enum ir_error e, uint32_t retry_after_ms);
+	/*
+	 * Answers the call with an error. An e that says "not run" becomes
+	 * IR_E_HOST_LOST when an earlier attempt may have run. retry_after_ms
+	 * 0: a default, where e lets the caller retry later.
+	 */
+	void (*fail)(struct ir_node *n, int64_t now, struct call *c,
+	    enum ir_error e, uint32_t retry_after_ms);
+};
+
 enum attempt_state {
 	ATTEMPT_UNSENT, /* not sent: the link is not up */
 	ATTEMPT_SENT,
@@ -212,6 +254,7 @@
 	struct call *calls;
 	struct call *token_waiters; /* oldest first */
 	struct attempt *attempts;
+	const struct attempt_ops *attempt_ops;
 	struct peer *peers;
 	struct conn *conns;
 	struct service_retry_budget *retry_budgets;
@@ -341,62 +384,19 @@
 enum ir_error admit_call(
     struct ir_node *n, int64_t now, struct call *c, const struct ir_call *in);
 
-/*
- * call.c
- *
- * Each of these may end the call and free it.
- */
-/*
- * Starts the first attempt: chooses a host, then takes a token. If there is no
- * token, the call fails, or waits and is tried again by
- * call_retry_token_waiters().
- */
-void call_start(struct ir_node *n, int64_t now, struct call *c);
-/*
- * A gate refused the attempt, which did not run: tries another host if e allows
- * it, else fails the call.
- */
-void call_not_run(struct ir_node *n, int64_t now, struct call *c,
-    enum ir_error e, uint32_t retry_after_ms);
-/* Passes the upstream's answer to the caller. */
-void call_answer(
-    struct ir_node *n, int64_t now, struct call *c, const struct ir_answer *a);
-/*
- * The current attempt ended in e and the call is not retried: waits for an
- * earlier attempt whose link was lost, if there is one, else fails the call.
- */
-void call_give_up(struct ir_node *n, int64_t now, struct call *c,
-    enum ir_error e, uint32_t retry_after_ms);
-/*
- * Answers the call with an error. An e that says "not run" becomes
- * IR_E_HOST_LOST when an earlier attempt may have run. retry_after_ms 0: a
- * default, where e lets the caller retry later.
- */
-void call_fail(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
-    uint32_t retry_after_ms);
+/* call.c: each but call_accept() may end the call and free it. */
+extern const struct attempt_ops call_attempt_ops;
+/* A request of a caller or of the local upstream. */
+void call_accept(struct ir_node *n, int64_t now, const struct ir_call *in);
+/* Ends the call without an answer: its caller has disconnected. */
+void call_disconnected(
+    struct ir_node *n, int64_t now, uint64_t id, const char *reason);
 /*
  * Fails the call before its attempt was answered: with not_run if no attempt
  * was sent, else with IR_E_TIMEOUT.
  */
 void call_abort(
     struct ir_node *n, int64_t now, struct call *c, enum ir_error not_run);
-/*
- * Retries at another host after an attempt that ended in e. If there is no
- * time, retry token or retry budget of the service left, call_give_up().
- */
-void call_retry(struct ir_node *n, int64_t now, struct call *c, enum ir_error e,
-    uint32_t retry_after_ms);
-/*
- * Takes what a retry costs and returns the host to retry at. NULL if there is
- * none, or no time, retry token or retry budget of the service left.
- */
-const struct ir_host *call_take_retry(
-    struct ir_node *n, int64_t now, struct call *c);
-/* A request of a caller or of the local upstream. */
-void call_accept(struct ir_node *n, int64_t now, const struct ir_call *in);
-/* Ends the call without an answer: its caller has disconnected. */
-void call_disconnected(
-    struct ir_node *n, int64_t now, uint64_t id, const char *reason);
 /* Aborts the calls whose deadline has passed. */
 void call_tick(struct ir_node *n, int64_t now);
 /* Tries the account's calls that wait for tokens, in order of arrival. */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -160,6 +160,7 @@
 	n->ops = *ops;
 	n->ctx = ctx;
 	n->random_state = settings->seed;
+	n->attempt_ops = &call_attempt_ops;
 	n->next_attempt_sequence = 1;
 	n->next_run_id = 1;
 	n->next_xid = 1;
