Upstream: a dropped connection is no sign of a restart

An upstream with a long queue accepts fewer connections and resets those beyond. Such a run ended as IR_RUN_NOT_CONNECTED, which the cold state took for a refused connection: the gate fell from its slots to the cold rate for seconds, while the upstream was neither cold nor down.

Runs whose connection was dropped before the request was sent, or for which this process has no further connection, end as IR_RUN_CONNECTION_LIMIT: not run, retried elsewhere, no event for the cold state. A refused connection, one that times out and the break of all connections still are events.

Test: fails before (upstreams were checked and limited).

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -87,7 +87,12 @@
 enum ir_run_end {
 	IR_RUN_ANSWERED,      /* complete answer */
 	IR_RUN_SHED,	      /* refused by the upstream, not run */
-	IR_RUN_NOT_CONNECTED, /* no connection: not run */
+	IR_RUN_NOT_CONNECTED, /* the upstream refuses connections: not run */
+	/*
+	 * The upstream dropped the connection before the request was sent, or
+	 * this process has no further one: not run.
+	 */
+	IR_RUN_CONNECTION_LIMIT,
 	IR_RUN_NO_ROOM,	      /* no memory in this process: not run */
 	IR_RUN_BROKEN,	      /* connection broke, or answer incomplete */
 	IR_RUN_UPSTREAM_ENDED /* so did all: it accepts none any more */
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -158,6 +158,8 @@
 		/* No upstream has seen the attempt: it may be sent on freely.
 		 */
 		return n->upstream.ended ? IR_E_STOPPING : IR_E_UPSTREAM_SHED;
+	case IR_RUN_CONNECTION_LIMIT:
+		return IR_E_UPSTREAM_SHED;
 	case IR_RUN_SHED:
 		return n->upstream.ended ? IR_E_WRONG_GATE : IR_E_UPSTREAM_SHED;
 	case IR_RUN_NO_ROOM:
--- a/src/io/upstream/upstream.c
+++ b/src/io/upstream/upstream.c
@@ -59,7 +59,10 @@
 		return IR_RUN_UPSTREAM_ENDED;
 	if (t->send_started)
 		return IR_RUN_BROKEN;
-	return t->memory.reserve_failed ? IR_RUN_NO_ROOM : IR_RUN_NOT_CONNECTED;
+	if (t->memory.reserve_failed)
+		return IR_RUN_NO_ROOM;
+	return t->connection_limit ? IR_RUN_CONNECTION_LIMIT
+				   : IR_RUN_NOT_CONNECTED;
 }
 
 void
--- a/src/io/upstream/upstream_conn.c
+++ b/src/io/upstream/upstream_conn.c
@@ -95,10 +95,14 @@
 	struct transfer *t = c->transfer;
 
 	ir_upstream_conn_close(c);
-	if (t != NULL && t->send_started)
+	if (t == NULL)
+		return;
+	if (t->send_started) {
 		ir_upstream_check_finish(t, reason);
-	else if (t != NULL)
-		ir_upstream_finish(t, reason);
+		return;
+	}
+	t->connection_limit = true;
+	ir_upstream_finish(t, reason);
 }
 
 /* Sets max_idle_us from the "timeout=N" of a Keep-Alive header, in seconds. */
@@ -451,6 +455,7 @@
 	if (getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0)
 		error = errno;
 	if (error != 0) {
+		c->transfer->connection_limit = error == ECONNRESET;
 		fail_conn(c, strerror(error));
 		return;
 	}
@@ -528,14 +533,17 @@
 	return true;
 }
 
-/* Sets *receive_bytes to the grant for the socket. */
+/*
+ * Sets *receive_bytes to the grant for the socket. Returns -1 and sets errno if
+ * there is none, or the connection was refused at once.
+ */
 static int
 open_socket(const struct ir_upstream *u, size_t *receive_bytes)
 {
 	const struct ir_endpoint *e = &u->address;
 	struct sockaddr_storage s;
 	socklen_t size = ir_socket_address(e->address, e->port, &s);
-	int on = 1;
+	int on = 1, error;
 	int fd =
 	    socket(s.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
@@ -547,11 +555,14 @@
 	if (connect(fd, (struct sockaddr *)&s, size) == 0 ||
 	    errno == EINPROGRESS)
 		return fd;
+	error = errno;
 	close(fd);
 	ir_memory_return_socket(u->memory, IR_SOCKET_UPSTREAM, *receive_bytes);
+	errno = error;
 	return -1;
 }
 
+/* NULL, with errno set, if there is none. */
 static struct upstream_conn *
 new_conn(struct ir_upstream *u)
 {
@@ -559,8 +570,10 @@
 	size_t receive_bytes;
 	int fd;
 
-	if (!ensure_conn_slot(u))
+	if (!ensure_conn_slot(u)) {
+		errno = EMFILE;
 		return NULL;
+	}
 	fd = open_socket(u, &receive_bytes);
 	if (fd < 0)
 		return NULL;
@@ -620,6 +633,7 @@
 	}
 	c = get_conn(u, t->run_message->u.run.idempotent);
 	if (c == NULL) {
+		t->connection_limit = errno != ECONNREFUSED;
 		ir_upstream_finish(t, "no-connection");
 		return;
 	}
--- a/src/io/upstream/upstream_conn.h
+++ b/src/io/upstream/upstream_conn.h
@@ -25,6 +25,7 @@
 	struct ir_from_core *run_message; /* IR_FROM_CORE_RUN, owned */
 	struct upstream_conn *conn;	  /* NULL while it has none */
 	bool send_started; /* bytes of the request were given to a socket */
+	bool connection_limit; /* see IR_RUN_CONNECTION_LIMIT */
 	struct ir_upstream_memory memory;
 	struct ir_upstream_answer answer;
 	/* Its connection broke; see upstream_check.h. */
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -57,7 +57,8 @@
 	UPSTREAM_SHEDS,
 	UPSTREAM_BREAKS_CONNECTION, /* runs it, then breaks the connection */
 	UPSTREAM_HANGS,		    /* runs it and never answers */
-	UPSTREAM_IS_ANOTHER	    /* refuses: not the upstream listed there */
+	UPSTREAM_IS_ANOTHER,	    /* refuses: not the upstream listed there */
+	UPSTREAM_DROPS_CONNECTIONS  /* all new ones, before it reads */
 };
 
 struct fleet_call {
--- a/test/support/fleet_calls.c
+++ b/test/support/fleet_calls.c
@@ -328,6 +328,10 @@
 		schedule_unrun_end(f, node, r->id, IR_RUN_NOT_CONNECTED);
 		return;
 	}
+	if (n->upstream_mode == UPSTREAM_DROPS_CONNECTIONS) {
+		schedule_unrun_end(f, node, r->id, IR_RUN_CONNECTION_LIMIT);
+		return;
+	}
 	c->upstream_attempts++;
 	if (f->run_count < FLEET_MAX_ATTEMPTS)
 		f->runs[f->run_count++] = (struct fleet_run){.node = node,
--- a/test/test_upstream_cold.c
+++ b/test/test_upstream_cold.c
@@ -131,6 +131,23 @@
 	fleet_finish(f);
 }
 
+/* Dropped connections were taken for a restart, and the rate was kept. */
+static void
+test_upstream_that_drops_connections_is_not_taken_for_cold(void **state)
+{
+	struct fleet *f = make_fleet(10);
+
+	press(f, IR_US_PER_S);
+	for (int i = 0; i < UPSTREAMS; i++)
+		f->nodes[i].upstream_mode = UPSTREAM_DROPS_CONNECTIONS;
+	press(f, IR_US_PER_S);
+	for (int i = 0; i < UPSTREAMS; i++) {
+		assert_int_equal(f->nodes[i].checks, 1);
+		assert_false(local_upstream_is_cold(f->nodes[i].node));
+	}
+	fleet_finish(f);
+}
+
 static void
 test_cold_upstream_is_spared_and_others_take_its_load(void **state)
 {
@@ -319,6 +336,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_warm_upstreams_are_checked_once),
+	    cmocka_unit_test(
+		test_upstream_that_drops_connections_is_not_taken_for_cold),
 	    cmocka_unit_test(
 		test_cold_upstream_is_spared_and_others_take_its_load),
 	    cmocka_unit_test(test_switch_to_cold_counts_runs_just_started),
--- a/test/test_upstream_run.c
+++ b/test/test_upstream_run.c
@@ -543,6 +543,20 @@
 	talloc_free(f);
 }
 
+/* All connections are busy: another cause than an upstream that has ended. */
+static void
+test_run_without_connection_is_told_from_a_refused_one(void **state)
+{
+	struct fixture *f = *state;
+	struct ir_to_core *m;
+
+	for (int i = 0; i < CONNECTIONS; i++)
+		(void)start_run(f, "GET", "/hang", true);
+	m = run_request(f, "GET", "/ok", true);
+	assert_int_equal(m->u.result.end, IR_RUN_CONNECTION_LIMIT);
+	talloc_free(m);
+}
+
 static bool
 is_logged(const struct fixture *f, const char *text)
 {
@@ -666,6 +680,9 @@
 	    cmocka_unit_test_setup_teardown(
 		test_cancel_closes_connection, set_up, tear_down),
 	    cmocka_unit_test(test_refused_connection_is_not_connected),
+	    cmocka_unit_test_setup_teardown(
+		test_run_without_connection_is_told_from_a_refused_one, set_up,
+		tear_down),
 	    WITH_BOUND(test_answers_over_memory_bound_wait),
 	    cmocka_unit_test_setup_teardown(test_headers_over_memory_bound_wait,
 		set_up_quarter_bound, tear_down),
