Upstream: keep no more connections than were busy at once

A request that must not run twice gets a new connection, as the upstream may drop an idle one at that moment, and left it open when it was answered.

Ruled out: sending such requests on idle connections (an upstream that forgets idle connections would end them with an unknown outcome); a bound by the slots (more than the slots may run where the limit adapts); closing the connection after each such request (idempotent ones would open their own).

--- a/src/io/upstream/upstream_conn.c
+++ b/src/io/upstream/upstream_conn.c
@@ -51,6 +51,7 @@
 
 	if (c->transfer != NULL) {
 		DL_DELETE(u->busy_conns, c);
+		u->busy_count--;
 		c->transfer->conn = NULL;
 	} else {
 		DL_DELETE(u->idle_conns, c);
@@ -65,16 +66,39 @@
 	talloc_free(c);
 }
 
+static void
+close_least_recently_used(struct ir_upstream *u)
+{
+	/* In a utlist the head's prev is the tail. */
+	ir_upstream_conn_close(u->idle_conns->prev);
+}
+
+/*
+ * Closes idle connections until no more are open than were busy at once
+ * lately.
+ */
+static void
+close_excess(struct ir_upstream *u, int64_t now)
+{
+	uint32_t kept = ir_conn_demand_kept(&u->demand, now);
+
+	while (u->conn_count > kept && u->idle_conns != NULL)
+		close_least_recently_used(u);
+}
+
+/* c may be freed. */
 static void
 make_idle(struct upstream_conn *c)
 {
 	struct ir_upstream *u = c->upstream;
 
 	DL_DELETE(u->busy_conns, c);
+	u->busy_count--;
 	c->transfer->conn = NULL;
 	c->transfer = NULL;
 	c->idle_since_us = ir_clock_now();
 	DL_PREPEND(u->idle_conns, c);
+	close_excess(u, c->idle_since_us);
 }
 
 /* Closes the connection and fails its transfer, if it has one. */
@@ -528,8 +552,7 @@
 		return true;
 	if (u->idle_conns == NULL)
 		return false;
-	/* In a utlist the head's prev is the tail. */
-	ir_upstream_conn_close(u->idle_conns->prev);
+	close_least_recently_used(u);
 	return true;
 }
 
@@ -650,6 +673,8 @@
 	c->parser.data = c;
 	t->conn = c;
 	DL_APPEND(u->busy_conns, c);
+	u->busy_count++;
+	ir_conn_demand_add(&u->demand, ir_clock_now(), u->busy_count);
 	if (!c->connecting)
 		(void)send_some(c);
 }
@@ -663,4 +688,5 @@
 		if (now - c->idle_since_us >= c->max_idle_us)
 			ir_upstream_conn_close(c);
 	}
+	close_excess(u, now);
 }
--- a/src/io/upstream/upstream_conn.h
+++ b/src/io/upstream/upstream_conn.h
@@ -15,6 +15,7 @@
 #include "core/table.h"
 #include "io/upstream/upstream.h"
 #include "io/upstream/upstream_answer.h"
+#include "upstream/conn_demand.h"
 
 struct upstream_conn;
 
@@ -73,6 +74,8 @@
 	struct ir_endpoint address;
 	uint32_t max_connections;
 	uint32_t conn_count;
+	uint32_t busy_count; /* of busy_conns */
+	struct ir_conn_demand demand;
 	struct upstream_conn *idle_conns; /* most recently used first */
 	struct upstream_conn *busy_conns;
 	struct transfer *transfers;	  /* hashed by id */
@@ -97,7 +100,7 @@
 void ir_upstream_conn_close(struct upstream_conn *c);
 /* Lets all paused connections check again whether there is room to read. */
 void ir_upstream_conn_resume_reads(struct ir_upstream *u);
-/* Closes connections that were idle for their max_idle_us. */
+/* Closes connections that were idle for their max_idle_us, or are not needed. */
 void ir_upstream_conn_close_expired(struct ir_upstream *u, int64_t now);
 
 /*
--- a/test/test_upstream_run.c
+++ b/test/test_upstream_run.c
@@ -24,7 +24,7 @@
 #include <curl/curl.h>
 
 #include "io/listen.h"
-#include "io/upstream/upstream.h"
+#include "io/upstream/upstream_conn.h"
 #include "support/core_side.h"
 
 #define RING_SLOTS 64
@@ -49,6 +49,7 @@
 	pthread_t thread;
 	int listen_fd;
 	uint64_t last_id;
+	bool stopped; /* the upstream thread has ended */
 };
 
 static int requests;
@@ -306,13 +307,22 @@
 	return start(state, BOUND_BYTES / 4);
 }
 
-/* Stops the thread. Returns the bytes that are still counted as allocated. */
-static uint64_t
-stop_client(struct fixture *f)
+static void
+stop_thread(struct fixture *f)
 {
+	if (f->stopped)
+		return;
 	ir_ring_push(
 	    f->channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
 	pthread_join(f->thread, NULL);
+	f->stopped = true;
+}
+
+/* Stops the thread. Returns the bytes that are still counted as allocated. */
+static uint64_t
+stop_client(struct fixture *f)
+{
+	stop_thread(f);
 	talloc_free(f->upstream);
 	talloc_free(f->core);
 	fclose(f->log_file);
@@ -505,6 +515,18 @@
 	}
 }
 
+/* Idle connections filled the number that the upstream accepts. */
+static void
+test_connections_of_non_idempotent_requests_do_not_pile_up(void **state)
+{
+	struct fixture *f = *state;
+
+	for (int i = 0; i < 3; i++)
+		talloc_free(run_request(f, "POST", "/ok", false));
+	stop_thread(f);
+	assert_int_equal(f->upstream->conn_count, 1);
+}
+
 static void
 test_cancel_closes_connection(void **state)
 {
@@ -677,6 +699,9 @@
 	    cmocka_unit_test_setup_teardown(
 		test_non_idempotent_request_gets_new_connection, set_up,
 		tear_down),
+	    cmocka_unit_test_setup_teardown(
+		test_connections_of_non_idempotent_requests_do_not_pile_up,
+		set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		test_cancel_closes_connection, set_up, tear_down),
 	    cmocka_unit_test(test_refused_connection_is_not_connected),
