Makefile: one line for each file that is built

Link lines of 3 kB hid the messages of a build. V=1 shows the commands as before. Measured: the commands of a whole build are 345 kB (make -n), its output is now 13 kB.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,10 @@
 WRITTEN_C = $(filter-out $(GENERATED),$(ALL_C))
 WRITTEN_H = $(filter-out $(GENERATED),$(ALL_H))
 
+# One line for each file; V=1 shows the commands.
+V =
+quiet = $(if $(V),,@echo '  $1 $@';)
+
 CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc -Itest -I. \
 	$(shell pkg-config --cflags $(PKGS) cmocka)
 CFLAGS = $(OPT) $(WARN) $(SAN)
@@ -46,50 +50,50 @@
 
 $(BUILD)/obj/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+	$(call quiet,CC)$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 $(BUILD)/obj/src/link/peer_xdr.o: WARN += -Wno-unused-variable
 
 $(BUILD)/libcore.a: $(call obj,$(CORE_SRC))
 	@mkdir -p $(@D)
-	rm -f $@
-	ar rcs $@ $^
+	@rm -f $@
+	$(call quiet,AR)ar rcs $@ $^
 
 $(BUILD)/ibisraild: $(call obj,$(DAEMON_SRC) $(IO_SRC)) $(BUILD)/libcore.a
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	$(call quiet,LD)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/ibisraild-platform: $(call obj,$(PLATFORM_SRC) $(DAEMON_LIB_SRC)) \
     $(call obj,$(IO_SRC)) $(BUILD)/libcore.a
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	$(call quiet,LD)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/ibisrailctl: $(call obj,$(CTL_SRC) src/io/store/store_answer.c) \
     $(BUILD)/libcore.a
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	$(call quiet,LD)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/test/test_%: $(BUILD)/obj/test/test_%.o $(call obj,$(SUPPORT_SRC)) \
     $(call obj,$(IO_SRC) $(PLATFORM_LIB_SRC) $(FAKE_LIB_SRC)) $(BUILD)/libcore.a
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+	$(call quiet,LD)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
 $(BUILD)/test/soak: $(call obj,$(SOAK_SRC) $(SUPPORT_SRC)) \
     $(call obj,$(IO_SRC) $(FAKE_LIB_SRC)) $(BUILD)/libcore.a
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+	$(call quiet,LD)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
 $(FAKES): $(BUILD)/test/%: $(BUILD)/obj/test/fakes/%.o \
     $(call obj,$(FAKE_LIB_SRC)) $(BUILD)/libcore.a
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	$(call quiet,LD)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/bench/capacity: $(BUILD)/obj/bench/capacity.o \
     $(call obj,$(CAPACITY_SRC)) $(BUILD)/libcore.a
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	$(call quiet,LD)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/bench/%: $(BUILD)/obj/bench/%.o \
     $(call obj,$(SUPPORT_SRC) $(IO_SRC) $(FAKE_LIB_SRC)) $(BUILD)/libcore.a
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+	$(call quiet,LD)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
 check: all
 	BUILD=$(BUILD) sh test/run.sh
@@ -132,7 +136,8 @@
 
 $(BUILD)/tidy/%.ok: %.c $(WRITTEN_H) .clang-tidy
 	@mkdir -p $(@D)
-	clang-tidy --quiet $< -- -std=gnu11 $(CPPFLAGS) 2>$@.err || \
+	$(call quiet,TIDY)clang-tidy --quiet $< -- -std=gnu11 $(CPPFLAGS) \
+	    2>$@.err || \
 	    { cat $@.err; exit 1; }
 	@touch $@
 
