Gate: finds from latency whether a few slots are better left free

Some services take longer for each run when nearly all of their slots are in use. 95% of the slots were used where upstreams report their speed, all elsewhere, whatever the service. On the shifted finder the stock service, of which every call tree needs four or eight calls, ran at all of its slots and turned a third of its capacity away.

Where an upstream reports its slots, with a speed or without, the gate now leaves 5% free (none below ten) and tries from time to time whether all slots serve more: windows of both in turn, mean latency without waits for callees (knee.c). A trial that finds too few runs changes nothing.

--- a/src/upstream/gate.c
+++ b/src/upstream/gate.c
@@ -3,6 +3,7 @@
 
 #include "core/random.h"
 #include "ibisrail/limits.h"
+#include "upstream/knee.h"
 #include "upstream/queue.h"
 #include "upstream/ramp.h"
 #include "upstream/rate_cap.h"
@@ -25,12 +26,6 @@
 #define EXPIRY_INTERVAL_US IR_US_PER_MS
 /* How long an empty flow keeps its credit and shed level. */
 #define FLOW_IDLE_US (10 * IR_US_PER_S)
-/*
- * Some services take 1.3 times as long beyond 95% of their slots, which costs
- * more than the slots left free. With few slots one of them costs more.
- */
-#define USED_SLOTS_PERCENT 95
-#define MIN_SLOTS_LEFT_FREE 10
 /* Retry times that are sent with refusals. */
 #define RETRY_BASE_US (50 * IR_US_PER_MS)
 #define MIN_RETRY_MS 10
@@ -49,6 +44,7 @@
 	struct ir_rate_cap rate_cap; /* named by the upstream itself */
 	bool ramp_enabled;
 	struct ir_ramp ramp;
+	struct ir_knee knee;
 	double mean_run_us;   /* moving average; includes waits for callees */
 	uint32_t slots_bound; /* by the upstream's reports; 0: none */
 	double slowdown;      /* by the upstream's reports; 0: unknown */
@@ -117,8 +113,6 @@
 void
 ir_gate_set_report(struct ir_gate *g, uint32_t slots, double slowdown)
 {
-	if (slots >= MIN_SLOTS_LEFT_FREE)
-		slots = (uint32_t)((uint64_t)slots * USED_SLOTS_PERCENT / 100);
 	g->slots_bound = slots;
 	g->slowdown = slowdown;
 }
@@ -161,7 +155,11 @@
 static uint32_t
 regular_limit(const struct ir_gate *g)
 {
-	return bounded(g, limit_without_bound(g));
+	uint32_t limit = bounded(g, limit_without_bound(g));
+
+	if (g->slots_bound == 0 || limit < g->slots_bound)
+		return limit;
+	return ir_knee_limit(&g->knee, limit);
 }
 
 /*
@@ -477,6 +475,20 @@
 	update_mean(&g->mean_work_us, (double)work_us / slowdown);
 }
 
+/* Takes the run's work at the usual speed, as the present one changes. */
+static void
+update_knee(
+    struct ir_gate *g, int64_t now, const struct ir_work *w, int64_t run_us)
+{
+	double slowdown = g->slowdown > 0 ? g->slowdown : 1;
+
+	if (w->start_slowdown > 0)
+		slowdown = (slowdown + w->start_slowdown) / 2;
+	ir_knee_run_ended(&g->knee, now, w->started_us,
+	    (double)(run_us - w->callee_wait_us) / slowdown, g->running,
+	    g->slots_bound);
+}
+
 static void
 update_mean_run_time(struct ir_gate *g, const struct ir_work *w, int64_t run_us)
 {
@@ -512,8 +524,10 @@
 {
 	int64_t run_us = now - w->started_us;
 
-	if (s == IR_SAMPLE_OK)
+	if (s == IR_SAMPLE_OK) {
 		update_mean_run_time(g, w, run_us);
+		update_knee(g, now, w, run_us);
+	}
 	if (s == IR_SAMPLE_CALLEE_REFUSED)
 		count_wasted_run(g, now, w);
 	/* Time spent waiting for callees does not depend on this upstream. */
--- a/src/upstream/load_report.c
+++ b/src/upstream/load_report.c
@@ -93,8 +93,10 @@
 		l->reports_speed = r.work_percent != 0;
 		return appeared ? IR_LOAD_REPORT_APPEARED : IR_LOAD_REPORT_SAME;
 	}
-	if (!l->reports_speed ||
-	    now - l->received_us <= IR_LOAD_REPORT_VALID_US)
+	if (now - l->received_us <= IR_LOAD_REPORT_VALID_US)
+		return IR_LOAD_REPORT_SAME;
+	l->report.slots = 0;
+	if (!l->reports_speed)
 		return IR_LOAD_REPORT_SAME;
 	l->reports_speed = false;
 	return IR_LOAD_REPORT_DISAPPEARED;
@@ -103,7 +105,7 @@
 uint32_t
 ir_upstream_load_slots(const struct ir_upstream_load *l)
 {
-	return l->reports_speed ? l->report.slots : 0;
+	return l->report.slots;
 }
 
 double
--- a/src/upstream/load_report.h
+++ b/src/upstream/load_report.h
@@ -53,8 +53,8 @@
     int64_t now, const char *header, const struct ir_header *headers,
     size_t count, bool *refused);
 /*
- * Slots of an upstream that reports its speed; 0: unknown. Unlike the speed
- * they do not expire while there are no answers.
+ * Slots that the upstream reports; 0: unknown. Unlike the speed they do not
+ * expire while there are no answers.
  */
 uint32_t ir_upstream_load_slots(const struct ir_upstream_load *l);
 /* Present duration of work, 1.0 is usual; 0: unknown. */
