Throttle: routes with few runs recover sooner

After a failure of a callee the admitted fraction of a route rises by a step a window.

A window now ends after 400 ms with any number of runs, if that is as long as a run takes.

Test: fails before (a quarter admitted after three seconds).

--- a/src/upstream/throttle.c
+++ b/src/upstream/throttle.c
@@ -8,7 +8,9 @@
 /* A shorter window of quick runs shows too little. */
 #define MIN_WINDOW_US (200 * IR_US_PER_MS)
 #define MIN_WINDOW_RUNS 8
-/* A window ends after this time, even with fewer than MIN_WINDOW_RUNS. */
+/* A window as long as a run ends after this time, even with fewer. */
+#define SPARSE_WINDOW_US (400 * IR_US_PER_MS)
+/* A window ends after this time, however long a run takes. */
 #define MAX_WINDOW_US IR_US_PER_S
 /* Single wasted runs are not a sign of overload. */
 #define TOLERATED_WASTE 0.1
@@ -131,8 +133,10 @@
 
 	if (age_us >= MAX_WINDOW_US)
 		return true;
-	return r->run_count >= MIN_WINDOW_RUNS && age_us >= MIN_WINDOW_US &&
-	       (double)age_us >= r->mean_run_us;
+	if ((double)age_us < r->mean_run_us)
+		return false;
+	return age_us >= SPARSE_WINDOW_US ||
+	       (r->run_count >= MIN_WINDOW_RUNS && age_us >= MIN_WINDOW_US);
 }
 
 static void
--- a/test/test_throttle.c
+++ b/test/test_throttle.c
@@ -108,6 +108,30 @@
 	talloc_free(t);
 }
 
+/*
+ * Hosts that start few requests of a route recovered a second a step. Of 40
+ * requests a second those that are admitted run for 200 ms, and succeed.
+ */
+static void
+test_share_of_a_route_with_few_runs_recovers_within_three_seconds(void **state)
+{
+	struct ir_throttle *t = ir_throttle_new(NULL);
+	uint64_t random = 1;
+	int64_t now = 0, end_us;
+
+	for (int i = 0; i < 40; i++)
+		now = end_runs(t, now, 20, 0);
+	for (end_us = now + 3 * IR_US_PER_S; now < end_us; now += 25 * MS) {
+		uint32_t rank = ir_random_below(&random, IR_RANK_MASK);
+
+		if (ir_throttle_admits(t, now, ROUTE, rank, "a", 1))
+			ir_throttle_run_ended(
+			    t, now + 200 * MS, ROUTE, false, 200 * MS);
+	}
+	assert_int_equal(count_admitted(t, now, ROUTE), 256);
+	talloc_free(t);
+}
+
 /*
  * The share is adjusted once per run time: runs that end earlier were started
  * before the last adjustment.
@@ -239,6 +263,8 @@
 		test_wasted_runs_lower_the_share_of_their_route_only),
 	    cmocka_unit_test(test_share_recovers),
 	    cmocka_unit_test(test_share_recovers_within_two_seconds),
+	    cmocka_unit_test(
+		test_share_of_a_route_with_few_runs_recovers_within_three_seconds),
 	    cmocka_unit_test(test_windows_last_as_long_as_runs),
 	    cmocka_unit_test(test_callee_overload_keeps_goodput),
 	    cmocka_unit_test(
