--- a/Makefile
+++ b/Makefile
@@ -129,10 +129,10 @@
 	cd src/link && rpcgen -N -M -c peer.x > peer_xdr.c
 
 format:
-	clang-format -i $(WRITTEN_C) $(WRITTEN_H)
+	@clang-format -i $(WRITTEN_C) $(WRITTEN_H)
 
 format-check:
-	clang-format --dry-run -Werror $(WRITTEN_C) $(WRITTEN_H)
+	@clang-format --dry-run -Werror $(WRITTEN_C) $(WRITTEN_H)
 
 $(BUILD)/tidy/%.ok: %.c $(WRITTEN_H) .clang-tidy
 	@mkdir -p $(@D)
@@ -144,7 +144,7 @@
 tidy: $(patsubst %.c,$(BUILD)/tidy/%.ok,$(WRITTEN_C))
 
 lint: tidy
-	cppcheck -q -j 4 --std=c11 --error-exitcode=1 --inline-suppr \
+	$(call quiet,CPPCHECK)cppcheck -q -j 4 --std=c11 --error-exitcode=1 --inline-suppr \
 	    --enable=warning,performance,portability -Iinclude -Isrc -Itest \
 	    --suppress=missingIncludeSystem --suppress=uninitvar \
 	    --include=.ci/cppcheck-macros.h $(WRITTEN_C)
--- a/src/io/upstream/upstream_conn.h
+++ b/src/io/upstream/upstream_conn.h
@@ -25,7 +25,7 @@
 	struct ir_upstream *upstream;
 	struct ir_from_core *run_message; /* IR_FROM_CORE_RUN, owned */
 	struct upstream_conn *conn;	  /* NULL while it has none */
-	bool send_started; /* bytes of the request were given to a socket */
+	bool send_started;     /* bytes of the request were given to a socket */
 	bool connection_limit; /* see IR_RUN_CONNECTION_LIMIT */
 	struct ir_upstream_memory memory;
 	struct ir_upstream_answer answer;
@@ -100,7 +100,7 @@
 void ir_upstream_conn_close(struct upstream_conn *c);
 /* Lets all paused connections check again whether there is room to read. */
 void ir_upstream_conn_resume_reads(struct ir_upstream *u);
-/* Closes connections that were idle for their max_idle_us, or are not needed. */
+/* Closes connections that were idle for too long, or are not needed. */
 void ir_upstream_conn_close_expired(struct ir_upstream *u, int64_t now);
 
 /*
