--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -342,6 +342,7 @@
  * both shed levels are UINT32_MAX, so that they send no new work.
  */
 struct ir_load node_load(struct ir_node *n, int64_t now, const char *account);
+
 /* evacuation.c */
 /* Whether the zone of this host is evacuated, as far as the host is listed. */
 bool evacuation_is_here(struct ir_node *n);
--- a/src/core/links.c
+++ b/src/core/links.c
@@ -1,5 +1,4 @@
-/* Links to peers: greetings, heartbeats, loss, and work on messages that wait.
- */
+/* Links to peers: greetings, heartbeats, loss; messages that had no room. */
 #include <string.h>
 
 #include "core/internal.h"
