--- a/Makefile
+++ b/Makefile
@@ -96,11 +96,12 @@
 	$(call quiet,LD)$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
 check: all
-	BUILD=$(BUILD) sh test/run.sh
+	@BUILD=$(BUILD) sh test/core_order.sh
+	@BUILD=$(BUILD) sh test/run.sh
 
 # Tests with real processes under faults; takes about a minute.
 process: all
-	BUILD=$(BUILD) PROCESS=1 sh test/run.sh
+	@BUILD=$(BUILD) PROCESS=1 sh test/run.sh
 
 # Randomized soak test of real processes: make soak SEEDS="1 2 3" SECONDS=20
 SEEDS = $(shell date +%s)
