Gate: an upstream that breaks many runs counts as full too

Broken ones now count as well; the module is named for both (bad_runs.c).

Ruled out: failures that upstreams answer themselves (500): they may be those of their callees.

Test: fails before, as only refusals counted.

--- a/src/upstream/gate.c
+++ b/src/upstream/gate.c
@@ -3,11 +3,11 @@
 
 #include "core/random.h"
 #include "ibisrail/limits.h"
+#include "upstream/bad_runs.h"
 #include "upstream/knee.h"
 #include "upstream/queue.h"
 #include "upstream/ramp.h"
 #include "upstream/rate_cap.h"
-#include "upstream/refusals.h"
 #include "upstream/shed.h"
 
 /* Weight of a new run in the moving average of run times. */
@@ -46,7 +46,7 @@
 	bool ramp_enabled;
 	struct ir_ramp ramp;
 	struct ir_knee knee;
-	struct ir_refusals refusals;
+	struct ir_bad_runs bad_runs;
 	double mean_run_us;   /* moving average; includes waits for callees */
 	uint32_t slots_bound; /* by the upstream's reports; 0: none */
 	double slowdown;      /* by the upstream's reports; 0: unknown */
@@ -533,7 +533,8 @@
 	if (s == IR_SAMPLE_CALLEE_REFUSED)
 		count_wasted_run(g, now, w);
 	if (s != IR_SAMPLE_IGNORED)
-		ir_refusals_add(&g->refusals, now, s == IR_SAMPLE_SHED);
+		ir_bad_runs_add(&g->bad_runs, now,
+		    s == IR_SAMPLE_SHED || s == IR_SAMPLE_FAILED);
 	/* Time spent waiting for callees does not depend on this upstream. */
 	ir_limit_sample(
 	    &g->limit, now, s, run_us - w->callee_wait_us, g->running);
@@ -591,8 +592,8 @@
 }
 
 /*
- * A gate that may not start a run now, or whose upstream refuses many, has as
- * much work as its limit, so that balancers prefer other hosts.
+ * A gate that may not start a run now, or whose upstream refuses or breaks
+ * many, has as much work as its limit, so that balancers prefer other hosts.
  */
 static void
 show_as_full(struct ir_load *load)
@@ -633,7 +634,7 @@
 	if (g->policy == IR_GATE_BASELINE)
 		return load;
 	if (ir_rate_cap_wait_us(&g->rate_cap, now, 1) > 0 ||
-	    ir_refusals_are_frequent(&g->refusals, now))
+	    ir_bad_runs_are_frequent(&g->bad_runs, now))
 		show_as_full(&load);
 	load.shed_level = ir_shed_level(&g->shed);
 	load.account_shed_level =
--- a/test/test_gate.c
+++ b/test/test_gate.c
@@ -695,15 +695,13 @@
 
 /* It seemed to have the most room, and got more than its share. */
 static void
-test_gate_whose_upstream_refuses_half_shows_itself_full(void **state)
+expect_full_while_half_end_so(struct fixture *f, enum ir_sample bad)
 {
-	struct fixture *f = *state;
 	struct ir_load l = ir_gate_load(f->gate, f->now, "");
 
 	assert_true(l.running + l.queued < l.limit);
 	for (int n = 0; n < 50; n++)
-		finish(
-		    f, offer(f, 0), n % 2 == 0 ? IR_SAMPLE_SHED : IR_SAMPLE_OK);
+		finish(f, offer(f, 0), n % 2 == 0 ? bad : IR_SAMPLE_OK);
 	l = ir_gate_load(f->gate, f->now, "");
 	assert_true(l.running + l.queued >= l.limit);
 	f->now += 2 * IR_US_PER_S;
@@ -711,6 +709,18 @@
 	assert_true(l.running + l.queued < l.limit);
 }
 
+static void
+test_gate_whose_upstream_refuses_half_shows_itself_full(void **state)
+{
+	expect_full_while_half_end_so(*state, IR_SAMPLE_SHED);
+}
+
+static void
+test_gate_whose_upstream_breaks_half_shows_itself_full(void **state)
+{
+	expect_full_while_half_end_so(*state, IR_SAMPLE_FAILED);
+}
+
 static void
 test_reported_slots_bound_the_limit_from_above_only(void **state)
 {
@@ -800,6 +810,7 @@
 	    GATE_TEST(test_time_of_callees_does_not_follow_the_speed),
 	    GATE_TEST(test_gate_without_reported_speed_reports_plain_run_time),
 	    GATE_TEST(test_gate_whose_upstream_refuses_half_shows_itself_full),
+	    GATE_TEST(test_gate_whose_upstream_breaks_half_shows_itself_full),
 	    GATE_TEST(test_reported_slots_bound_the_limit_from_above_only),
 	    GATE_TEST(test_deadlines_follow_the_reported_speed),
 	    GATE_TEST(test_serves_accounts_by_weight),
