Test of upstream runs: threads of the server end before the next test

Traced: the new test of the connection limit ended while its server still read the eight requests that hang, and the next test set the counter to 0 without the lock. It also left eight posts on the semaphore that later tests wait for.

The test waits until all were read, cancels them and waits for their ends. The program under test is not touched.

--- a/test/test_upstream_run.c
+++ b/test/test_upstream_run.c
@@ -374,6 +374,15 @@
 	return start_run_with_body(f, method, path, idempotent, 0);
 }
 
+static void
+cancel_run(struct fixture *f, uint64_t id)
+{
+	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_CANCEL_RUN);
+
+	m->id = id;
+	ir_ring_push(f->channel->from_core, m);
+}
+
 /* The next message to the core; waits without a limit. */
 static struct ir_to_core *
 next_message(struct fixture *f)
@@ -532,13 +541,10 @@
 {
 	struct fixture *f = *state;
 	uint64_t id = start_run(f, "GET", "/hang", true);
-	struct ir_from_core *m;
 
 	while (request_count() == 0)
 		sched_yield();
-	m = ir_from_core_new(IR_FROM_CORE_CANCEL_RUN);
-	m->id = id;
-	ir_ring_push(f->channel->from_core, m);
+	cancel_run(f, id);
 	assert_int_equal(sem_wait(&hang_closed), 0);
 	assert_true(ir_ring_empty(f->channel->to_core));
 }
@@ -570,13 +576,21 @@
 test_run_without_connection_is_told_from_a_refused_one(void **state)
 {
 	struct fixture *f = *state;
+	uint64_t ids[CONNECTIONS];
 	struct ir_to_core *m;
 
 	for (int i = 0; i < CONNECTIONS; i++)
-		(void)start_run(f, "GET", "/hang", true);
+		ids[i] = start_run(f, "GET", "/hang", true);
 	m = run_request(f, "GET", "/ok", true);
 	assert_int_equal(m->u.result.end, IR_RUN_CONNECTION_LIMIT);
 	talloc_free(m);
+	/* The server's threads must have ended before the next test. */
+	while (request_count() < CONNECTIONS)
+		sched_yield();
+	for (int i = 0; i < CONNECTIONS; i++)
+		cancel_run(f, ids[i]);
+	for (int i = 0; i < CONNECTIONS; i++)
+		assert_int_equal(sem_wait(&hang_closed), 0);
 }
 
 static bool
@@ -663,16 +677,13 @@
 {
 	struct fixture *f = *state;
 	uint64_t id = start_run(f, "GET", "/hang", true);
-	struct ir_from_core *m;
 
 	while (request_count() == 0)
 		sched_yield();
 	assert_in_range(
 	    ir_memory_held(&f->memory, IR_MEMORY_UPSTREAM), 1, BOUND_BYTES);
 	assert_int_equal(ir_memory_held(&f->memory, IR_MEMORY_RINGS), 0);
-	m = ir_from_core_new(IR_FROM_CORE_CANCEL_RUN);
-	m->id = id;
-	ir_ring_push(f->channel->from_core, m);
+	cancel_run(f, id);
 	assert_int_equal(sem_wait(&hang_closed), 0);
 	expect_run_end(f, "/none", IR_RUN_ANSWERED);
 	assert_int_equal(ir_memory_held(&f->memory, IR_MEMORY_UPSTREAM), 0);
