--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -592,16 +592,17 @@
 }
 
 static bool
-answer_store(int fd, int status, const char *body)
+answer_store(
+    const struct store *s, int fd, int status, const char *body)
 {
 	char head[256];
 
 	snprintf(head, sizeof(head),
 	    "HTTP/1.1 %d Answer\r\nContent-Type: application/json\r\n"
-	    "Content-Length: %zu\r\n\r\n",
-	    status, strlen(body));
+	    "%sContent-Length: %zu\r\n\r\n",
+	    status, s->closes ? "Connection: close\r\n" : "", strlen(body));
 	return send_all(fd, head, strlen(head)) &&
-	       send_all(fd, body, strlen(body));
+	       send_all(fd, body, strlen(body)) && !s->closes;
 }
 
 static bool
@@ -629,7 +630,7 @@
 	pthread_mutex_unlock(&s->lock);
 	if (wait_while_silent(silent))
 		return false;
-	return answer_store(fd, found ? 200 : 404, found ? out : "{}");
+	return answer_store(s, fd, found ? 200 : 404, found ? out : "{}");
 }
 
 static int
@@ -674,7 +675,7 @@
 	pthread_mutex_unlock(&s->lock);
 	if (wait_while_silent(silent))
 		return false;
-	return answer_store(fd, 200, out);
+	return answer_store(s, fd, 200, out);
 }
 
 /* Appends the events after a revision; returns how many. */
@@ -759,7 +760,7 @@
 	pthread_mutex_unlock(&s->lock);
 	if (cut || wait_while_silent(silent))
 		return false;
-	return gone ? answer_store(fd, 410, "{}") : answer_store(fd, 200, out);
+	return gone ? answer_store(s, fd, 410, "{}") : answer_store(s, fd, 200, out);
 }
 
 /* What is asked or would be answered during a cut is lost. */
@@ -785,7 +786,7 @@
 		else if (strncmp(path, "/api/kv-watch?", 14) == 0)
 			more = answer_watch(s, fd, path, out, silent);
 		else
-			more = answer_store(fd, 404, "{}");
+			more = answer_store(s, fd, 404, "{}");
 		free(m.body);
 	}
 	free(out);
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -82,6 +82,7 @@
 	unsigned answered[STORE_CALLS];
 	unsigned reads_at[MAX_NODES]; /* calls at each further address */
 	bool silent_at[MAX_NODES];    /* calls there get no answer */
+	bool closes;		      /* each connection after one answer */
 	/* Called with the lock held before a call is answered; may be NULL. */
 	void (*before_answer)(struct store *s, enum store_call call);
 };
