--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -1167,12 +1167,16 @@
 	int count;
 };
 
+static int64_t next_poll_ms;
+
 static void *
 poll_nodes(void *ctx)
 {
 	struct readiness_poll *p = ctx;
 
 	for (;;) {
+		__atomic_store_n(
+		    &next_poll_ms, now_ms() + 1000, __ATOMIC_RELEASE);
 		for (int i = 0; i < p->count; i++) {
 			struct node *n = p->node[i];
 			bool ready;
@@ -1187,11 +1191,17 @@
 			else if (n->ready_ms == 0)
 				n->ready_ms = now_ms();
 		}
-		sleep_ms(1000);
+		sleep_until(next_poll_ms);
 	}
 	return NULL;
 }
 
+void
+wait_for_readiness_poll(int64_t ms)
+{
+	sleep_until(__atomic_load_n(&next_poll_ms, __ATOMIC_ACQUIRE) + ms);
+}
+
 void
 poll_readiness(struct node *const *list, int count)
 {
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -151,6 +151,8 @@
 bool node_is_ready(struct node *n);
 /* Asks each node for its readiness once a second, as the platform does. */
 void poll_readiness(struct node *const *nodes, int count);
+/* Waits until ms after the next time at which it asks. */
+void wait_for_readiness_poll(int64_t ms);
 void wait_until_ready(struct node *const *nodes, int count, int64_t limit_ms);
 
 /* A request of a client, on a new connection. */
