--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -19,8 +19,8 @@
 
 #define MAX_ITEMS 64
 #define MAX_EVENTS 4096
-#define MAX_INSTANCES 8
-#define MAX_NODES 8
+#define MAX_INSTANCES 12
+#define MAX_NODES 12
 #define HEAD_BYTES 16384
 
 enum { EXIT_HELD = 0, EXIT_BROKEN = 1, EXIT_CANNOT_RUN = 2 };
