--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -537,7 +537,10 @@
 void
 store_compact(struct store *s)
 {
+	__atomic_store_n(&s->deaf, true, __ATOMIC_RELEASE);
+	sleep_ms(1000);
 	pthread_mutex_lock(&s->lock);
+	s->deaf = false;
 	s->forgotten = s->revision;
 	s->watch_epoch++;
 	pthread_cond_broadcast(&s->changed);
@@ -739,7 +742,8 @@
 		cut = s->watch_epoch != epoch;
 		gone = after < s->forgotten;
 		at = (size_t)snprintf(out, ANSWER_BYTES, "{\"events\":[");
-		n = gone || cut ? 0 : append_events(s, after, prefix, out, &at);
+		if (!gone && !cut && !s->deaf)
+			n = append_events(s, after, prefix, out, &at);
 		if (cut || gone || n > 0 || now_ms() >= until ||
 		    client_left(fd))
 			break;
@@ -1059,7 +1063,8 @@
 	replace(text, sizeof(text), "{{bounds.quota_slack}}", "20");
 	replace(text, sizeof(text), "{{bounds.quota_window_s}}", "5");
 	replace(text, sizeof(text), "{{zones|json}}",
-	    "{\"sierra-cuenca\":\"sierra\",\"sierra-quito\":\"sierra\"}");
+	    "{\"sierra-cuenca\":\"sierra\",\"costa-guayaquil\":\"costa\","
+	    "\"sierra-quito\":\"sierra\",\"costa-manta\":\"costa\"}");
 	if (strstr(text, "{{") != NULL)
 		cannot_run("a placeholder is left in the settings");
 	f = fopen(n->settings_file, "w");
@@ -1329,7 +1334,8 @@
 		snprintf(n->address, sizeof(n->address), "%s", s->address);
 		snprintf(n->service, sizeof(n->service), "%s", s->service);
 		snprintf(n->zone, sizeof(n->zone), "%s", s->zone);
-		snprintf(n->region, sizeof(n->region), "sierra");
+		snprintf(n->region, sizeof(n->region), "%.*s",
+		    (int)strcspn(n->zone, "-"), n->zone);
 		snprintf(n->application_address,
 		    sizeof(n->application_address), "%s:%u", s->address,
 		    s->port);
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -78,6 +78,7 @@
 	uint64_t revision;
 	uint64_t forgotten;   /* history up to this revision is gone */
 	unsigned watch_epoch; /* raised by store_cut_watches() */
+	bool deaf;	      /* watches hear nothing */
 	int waiting;	      /* watches that wait now */
 	unsigned answered[STORE_CALLS];
 	unsigned reads_at[MAX_NODES]; /* calls at each further address */
@@ -97,7 +98,10 @@
 uint64_t store_put_locked(struct store *s, const char *key, const char *value);
 /* Cuts the watches that are waiting. */
 void store_cut_watches(struct store *s);
-/* Forgets the history; watches after an earlier revision get 410. */
+/*
+ * Forgets the history: watches hear nothing for a second, then they are cut,
+ * and those after an earlier revision get 410.
+ */
 void store_compact(struct store *s);
 
 /* An instance. */
