--- a/review/1/case.c
+++ b/review/1/case.c
@@ -30,8 +30,11 @@
 static int
 request(struct node *n, const char *key)
 {
-	struct call c = {.method = "GET", .host = "hulo84.example",
-	    .path = "/leny950/2f", .key = key, .deadline_ms = 6000};
+	struct call c = {.method = "GET",
+	    .host = "hulo84.example",
+	    .path = "/leny950/2f",
+	    .key = key,
+	    .deadline_ms = 6000};
 
 	call_run(n, &c);
 	record("client: %s at %s, key %s: status %d", c.id, n->address,
@@ -124,5 +127,5 @@
 	record("%d requests with the dropped key ran, sent over %d ms after "
 	       "the ack",
 	    stale, CONFIG_APPLY_MS);
-	return finish(stale == 0 ? EXIT_HELD : EXIT_BROKEN);
+	finish(stale == 0 ? EXIT_HELD : EXIT_BROKEN);
 }
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -50,8 +50,11 @@
 static int
 request(struct node *n, const char *key)
 {
-	struct call c = {.method = "GET", .host = "hulo84.example",
-	    .path = "/leny950/2f", .key = key, .deadline_ms = 6000};
+	struct call c = {.method = "GET",
+	    .host = "hulo84.example",
+	    .path = "/leny950/2f",
+	    .key = key,
+	    .deadline_ms = 6000};
 
 	call_run(n, &c);
 	record("client: %s at %s, key %s: status %d", c.id, n->address, key,
@@ -107,5 +110,5 @@
 	deployment_start(&d);
 	for (int round = 1; round <= ROUNDS && stale == 0; round++)
 		stale = run_round(round);
-	return finish(stale == 0 ? EXIT_HELD : EXIT_BROKEN);
+	finish(stale == 0 ? EXIT_HELD : EXIT_BROKEN);
 }
--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -113,14 +114,13 @@
 	_exit(EXIT_CANNOT_RUN);
 }
 
-int
+void
 finish(int code)
 {
 	end_nodes();
 	remove_files();
 	record("exit code %d", code);
-	fflush(record_file);
-	return code;
+	_exit(code);
 }
 
 static void *
@@ -198,8 +198,8 @@
 {
 	int pid = (int)getpid();
 
-	snprintf(out, size, "127.%d.%d.%d", 64 + pid % 128,
-	    1 + pid / 128 % 250, last);
+	snprintf(out, size, "127.%d.%d.%d", 64 + pid % 128, 1 + pid / 128 % 250,
+	    last);
 }
 
 uint16_t
@@ -586,17 +586,16 @@
 {
 	static __thread char encoded[65536];
 
-	return at +
-	       (size_t)snprintf(out + at, ANSWER_BYTES - at,
-		   "%s{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%lu,"
-		   "\"created\":%lu,\"lease\":0}",
-		   out[at - 1] == '[' ? "" : ",", key, base64(value, encoded),
-		   (unsigned long)revision, (unsigned long)created);
+	return at + (size_t)snprintf(out + at, ANSWER_BYTES - at,
+			"%s{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%lu,"
+			"\"created\":%lu,\"lease\":0}",
+			out[at - 1] == '[' ? "" : ",", key,
+			base64(value, encoded), (unsigned long)revision,
+			(unsigned long)created);
 }
 
 static bool
-answer_store(
-    const struct store *s, int fd, int status, const char *body)
+answer_store(const struct store *s, int fd, int status, const char *body)
 {
 	char head[256];
 
@@ -609,8 +608,8 @@
 }
 
 static bool
-answer_key(struct store *s, int fd, const char *path, char *out,
-    const bool *silent)
+answer_key(
+    struct store *s, int fd, const char *path, char *out, const bool *silent)
 {
 	static __thread char encoded[65536];
 	struct item *i;
@@ -645,8 +644,8 @@
 }
 
 static bool
-answer_range(struct store *s, int fd, const char *path, char *out,
-    const bool *silent)
+answer_range(
+    struct store *s, int fd, const char *path, char *out, const bool *silent)
 {
 	struct item *list[MAX_ITEMS];
 	char prefix[256], after[256];
@@ -683,8 +682,8 @@
 
 /* Appends the events after a revision; returns how many. */
 static int
-append_events(struct store *s, uint64_t after, const char *prefix, char *out,
-    size_t *at)
+append_events(
+    struct store *s, uint64_t after, const char *prefix, char *out, size_t *at)
 {
 	int n = 0;
 
@@ -717,8 +716,8 @@
 }
 
 static bool
-answer_watch(struct store *s, int fd, const char *path, char *out,
-    const bool *silent)
+answer_watch(
+    struct store *s, int fd, const char *path, char *out, const bool *silent)
 {
 	char prefix[256], text[32];
 	uint64_t after;
@@ -764,7 +763,8 @@
 	pthread_mutex_unlock(&s->lock);
 	if (cut || wait_while_silent(silent))
 		return false;
-	return gone ? answer_store(s, fd, 410, "{}") : answer_store(s, fd, 200, out);
+	return gone ? answer_store(s, fd, 410, "{}")
+		    : answer_store(s, fd, 200, out);
 }
 
 /* What is asked or would be answered during a cut is lost. */
@@ -905,8 +905,8 @@
 		i->on_run(i, path, id);
 	ms = i->work_ms_of != NULL ? i->work_ms_of(i, path) : i->work_ms;
 	if (!work(fd, ms)) {
-		record("instance %s: connection of %s closed, dropped", i->id,
-		    id);
+		record(
+		    "instance %s: connection of %s closed, dropped", i->id, id);
 		return false;
 	}
 	record("instance %s: answers %s with 200, %zu bytes", i->id, id,
@@ -1098,13 +1098,15 @@
 	snprintf(n->log_file, sizeof(n->log_file), "%s/%s.log", temporary,
 	    n->address);
 	write_settings(n, s);
-	snprintf(variable, sizeof(variable), "IBISRAIL_CONFIG=%s",
-	    n->settings_file);
+	snprintf(
+	    variable, sizeof(variable), "IBISRAIL_CONFIG=%s", n->settings_file);
 	register_node(n);
 	fd = open(n->log_file, O_WRONLY | O_CREAT | O_APPEND, 0600);
 	n->ended = false;
 	n->pid = fork();
 	if (n->pid == 0) {
+		/* Nodes don't outlive this program. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
 		execve(argv[0], argv, envp);
@@ -1336,9 +1338,8 @@
 		snprintf(n->zone, sizeof(n->zone), "%s", s->zone);
 		snprintf(n->region, sizeof(n->region), "%.*s",
 		    (int)strcspn(n->zone, "-"), n->zone);
-		snprintf(n->application_address,
-		    sizeof(n->application_address), "%s:%u", s->address,
-		    s->port);
+		snprintf(n->application_address, sizeof(n->application_address),
+		    "%s:%u", s->address, s->port);
 		n->callers_port = callers;
 		n->peers_port = peers;
 		n->ready_port = ready;
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -23,12 +23,16 @@
 #define MAX_NODES 12
 #define HEAD_BYTES 16384
 
-enum { EXIT_HELD = 0, EXIT_BROKEN = 1, EXIT_CANNOT_RUN = 2 };
+enum {
+	EXIT_HELD = 0,
+	EXIT_BROKEN = 1,
+	EXIT_CANNOT_RUN = 2
+};
 
 /* Reads TROUBLE from the environment; opens record.txt in dir. */
 void setup(const char *dir);
-/* Ends all nodes and returns code, or 2 if a stand-in failed. */
-int finish(int code);
+/* Ends all nodes and this program. */
+void finish(int code) __attribute__((noreturn));
 /* False when the script runs without its disruption (TROUBLE=0). */
 extern bool trouble;
 int64_t now_ms(void);
@@ -45,11 +49,16 @@
 };
 
 /* Copies the value of a header to out; false if there is none. */
-bool header_get(const struct message *m, const char *name, char *out,
-    size_t size);
+bool header_get(
+    const struct message *m, const char *name, char *out, size_t size);
 
 /* The store of the platform, form "read". */
-enum store_call { STORE_KEY, STORE_RANGE, STORE_WATCH, STORE_CALLS };
+enum store_call {
+	STORE_KEY,
+	STORE_RANGE,
+	STORE_WATCH,
+	STORE_CALLS
+};
 
 struct item {
 	char key[201];
@@ -142,7 +151,6 @@
 	char platform_address[48]; /* "": that of the store */
 	char settings_file[256];
 	char log_file[256];
-	int grace_s;
 	pid_t pid;
 	bool ended;
 	int64_t ended_ms;
