--- a/review/3/case.c
+++ b/review/3/case.c
@@ -9,10 +9,12 @@
 
 #define KEPT_KEY "6wsjnbanfqasnmgkcuyj"
 #define NODES 4
-#define ROUNDS 9
+#define ROUNDS 14
 #define CHANGE_AFTER_MS 150
 /* In touch again: stability_window_ms after the loss, and a second more. */
 #define IN_TOUCH_MS 4000
+/* A round ends if no node serves the dropped key by then. */
+#define LOOK_MS 2600
 /* Requests are sent for this long. */
 #define ASK_MS 3500
 #define ASK_GAP_MS 500
@@ -68,7 +70,7 @@
 {
 	char key[32];
 	int64_t from;
-	int stale = 0;
+	int served = 0, stale = 0;
 
 	snprintf(key, sizeof(key), "k%019d", round);
 	change_config(key);
@@ -84,6 +86,13 @@
 	sleep_until(now_ms() + CHANGE_AFTER_MS);
 	change_config(NULL);
 	from = now_ms() + IN_TOUCH_MS;
+	sleep_until(from - IN_TOUCH_MS + LOOK_MS);
+	for (int i = 0; i < NODES; i++)
+		served += request(&d.node[i], key) == 200;
+	if (served == 0) {
+		record("round %d: no node serves the dropped key", round);
+		return 0;
+	}
 	for (int64_t at = from; at < from + ASK_MS; at += ASK_GAP_MS) {
 		sleep_until(at);
 		for (int i = 0; i < NODES; i++)
