Log what is in the sockets of callers when a process that stops closes them

Callers of a stopping node saw connections end without an answer, and neither log nor counters told whether the process had read their requests, whether they lay unread in a connection or in the listener's queue, or whether an answer was lost in a send buffer.

The event callers-closed gives the connections with unread bytes and how long the oldest of these waited, by FIONREAD and TCP_INFO, those with unanswered requests, those with unsent bytes and the length of the listener's queue. No decision changes.

--- a/src/io/callers/callers.c
+++ b/src/io/callers/callers.c
@@ -2,10 +2,13 @@
 #include <sys/socket.h>
 
 #include <errno.h>
+#include <inttypes.h>
 #include <unistd.h>
 #include <utlist.h>
 
+#include "io/admin/io_log.h"
 #include "io/callers/caller_conn.h"
+#include "io/callers/caller_sockets.h"
 #include "io/clock.h"
 #include "io/event_loop.h"
 #include "io/receive_buffer.h"
@@ -229,9 +232,44 @@
 	return l->event != NULL;
 }
 
+static void
+add_socket(struct ir_caller_sockets *sum, const struct caller_conn *conn)
+{
+	uint32_t idle_ms = ir_socket_idle_ms(conn->fd);
+
+	sum->open++;
+	sum->unanswered += conn->requests != NULL;
+	sum->unsent +=
+	    conn->output != NULL || ir_socket_unsent_bytes(conn->fd) != 0;
+	if (ir_socket_unread_bytes(conn->fd) == 0)
+		return;
+	sum->unread++;
+	if (idle_ms > sum->unread_ms)
+		sum->unread_ms = idle_ms;
+}
+
+static void
+log_closed(const struct ir_callers *c)
+{
+	struct ir_caller_sockets sum = {0};
+	const struct caller_conn *conn;
+	uint32_t queued = ir_socket_queued(c->caller_listener.fd);
+
+	if (c->egress_listener.fd >= 0)
+		queued += ir_socket_queued(c->egress_listener.fd);
+	DL_FOREACH (c->conns, conn)
+		add_socket(&sum, conn);
+	ir_io_log_event(c->channel->log, IR_EVENT_CALLERS_CLOSED, NULL,
+	    "open=%" PRIu32 " unread=%" PRIu32 " unread_ms=%" PRIu32
+	    " unanswered=%" PRIu32 " unsent=%" PRIu32 " queued=%" PRIu32,
+	    sum.open, sum.unread, sum.unread_ms, sum.unanswered, sum.unsent,
+	    queued);
+}
+
 static int
 free_callers(struct ir_callers *c)
 {
+	log_closed(c);
 	while (c->conns != NULL)
 		ir_caller_conn_cut(c->conns, "stopped");
 	free_closed(c);
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -78,6 +78,20 @@
 	"Nothing. If a stop takes too long, the gap between two lines shows "
 	"which stage takes the time. A process that does not log \"stopped\" "
 	"was ended 600 ms after drain_ms."},
+    {IR_EVENT_CALLERS_CLOSED,
+	"open: connections of callers at that moment; unread: those with bytes "
+	"that were not read; unread_ms: longest time for which such bytes have "
+	"waited; unanswered: those with a request that was read and has no "
+	"answer; unsent: those with bytes that the caller has not received; "
+	"queued: connections that were not accepted yet",
+	"A process that stops closed the connections of callers that were "
+	"left. "
+	"Those that count in unread or queued were reset, and what counts in "
+	"unanswered or unsent was lost.",
+	"Nothing if all but open are 0, or unread_ms is a few milliseconds: a "
+	"request may cross the end of its connection. Otherwise look at the "
+	"stages of the stop, and whether the process had too little processor "
+	"time."},
     {IR_EVENT_VIEW_CHANGED,
 	"config, list: the revisions of configuration and host list; hosts: "
 	"the number in the list",
--- a/src/log/event.c
+++ b/src/log/event.c
@@ -15,6 +15,7 @@
     {IR_EVENT_LOG_DROPPED, IR_LEVEL_WARNING, "log-dropped"},
     {IR_EVENT_MEMORY_SHORT, IR_LEVEL_WARNING, "memory-short"},
     {IR_EVENT_STOP_STAGE, IR_LEVEL_NOTICE, "stop-stage"},
+    {IR_EVENT_CALLERS_CLOSED, IR_LEVEL_NOTICE, "callers-closed"},
     {IR_EVENT_VIEW_CHANGED, IR_LEVEL_NOTICE, "view-changed"},
     {IR_EVENT_SECTION_REFUSED, IR_LEVEL_ERROR, "section-refused"},
     {IR_EVENT_VIEW_STATE, IR_LEVEL_WARNING, "view-state"},
