Callers' thread: read and refuse what waits at a stop, then close every socket

Cause: the thread ended as soon as it had no answer to send, without reading once more, and its sockets stayed open until all other threads had ended (the peers' thread may wait 500 ms for a peer that doesn't read) and the process was freed. The kernel went on accepting connections and requests, and reset them at the end. Closing a socket with unread bytes also discards an answer that is still in its send buffer.

Now the thread accepts what is in the queue and closes its listeners when the core has ended its work, refuses what arrives within 100 ms, closes a connection once it has nothing unread, unanswered or unsent, and logs and closes the rest before it ends. It has the time until shortly before the forced end of the process, where it had 0.5 s.

Each of the three tests fails without the change (the first hangs, as its requests are never read).

--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -9,6 +9,8 @@
 #include "conf/label.h"
 #include "conf/settings.h"
 
+/* For the last answers and the end of the threads. */
+#define STOP_AFTER_DRAIN_MS 600
 #define DEFAULT_DRAIN_MS 20000
 #define MIN_MEMORY_MB 32
 #define MAX_MEMORY_MB (1024 * 1024)
@@ -116,6 +118,7 @@
 	if (ir_json_has(top, "drain_ms"))
 		s->drain_ms =
 		    (uint32_t)ir_json_int(in, top, "", "drain_ms", 100, 120000);
+	s->stop_ms = s->drain_ms + STOP_AFTER_DRAIN_MS;
 	if (ir_json_has(top, "leave_ms"))
 		s->leave_ms = (uint32_t)ir_json_int(
 		    in, top, "", "leave_ms", 0, s->drain_ms);
--- a/src/conf/settings.h
+++ b/src/conf/settings.h
@@ -53,7 +53,8 @@
 	uint32_t slots;		       /* 1 to 4096 */
 	uint32_t upstream_connections; /* 1 to 65535 */
 	uint32_t memory_mb; /* killed above it; 32 or more; 0: unknown */
-	uint32_t drain_ms;  /* from SIGTERM to forced exit, 100 to 120000 */
+	uint32_t drain_ms;  /* time for requests after SIGTERM, 100 to 120000 */
+	uint32_t stop_ms;   /* from SIGTERM to forced exit, above drain_ms */
 	uint32_t leave_ms;  /* from SIGTERM to refusing calls, 0 to drain_ms */
 	enum ir_level log_level; /* "error".."debug" */
 	bool baseline_policy;	 /* "policy" is "plain", not "full" */
--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -33,8 +33,6 @@
 #define DRAIN_POLL_MS 100
 /* For writing a state dump to standard error. */
 #define DUMP_TIMEOUT_MS 100
-/* From the end of the drain to the end of the process, at most. */
-#define STOP_AFTER_DRAIN_MS 600
 /* How often the settings file is checked for a change. */
 #define SETTINGS_CHECK_MS 1000
 /* The main thread is awake at least once in this time, unless it is held up. */
@@ -367,13 +365,13 @@
 static void
 begin_stop(struct ir_process *p)
 {
-	int64_t limit_ms = p->settings->drain_ms + STOP_AFTER_DRAIN_MS;
+	int64_t limit_us = p->settings->stop_ms * IR_US_PER_MS;
 	struct ir_to_core *m = ir_to_core_new(IR_TO_CORE_DRAIN);
 
 	p->stopping = true;
 	p->stop_us = signal_time(p);
 	m->since_us = p->stop_us;
-	if (!ir_stop_limit_start(p->stop_us + limit_ms * IR_US_PER_MS))
+	if (!ir_stop_limit_start(p->stop_us + limit_us))
 		ir_io_log_event(p->log, IR_EVENT_STOP_STAGE, NULL, "%s",
 		    "stage=no-limit ms=0");
 	push_to_core(p, m);
--- a/src/io/callers/caller_conn.h
+++ b/src/io/callers/caller_conn.h
@@ -115,13 +115,36 @@
 	struct ir_answer_size answer_size; /* expected, of these requests */
 	size_t open_requests;
 	uint8_t read_buffer[READ_BYTES];
-	bool close_after_answers; /* close each connection after an answer */
-	int64_t flush_end_us;	  /* deadline of the final flush, or 0 */
+	bool close_after_answers;   /* close each connection after an answer */
+	struct {		    /* of the thread; 0 until it begins */
+		int64_t settled_us; /* until then requests may arrive */
+		int64_t end_us;	    /* all connections are closed */
+		int64_t next_check_us; /* of the connections */
+	} stop;
 	bool sweep_scheduled;
 };
 
 /* callers.c: handles all messages in the ring from the core. */
 void ir_callers_handle_core_messages(struct ir_callers *c);
+/* Accepts all connections that wait, as far as the bounds allow. */
+void ir_listener_accept(struct listener *l);
+
+/*
+ * caller_stop.c: begins the end of the thread, once the core has ended its
+ * work. Closes the listeners. Submitted requests up to last_call are answered
+ * as unknown; requests that arrive later are refused. The process ends at
+ * end_us.
+ */
+void ir_callers_stop(
+    struct ir_callers *c, uint64_t last_call, int64_t now, int64_t end_us);
+/*
+ * Closes the connections that have neither received bytes to read nor answers
+ * to send. True once none is left, or shortly before the end of the process;
+ * false if the thread does not stop.
+ */
+bool ir_callers_is_stopped(struct ir_callers *c, int64_t now);
+/* Logs what is left, and closes it. */
+void ir_callers_close_all(struct ir_callers *c);
 
 /* caller_conn.c: creates a connection that owns the socket fd. */
 void ir_caller_conn_new(struct listener *l, int fd);
--- a/src/io/callers/caller_request.c
+++ b/src/io/callers/caller_request.c
@@ -144,7 +144,7 @@
 
 	call->egress = r->conn->listener->egress;
 	call->method = r->head->method;
-	if (callers->flush_end_us != 0)
+	if (callers->stop.end_us != 0)
 		r->refusal = ir_refusal_make(IR_E_STOPPING, "stopping", NULL);
 	if (strlen(call->method) > MAX_METHOD_BYTES ||
 	    strcmp(call->method, "CONNECT") == 0)
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -118,6 +118,7 @@
 	if (c->drain_deadline_us != 0)
 		return;
 	c->drain_deadline_us = since_us + s->drain_ms * IR_US_PER_MS;
+	c->stop_deadline_us = since_us + s->stop_ms * IR_US_PER_MS;
 	c->leave_deadline_us = since_us + s->leave_ms * IR_US_PER_MS;
 	ir_outbox_push(&c->outboxes[IR_THREAD_CALLERS],
 	    ir_from_core_new(IR_FROM_CORE_LEAVING));
@@ -338,6 +339,7 @@
 		struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_STOP);
 
 		m->id = c->last_call;
+		m->end_us = c->stop_deadline_us;
 		ir_outbox_push(&c->outboxes[t], m);
 	}
 }
--- a/src/io/core/core_out.h
+++ b/src/io/core/core_out.h
@@ -35,6 +35,7 @@
 	int64_t next_tick_us;
 	int64_t next_memory_measure_us;
 	int64_t drain_deadline_us;  /* stops by then; 0: not stopping */
+	int64_t stop_deadline_us;   /* the process ends by then */
 	int64_t leave_deadline_us;  /* new calls are refused from then on */
 	uint32_t not_ready_answers; /* to readiness checks, since the stop */
 	int64_t idle_since_us;	    /* while stopping; 0: not idle */
--- a/src/io/message.h
+++ b/src/io/message.h
@@ -88,7 +88,8 @@
 	 * last call that the node got
 	 */
 	uint64_t id;
-	uint32_t conn; /* PEER_* */
+	int64_t end_us; /* STOP: the process ends then at the latest */
+	uint32_t conn;	/* PEER_* */
 	union {
 		struct ir_answer answer;	    /* ANSWER */
 		struct ir_run run;		    /* RUN */
--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -3,6 +3,10 @@
  * which headers, which are refused before, and what happens when a caller
  * disconnects. The test acts as the core.
  */
+#include <sys/socket.h>
+
+#include <errno.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <pthread.h>
 #include <setjmp.h>
@@ -14,16 +18,24 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <cmocka.h>
 
 #include "io/callers/callers.h"
+#include "io/clock.h"
 #include "io/listen.h"
 #include "support/core_side.h"
 #include "support/raw_http.h"
 
 #define RING_SLOTS 4
+/* Time for the thread to end; the long one is far more than it needs. */
+#define STOP_US (500 * IR_US_PER_MS)
+#define LONG_STOP_US (60 * IR_US_PER_S)
+#define WAITING_CONNECTIONS 8
+#define LARGE_ANSWER_BYTES 131072
+#define SMALL_BUFFER_BYTES 4096
 #define EXTENSION_BYTES 32768
 #define KEY_FIELD "Ibisrail-Key: sesame-1\r\n"
 
@@ -37,8 +49,9 @@
 	uint16_t egress_port;
 };
 
+/* Without the thread: the test calls ir_callers_run() itself. */
 static int
-set_up(void **state)
+set_up_stopped(void **state)
 {
 	const struct ir_endpoint any = {"127.0.0.1", 0};
 	struct fixture *f = talloc_zero(NULL, struct fixture);
@@ -51,23 +64,34 @@
 	f->callers = ir_callers_new(f->core, f->channel, &ir_native_dialect,
 	    &f->memory, IR_MAX_CALLER_CONNECTIONS, callers_fd, egress_fd);
 	*state = f;
+	return 0;
+}
+
+static int
+set_up(void **state)
+{
+	struct fixture *f;
+
+	set_up_stopped(state);
+	f = *state;
 	return pthread_create(&f->thread, NULL, ir_callers_run, f->callers);
 }
 
 /* last_call: the last one that the core has taken. */
 static void
-send_stop(struct fixture *f, uint64_t last_call)
+send_stop(struct fixture *f, uint64_t last_call, int64_t within_us)
 {
 	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_STOP);
 
 	m->id = last_call;
+	m->end_us = ir_clock_now() + within_us;
 	ir_ring_push(f->channel->from_core, m);
 }
 
 static void
 stop(struct fixture *f)
 {
-	send_stop(f, 0);
+	send_stop(f, 0, STOP_US);
 	pthread_join(f->thread, NULL);
 }
 
@@ -113,6 +137,18 @@
 	ir_ring_push(f->channel->from_core, m);
 }
 
+static void
+send_large_answer(struct fixture *f, uint64_t id)
+{
+	struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_ANSWER);
+
+	m->id = id;
+	m->u.answer.status = 200;
+	m->u.answer.body = talloc_zero_size(m, LARGE_ANSWER_BYTES);
+	m->u.answer.body_bytes = LARGE_ANSWER_BYTES;
+	ir_ring_push(f->channel->from_core, m);
+}
+
 static bool
 has_header(const struct ir_call *c, const char *name)
 {
@@ -446,7 +482,7 @@
 		fds[i] = raw_send_request(f->port, request);
 		m[i] = next_message(f);
 	}
-	send_stop(f, m[0]->u.call.id);
+	send_stop(f, m[0]->u.call.id, LONG_STOP_US);
 	send_answer(f, m[1]->u.call.id, IR_E_STOPPING);
 	raw_read_answer(fds[0], text);
 	assert_non_null(strstr(text, "Ibisrail-Outcome: unknown\r\n"));
@@ -460,6 +496,107 @@
 	free_all(f);
 }
 
+/* The thread begins to run with the stop, so that it has read nothing before.
+ */
+static void
+test_requests_that_wait_at_the_stop_are_refused(void **state)
+{
+	const char *request = "GET /s/ HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct fixture *f;
+	char text[RAW_ANSWER_BYTES];
+	int fds[WAITING_CONNECTIONS];
+
+	assert_int_equal(set_up_stopped((void **)&f), 0);
+	for (int i = 0; i < WAITING_CONNECTIONS; i++)
+		fds[i] = raw_send_request(f->port, request);
+	send_stop(f, 0, LONG_STOP_US);
+	assert_int_equal(
+	    pthread_create(&f->thread, NULL, ir_callers_run, f->callers), 0);
+	for (int i = 0; i < WAITING_CONNECTIONS; i++) {
+		struct ir_to_core *m;
+
+		raw_read_answer(fds[i], text);
+		assert_memory_equal(text, "HTTP/1.1 503", 12);
+		assert_non_null(strstr(text, "Connection: close\r\n"));
+		close(fds[i]);
+		while ((m = ir_ring_pop(f->channel->to_core)) != NULL)
+			talloc_free(m);
+	}
+	pthread_join(f->thread, NULL);
+	free_all(f);
+}
+
+/* What is not closed when the thread ends takes requests that nobody reads. */
+static void
+test_ended_thread_leaves_no_socket_open(void **state)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET};
+	struct fixture *f;
+	int idle, late;
+	char byte;
+
+	assert_int_equal(set_up((void **)&f), 0);
+	idle = raw_connect(f->port);
+	stop(f);
+	assert_int_equal(recv(idle, &byte, 1, MSG_DONTWAIT), 0);
+	late = socket(AF_INET, SOCK_STREAM, 0);
+	a.sin_port = htons(f->port);
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(connect(late, (struct sockaddr *)&a, sizeof(a)), -1);
+	assert_int_equal(errno, ECONNREFUSED);
+	close(idle);
+	close(late);
+	free_all(f);
+}
+
+static size_t
+receive_all(int fd)
+{
+	char part[SMALL_BUFFER_BYTES];
+	size_t sum = 0;
+	ssize_t n;
+
+	while ((n = recv(fd, part, sizeof(part), 0)) > 0)
+		sum += (size_t)n;
+	return sum;
+}
+
+/*
+ * The answer is in the send buffer, and the caller has sent one more request:
+ * closing the socket would discard both.
+ */
+static void
+test_stop_waits_for_answers_in_send_buffers(void **state)
+{
+	const char *request = "GET /s/ HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct timespec limit;
+	struct ir_to_core *call;
+	struct fixture *f;
+	int fd, bytes = SMALL_BUFFER_BYTES;
+
+	assert_int_equal(set_up((void **)&f), 0);
+	fd = raw_connect(f->port);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+	raw_send(fd, request, strlen(request));
+	call = next_message(f);
+	ir_ring_push(
+	    f->channel->from_core, ir_from_core_new(IR_FROM_CORE_LEAVING));
+	send_large_answer(f, call->u.call.id);
+	/* The answer has begun to arrive. */
+	assert_int_equal(recv(fd, &(char){0}, 1, MSG_PEEK), 1);
+	raw_send(fd, request, strlen(request));
+	send_stop(f, call->u.call.id, LONG_STOP_US);
+	clock_gettime(CLOCK_REALTIME, &limit);
+	limit.tv_sec++;
+	assert_int_equal(
+	    pthread_timedjoin_np(f->thread, NULL, &limit), ETIMEDOUT);
+	assert_true(receive_all(fd) > LARGE_ANSWER_BYTES);
+	close(fd);
+	pthread_join(f->thread, NULL);
+	talloc_free(call);
+	free_all(f);
+}
+
 #define WITH_CALLERS(t) cmocka_unit_test_setup_teardown(t, set_up, tear_down)
 
 int
@@ -481,6 +618,9 @@
 	    cmocka_unit_test(test_stop_answers_pending_requests),
 	    cmocka_unit_test(
 		test_requests_that_cross_the_stop_are_not_answered_as_unknown),
+	    cmocka_unit_test(test_requests_that_wait_at_the_stop_are_refused),
+	    cmocka_unit_test(test_ended_thread_leaves_no_socket_open),
+	    cmocka_unit_test(test_stop_waits_for_answers_in_send_buffers),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
