A stop waits for answers that callers have not taken

What callers saw: answers that were ready were cut off when their node was stopped.

Cause: a node counted as drained when its core had no calls and no attempts, whatever its callers' thread still had to send.

The drain limit holds as before.

Ruled out: the forced end of the process, as it came 3.4 s later.

--- a/src/io/callers/caller_conn.c
+++ b/src/io/callers/caller_conn.c
@@ -23,6 +23,16 @@
 #define LINGER_TIMEOUT_US (2 * IR_US_PER_S)
 #define CONTINUE_ANSWER "HTTP/1.1 100 Continue\r\n\r\n"
 
+static void
+free_request(struct ir_callers *callers, struct request *r)
+{
+	if (r->state == REQUEST_ANSWERED)
+		callers->answered_requests--;
+	callers->open_requests--;
+	talloc_free(r->call);
+	talloc_free(r);
+}
+
 void
 ir_caller_conn_close(struct caller_conn *c, const char *reason)
 {
@@ -44,9 +54,7 @@
 			HASH_DEL(callers->submitted, r);
 			ir_request_report_abandoned(callers, r->id, reason);
 		}
-		callers->open_requests--;
-		talloc_free(r->call);
-		talloc_free(r);
+		free_request(callers, r);
 	}
 	DL_DELETE(callers->conns, c);
 	callers->conn_count--;
@@ -113,9 +121,7 @@
 	ir_request_release_memory(r);
 	DL_DELETE(c->requests, r);
 	c->request_count--;
-	c->listener->callers->open_requests--;
-	talloc_free(r->call);
-	talloc_free(r);
+	free_request(c->listener->callers, r);
 }
 
 static void
--- a/src/io/callers/caller_conn.h
+++ b/src/io/callers/caller_conn.h
@@ -114,6 +114,7 @@
 	struct request *submitted;	   /* hashed by id */
 	struct ir_answer_size answer_size; /* expected, of these requests */
 	size_t open_requests;
+	uint32_t answered_requests; /* with an answer that is not being sent */
 	uint8_t read_buffer[READ_BYTES];
 	bool close_after_answers;   /* close each connection after an answer */
 	struct {		    /* of the thread; 0 until it begins */
--- a/src/io/callers/caller_request.c
+++ b/src/io/callers/caller_request.c
@@ -78,6 +78,13 @@
 	return format;
 }
 
+static void
+set_answered(struct request *r)
+{
+	r->state = REQUEST_ANSWERED;
+	r->conn->listener->callers->answered_requests++;
+}
+
 static void
 free_received(struct request *r)
 {
@@ -99,7 +106,7 @@
 	report_refusal(r);
 	free_received(r);
 	r->answer = ir_caller_format_refusal(r, &format, &r->refusal);
-	r->state = REQUEST_ANSWERED;
+	set_answered(r);
 	ir_request_update_memory(r);
 }
 
@@ -119,7 +126,7 @@
 	if (a->error == IR_OK)
 		ir_answer_size_add(&r->conn->listener->callers->answer_size,
 		    talloc_get_size(r->answer));
-	r->state = REQUEST_ANSWERED;
+	set_answered(r);
 	ir_request_update_memory(r);
 }
 
--- a/src/io/callers/callers.c
+++ b/src/io/callers/callers.c
@@ -151,6 +151,15 @@
 	    c));
 }
 
+/* Tells the core whether callers have answers to take. */
+static void
+publish_unsent(struct ir_callers *c)
+{
+	uint32_t count = c->answered_requests + (c->blocked != NULL);
+
+	__atomic_store_n(&c->channel->unsent_answers, count, __ATOMIC_RELAXED);
+}
+
 void *
 ir_callers_run(void *ctx)
 {
@@ -167,6 +176,7 @@
 			ir_event_loop_limit_wait(c->loop, c, BACKLOG_RETRY_US);
 		if (c->stop.end_us != 0)
 			ir_event_loop_limit_wait(c->loop, c, STOP_CHECK_US);
+		publish_unsent(c);
 		schedule_sweep(c);
 		ir_event_loop_run_once(
 		    c->loop, c->channel->wakeup, c->channel->from_core);
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -11,14 +11,6 @@
 
 #define TICK_US (10 * IR_US_PER_MS)
 #define OUTBOX_RETRY_MS 1
-/*
- * A stopping node runs on for some heartbeats after it last had work, so that
- * peers learn that it is leaving, and requests that they sent before that are
- * refused and not run.
- */
-#define STOP_LINGER_US (3 * IR_HEARTBEAT_PERIOD_US)
-/* Number of "not ready" answers after which callers send nothing more. */
-#define ENOUGH_NOT_READY_ANSWERS 2
 /* Messages taken from one ring before the next ring is looked at. */
 #define RING_BATCH 64
 #define MEMORY_MEASURE_PERIOD_US (100 * IR_US_PER_MS)
@@ -71,8 +63,8 @@
 
 	m->id = request->id;
 	m->u.report.ready = ir_node_is_ready(c->node, now);
-	if (c->drain_deadline_us != 0 && request->report == IR_REPORT_READY)
-		c->not_ready_answers++;
+	if (ir_drain_has_begun(&c->drain) && request->report == IR_REPORT_READY)
+		ir_drain_note_not_ready(&c->drain);
 	if (request->report == IR_REPORT_STATE)
 		m->u.report.json = ir_node_state_json(c->node, now);
 	else if (request->report == IR_REPORT_COUNTERS)
@@ -115,14 +107,13 @@
 {
 	const struct ir_settings *s = c->loop->settings;
 
-	if (c->drain_deadline_us != 0)
+	if (ir_drain_has_begun(&c->drain))
 		return;
-	c->drain_deadline_us = since_us + s->drain_ms * IR_US_PER_MS;
-	c->stop_deadline_us = since_us + s->stop_ms * IR_US_PER_MS;
-	c->leave_deadline_us = since_us + s->leave_ms * IR_US_PER_MS;
+	ir_drain_begin(
+	    &c->drain, since_us, s->leave_ms, s->drain_ms, s->stop_ms);
 	ir_outbox_push(&c->outboxes[IR_THREAD_CALLERS],
 	    ir_from_core_new(IR_FROM_CORE_LEAVING));
-	ir_node_stop(c->node, now, c->leave_deadline_us);
+	ir_node_stop(c->node, now, c->drain.leave_us);
 }
 
 static void
@@ -290,48 +281,38 @@
 	ir_outbox_push(&c->outboxes[IR_THREAD_PLATFORM], m);
 }
 
-/*
- * Whether a stopping node may end: at the drain deadline, or once it was idle
- * for STOP_LINGER_US.
- */
 static bool
 is_drained(struct core *c, int64_t now)
 {
-	if (now >= c->drain_deadline_us)
-		return true;
-	/* Callers not yet informed of the stop may still send calls. */
-	if (now < c->leave_deadline_us &&
-	    c->not_ready_answers < ENOUGH_NOT_READY_ANSWERS)
-		return false;
-	if (!ir_node_is_idle(c->node)) {
-		c->idle_since_us = 0;
-		return false;
-	}
-	if (c->idle_since_us == 0)
-		c->idle_since_us = now;
-	return now - c->idle_since_us >= STOP_LINGER_US;
+	const struct ir_channel *callers = c->loop->channels[IR_THREAD_CALLERS];
+	const struct ir_drain_work work = {
+	    .calls = !ir_node_is_idle(c->node),
+	    .unsent_answers =
+		__atomic_load_n(&callers->unsent_answers, __ATOMIC_RELAXED),
+	};
+
+	return ir_drain_is_done(&c->drain, now, &work);
 }
 
 static void
 log_drain_end(struct core *c, int64_t now)
 {
 	struct ir_node_gauges g;
-	int64_t begin_us =
-	    c->drain_deadline_us - c->loop->settings->drain_ms * IR_US_PER_MS;
 
 	ir_node_gauges(c->node, now, &g);
 	ir_io_log_event(c->loop->log, IR_EVENT_STOP_STAGE, NULL,
 	    "stage=%s ms=%" PRId64 " calls=%" PRId64 " running=%" PRId64
 	    " queued=%" PRId64,
-	    now >= c->drain_deadline_us ? "deadline" : "drained",
-	    (now - begin_us) / IR_US_PER_MS, g.calls, g.gate_running,
+	    now >= c->drain.deadline_us ? "deadline" : "drained",
+	    (now - c->drain.begin_us) / IR_US_PER_MS, g.calls, g.gate_running,
 	    g.gate_queued);
 }
 
 static void
 stop_threads_when_drained(struct core *c, int64_t now)
 {
-	if (c->stop_sent || c->drain_deadline_us == 0 || !is_drained(c, now))
+	if (c->stop_sent || !ir_drain_has_begun(&c->drain) ||
+	    !is_drained(c, now))
 		return;
 	c->stop_sent = true;
 	log_drain_end(c, now);
@@ -339,7 +320,7 @@
 		struct ir_from_core *m = ir_from_core_new(IR_FROM_CORE_STOP);
 
 		m->id = c->last_call;
-		m->end_us = c->stop_deadline_us;
+		m->end_us = c->drain.end_us;
 		ir_outbox_push(&c->outboxes[t], m);
 	}
 }
--- a/src/io/core/core_out.h
+++ b/src/io/core/core_out.h
@@ -4,6 +4,7 @@
 
 #include "core/table.h"
 #include "io/core/core_loop.h"
+#include "io/core/drain.h"
 
 /*
  * A peer connection for which PEER_CLOSE was sent because a message to it could
@@ -34,11 +35,7 @@
 	struct deferred_event *deferred_events;
 	int64_t next_tick_us;
 	int64_t next_memory_measure_us;
-	int64_t drain_deadline_us;  /* stops by then; 0: not stopping */
-	int64_t stop_deadline_us;   /* the process ends by then */
-	int64_t leave_deadline_us;  /* new calls are refused from then on */
-	uint32_t not_ready_answers; /* to readiness checks, since the stop */
-	int64_t idle_since_us;	    /* while stopping; 0: not idle */
+	struct ir_drain drain;
 	/* As sent last with IR_FROM_CORE_STORE_POLLING. */
 	bool store_wanted;
 	uint64_t config_revision;
--- a/src/io/message.h
+++ b/src/io/message.h
@@ -126,6 +126,8 @@
 	struct ir_ring *from_core;
 	struct ir_wakeup *wakeup;    /* of the other thread */
 	struct ir_counters counters; /* written by the other thread only */
+	/* Of callers: answers that the sockets don't take yet; atomic. */
+	uint32_t unsent_answers;
 	struct ir_log *log;
 };
 
