Settings: the times of a stop follow from the grace period

What callers saw: requests that their upstream was still working on 5 s after SIGTERM got a failure of ours, also where the platform grants 10 s (large deployment). Routes there have timeouts of up to 3 s, and callers are served for 3 s after SIGTERM, so that a request may need up to 6 s.

Cause: deploy/settings.tmpl gave drain_ms as a number, whatever the deployment's grace period is.

grace_s is a new key: requests have five sixths of it, the process ends after 14/15 of it, and leave_ms is cut to fit. With 6 s that is what it was, 5,000 and 5,600 ms; with 10 s it is 8,333 and 9,333 ms. Ruled out: a larger number in the template, as it would exceed shorter grace periods.

test_settings fails before (the key is unknown).

--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -12,13 +12,20 @@
 /* For the last answers and the end of the threads. */
 #define STOP_AFTER_DRAIN_MS 600
 #define DEFAULT_DRAIN_MS 20000
+#define MIN_DRAIN_MS 100
+#define MAX_DRAIN_MS 120000
+#define MIN_GRACE_S 0.5
+#define MAX_GRACE_S 120
+/* Parts of the grace period: for requests, and until the process ends. */
+#define DRAIN_SHARE (5.0 / 6)
+#define STOP_SHARE (14.0 / 15)
 #define MIN_MEMORY_MB 32
 #define MAX_MEMORY_MB (1024 * 1024)
 
 static const char *const known_keys[] = {"host", "service", "region", "zone",
     "callers", "egress", "peers", "admin", "metrics", "upstream", "platform",
-    "slots", "upstream_connections", "memory_mb", "drain_ms", "leave_ms",
-    "log_level", "policy", "zones", "rate_tolerance", "cold_starts",
+    "slots", "upstream_connections", "memory_mb", "grace_s", "drain_ms",
+    "leave_ms", "log_level", "policy", "zones", "rate_tolerance", "cold_starts",
     "evacuations", "ramp", NULL};
 static const char *const known_endpoint_keys[] = {"address", "port", NULL};
 
@@ -103,6 +110,35 @@
 	return ir_json_has(top, key) && ir_json_bool(in, top, "", key);
 }
 
+/* With grace_s, the times follow from it; drain_ms goes before it. */
+static void
+read_stop_times(
+    struct ir_json_reader *in, struct json_object *top, struct ir_settings *s)
+{
+	uint32_t max_leave_ms;
+
+	s->drain_ms = DEFAULT_DRAIN_MS;
+	s->stop_ms = DEFAULT_DRAIN_MS + STOP_AFTER_DRAIN_MS;
+	if (ir_json_has(top, "grace_s")) {
+		double grace_ms = 1000 * ir_json_number(in, top, "", "grace_s",
+					     MIN_GRACE_S, MAX_GRACE_S);
+
+		s->drain_ms = (uint32_t)(DRAIN_SHARE * grace_ms);
+		s->stop_ms = (uint32_t)(STOP_SHARE * grace_ms);
+	}
+	if (ir_json_has(top, "drain_ms")) {
+		s->drain_ms = (uint32_t)ir_json_int(
+		    in, top, "", "drain_ms", MIN_DRAIN_MS, MAX_DRAIN_MS);
+		s->stop_ms = s->drain_ms + STOP_AFTER_DRAIN_MS;
+	}
+	max_leave_ms = ir_json_has(top, "grace_s") ? MAX_DRAIN_MS : s->drain_ms;
+	if (ir_json_has(top, "leave_ms"))
+		s->leave_ms = (uint32_t)ir_json_int(
+		    in, top, "", "leave_ms", 0, max_leave_ms);
+	if (s->leave_ms > s->drain_ms)
+		s->leave_ms = s->drain_ms;
+}
+
 static void
 read_options(
     struct ir_json_reader *in, struct json_object *top, struct ir_settings *s)
@@ -114,14 +150,7 @@
 	if (ir_json_has(top, "memory_mb"))
 		s->memory_mb = (uint32_t)ir_json_number(
 		    in, top, "", "memory_mb", MIN_MEMORY_MB, MAX_MEMORY_MB);
-	s->drain_ms = DEFAULT_DRAIN_MS;
-	if (ir_json_has(top, "drain_ms"))
-		s->drain_ms =
-		    (uint32_t)ir_json_int(in, top, "", "drain_ms", 100, 120000);
-	s->stop_ms = s->drain_ms + STOP_AFTER_DRAIN_MS;
-	if (ir_json_has(top, "leave_ms"))
-		s->leave_ms = (uint32_t)ir_json_int(
-		    in, top, "", "leave_ms", 0, s->drain_ms);
+	read_stop_times(in, top, s);
 	s->log_level = (enum ir_level)read_choice(
 	    in, top, "log_level", levels, 4, IR_LEVEL_NOTICE);
 	s->baseline_policy =
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -77,7 +77,7 @@
 	"no-limit: the stop has no time limit, for lack of memory.",
 	"Nothing. If a stop takes too long, the gap between two lines shows "
 	"which stage takes the time. A process that does not log \"stopped\" "
-	"was ended 600 ms after drain_ms."},
+	"was ended 600 ms after drain_ms, or after 14/15 of grace_s."},
     {IR_EVENT_CALLERS_CLOSED,
 	"open: connections of callers at that moment; unread: those with bytes "
 	"that were not read; unread_ms: longest time for which such bytes have "
--- a/test/support/process_platform.c
+++ b/test/support/process_platform.c
@@ -66,7 +66,7 @@
 	    "\"peers\":\"%s:%u\",\"admin\":\"127.0.0.1:0\","
 	    "\"upstream\":\"127.0.0.1:%u\",\"platform\":\"127.0.0.1:%u\","
 	    "\"slots\":8,\"upstream_connections\":600,\"memory_mb\":%u,"
-	    "\"drain_ms\":5000,\"leave_ms\":3000,"
+	    "\"grace_s\":6,\"leave_ms\":3000,"
 	    "\"zones\":{\"n1\":\"north\",\"n2\":\"north\",\"s1\":\"south\","
 	    "\"s2\":\"south\"}}\n",
 	    h->published_address, h->service, h->region, h->zone,
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -97,6 +97,10 @@
 	"65535"},
     {"300}", "300,\"drain_ms\":99}",
 	"f: drain_ms: must be an integer from 100 to 120000"},
+    {"300}", "300,\"grace_s\":0.4}",
+	"f: grace_s: must be a number from 0.5 to 120"},
+    {"300}", "300,\"drain_ms\":1000,\"leave_ms\":1001}",
+	"f: leave_ms: must be an integer from 0 to 1000"},
     {"300}", "300,\"log_level\":\"info\"}",
 	"f: log_level: must be one of \"error\", \"warning\", \"notice\", "
 	"\"debug\""},
@@ -168,6 +172,27 @@
 	talloc_free(mem);
 }
 
+static void
+test_stop_times_follow_the_grace_period(void **state)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	char *error;
+	struct ir_settings *s = ir_settings_parse(mem, "f",
+	    replace(mem, "300}", "300,\"grace_s\":10,\"leave_ms\":3000}"),
+	    &error);
+
+	assert_int_equal(s->leave_ms, 3000);
+	assert_int_equal(s->drain_ms, 8333);
+	assert_int_equal(s->stop_ms, 9333);
+	s = ir_settings_parse(mem, "f",
+	    replace(mem, "300}", "300,\"grace_s\":1.5,\"leave_ms\":3000}"),
+	    &error);
+	assert_int_equal(s->drain_ms, 1250);
+	assert_int_equal(s->leave_ms, 1250);
+	assert_int_equal(s->stop_ms, 1400);
+	talloc_free(mem);
+}
+
 static void
 test_settings_file(void **state)
 {
@@ -196,6 +221,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_invalid_settings_are_refused),
 	    cmocka_unit_test(test_valid_settings_are_read),
+	    cmocka_unit_test(test_stop_times_follow_the_grace_period),
 	    cmocka_unit_test(test_settings_file),
 	};
 
