Host list: pass on a change that was undone before it was read

Cause: of two store readers, one read between the changes and passed "leaving" on. The other read both at once, saw the text that it had passed on before, and passed on nothing. The first one leaves its place as a reader with the host, so nobody ever corrected it: a node that had stopped following the list in this one section. Traced by the items and sections of both readers.

Ruled out: the odd entries themselves (also without unreadable items), and the store (its watch lists all changes).

An item that was changed since it was last passed on is passed on with its own revision, whatever its text. Heartbeats change no text and stay quiet. The test of the list fails before (0 changes for 1).

--- a/src/io/store/host_items.c
+++ b/src/io/store/host_items.c
@@ -16,6 +16,7 @@
 	bool removed;		 /* freed by the next free_removed() */
 	bool removal_delayed;	 /* not before removal_due_us */
 	bool unreadable;	 /* cannot be decoded */
+	bool changed;		 /* since it was last passed on */
 	/* Read from a restored store, not used yet; NULL: none. */
 	char *restored_section;
 	char *restored_text;
@@ -27,8 +28,8 @@
 /* A section: the item that it is made from, and the text last passed on. */
 struct published_section {
 	char *name;
-	const struct item *newest; /* set by choose_newest(); NULL: removed */
-	char *text;		   /* last passed on; NULL: never */
+	struct item *newest; /* set by choose_newest(); NULL: removed */
+	char *text;	     /* last passed on; NULL: never */
 	uint64_t created_revision;
 	UT_hash_handle hh;
 };
@@ -90,6 +91,7 @@
 	i->text = ir_text_copy(i, in->text);
 	i->created_revision = in->created_revision;
 	i->upstream_started_ms = in->upstream_started_ms;
+	i->changed = true;
 	talloc_free(old_section);
 	talloc_free(old_text);
 }
@@ -270,10 +272,14 @@
 	to->revision = revision;
 }
 
+/*
+ * A change that was undone before it was read counts too: another host may have
+ * read the text in between.
+ */
 static bool
 is_published(const struct published_section *s)
 {
-	return s->text != NULL &&
+	return s->text != NULL && !s->newest->changed &&
 	       s->created_revision == s->newest->created_revision &&
 	       strcmp(s->text, s->newest->text) == 0;
 }
@@ -284,6 +290,7 @@
 {
 	uint64_t revision = s->newest->revision;
 
+	s->newest->changed = false;
 	talloc_free(s->text);
 	s->text = ir_text_copy(s, s->newest->text);
 	s->created_revision = s->newest->created_revision;
--- a/test/test_host_items.c
+++ b/test/test_host_items.c
@@ -162,6 +162,37 @@
 	assert_true(put_item(f, "a", "host/1", NULL, 1));
 }
 
+static void
+test_changes_follow_beside_an_unreadable_item(void **state)
+{
+	struct fixture *f = *state;
+
+	put_item(f, "a", "host/1", "live", 1);
+	expect_one_change(f, 0, "host/1", "live");
+	assert_true(put_item(f, "odd", NULL, NULL, 2));
+	put_item(f, "a", "host/1", "leaving", 1);
+	expect_one_change(f, 0, "host/1", "leaving");
+	put_item(f, "a", "host/1", "live", 1);
+	assert_false(put_item(f, "odd", NULL, NULL, 2));
+	expect_one_change(f, 0, "host/1", "live");
+}
+
+/* Another host may have read the change and passed it on. */
+static void
+test_change_that_was_undone_between_two_reads_is_passed_on(void **state)
+{
+	struct fixture *f = *state;
+
+	put_item(f, "a", "host/1", "live", 1);
+	expect_one_change(f, 0, "host/1", "live");
+	put_item(f, "a", "host/1", "leaving", 1);
+	put_item(f, "a", "host/1", "live", 1);
+	expect_one_change(f, 0, "host/1", "live");
+	assert_int_equal(f->read.sections[0].revision, f->revision);
+	put_item(f, "a", "host/1", "live", 1);
+	assert_int_equal(take_changes(f, 0), 0);
+}
+
 static void
 test_removals_are_delayed_after_a_failure(void **state)
 {
@@ -303,6 +334,9 @@
 		test_late_heartbeat_of_an_ended_upstream_does_not_replace_its_successor),
 	    WITH_HOST_ITEMS(test_recreated_item_is_passed_on_again),
 	    WITH_HOST_ITEMS(test_unreadable_item_removes_its_host),
+	    WITH_HOST_ITEMS(test_changes_follow_beside_an_unreadable_item),
+	    WITH_HOST_ITEMS(
+		test_change_that_was_undone_between_two_reads_is_passed_on),
 	    WITH_HOST_ITEMS(test_removals_are_delayed_after_a_failure),
 	    WITH_HOST_ITEMS(
 		test_older_copy_does_not_undo_a_change_that_is_written_again),
