Platform: an odd entry of another writer names no instance

Cause: an entry was taken for an instance's with five of its eight fields, its port was not looked at, numbers were cut to 64 bits, and an id longer than the core takes made a section that the core refused and that hid the good one.

Ruled out: choosing among entries by their age, as the other writer's is the newer one. A complete forged entry is still believed.

--- a/test/support/process_load.c
+++ b/test/support/process_load.c
@@ -7,11 +7,13 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
 #include "fakes/lib/lifetime.h"
 #include "ibisrail/limits.h"
+#include "io/listen.h"
 #include "support/process_load.h"
 
 #define STEP_MS 5
@@ -188,6 +190,33 @@
 	return 0;
 }
 
+int
+processes_set_up_platform(uint32_t hosts)
+{
+	const struct pr_fleet fleet = {.host_count = hosts,
+	    .memory_mb = PR_MEMORY_MB,
+	    .platform_dialect = true,
+	    .start_nodes_later = true,
+	    .first_account_unlimited = true};
+	struct ir_endpoint any = {"", 0};
+	uint16_t peers_port;
+
+	procs = pr_fleet_start(program_path, &fleet);
+	/* All nodes use the same port, each at its own address. */
+	any.address = procs->hosts[0].published_address;
+	close(ir_listen(&any, false, &peers_port));
+	for (size_t i = 0; i < hosts; i++) {
+		struct pr_host *h = &procs->hosts[i];
+
+		/* No proxy stands between the hosts. */
+		strcpy(h->address, h->published_address);
+		pr_node_start(procs, h, peers_port);
+		pr_publish(procs, h, "live");
+	}
+	pr_wait_serving(procs);
+	return 0;
+}
+
 /* Teardown of each test, so that a failed one leaves no faults behind. */
 int
 processes_restore(void **state)
--- a/test/support/process_load.h
+++ b/test/support/process_load.h
@@ -78,6 +78,8 @@
 /* Returns the uptime that the node of h will have in us microseconds. */
 struct uptime_mark uptime_after(const struct pr_host *h, int64_t us);
 int processes_set_up(void **state);
+/* The same with the platform's dialect and a number of hosts. */
+int processes_set_up_platform(uint32_t hosts);
 /* Ends a test's faults, restarts ended nodes and waits until all serve. */
 int processes_restore(void **state);
 int processes_tear_down(void **state);
--- a/test/test_platform_store.c
+++ b/test/test_platform_store.c
@@ -6,6 +6,7 @@
 
 #include <cmocka.h>
 
+#include "link/peer.h"
 #include "platform/names.h"
 #include "platform/platform.h"
 
@@ -128,6 +129,81 @@
 	talloc_free(f.mem);
 }
 
+#define ENTRY_BEGIN                                              \
+	"{\"service\":\"s\",\"zone\":\"z1\",\"version\":\"v1\"," \
+	"\"cold_remaining_ms\":0,\"sequence\":4"
+#define ADDRESS ",\"address\":\"10.0.0.9:80\""
+#define SLOTS ",\"slots\":8"
+#define STATE ",\"state\":\"ready\""
+#define DEEP_10 "[[[[[[[[[["
+
+static const char valid_entry[] = ENTRY_BEGIN ADDRESS SLOTS STATE "}";
+
+/* Other writers' entries. */
+static const char *const odd_entries[] = {
+    "",
+    "null",
+    "7",
+    "{",
+    "{}",
+    "\xff\xfe",
+    DEEP_10 DEEP_10 DEEP_10 DEEP_10 DEEP_10,
+    ENTRY_BEGIN ADDRESS SLOTS STATE ",\"x\":" DEEP_10 DEEP_10 "]]}",
+    ENTRY_BEGIN ADDRESS SLOTS "}",
+    ENTRY_BEGIN ADDRESS STATE "}",
+    ENTRY_BEGIN SLOTS STATE "}",
+    ENTRY_BEGIN ADDRESS SLOTS ",\"state\":\"gone\"}",
+    ENTRY_BEGIN ADDRESS SLOTS ",\"state\":1}",
+    ENTRY_BEGIN ADDRESS STATE ",\"slots\":0}",
+    ENTRY_BEGIN ADDRESS STATE ",\"slots\":4097}",
+    ENTRY_BEGIN ADDRESS STATE ",\"slots\":99999999999999999999999}",
+    ENTRY_BEGIN ADDRESS STATE ",\"slots\":1e400}",
+    ENTRY_BEGIN ADDRESS STATE ",\"slots\":\"8\"}",
+    ENTRY_BEGIN ADDRESS SLOTS STATE ",\"born\":1e400}",
+    ENTRY_BEGIN ADDRESS SLOTS STATE ",\"born\":\"now\"}",
+    ENTRY_BEGIN ADDRESS SLOTS STATE ",\"sequence\":[]}",
+    ENTRY_BEGIN ADDRESS SLOTS STATE ",\"cold_remaining_ms\":-1}",
+    ENTRY_BEGIN SLOTS STATE ",\"address\":\"10.0.0.9\"}",
+    ENTRY_BEGIN SLOTS STATE ",\"address\":\"10.0.0.9:\"}",
+    ENTRY_BEGIN SLOTS STATE ",\"address\":\"10.0.0.9:0\"}",
+    ENTRY_BEGIN SLOTS STATE ",\"address\":\"10.0.0.9:65536\"}",
+    ENTRY_BEGIN SLOTS STATE ",\"address\":\"10.0.0.9:-80\"}",
+    ENTRY_BEGIN SLOTS STATE ",\"address\":\"10.0.0.9:99999999999\"}",
+    ENTRY_BEGIN SLOTS STATE ",\"address\":\"10.0.0.300:80\"}",
+    ENTRY_BEGIN SLOTS STATE ",\"address\":\"h:80\"}",
+    "{\"service\":\"s\",\"zone\":\"z1\"" ADDRESS SLOTS STATE "}",
+};
+
+static char *
+decode(struct fixture *f, const char *id, const char *entry)
+{
+	struct ir_zone_region zone = {.zone = "z1", .region = "r"};
+	char *section = NULL;
+	int64_t started_ms = 0;
+
+	f->settings.zones = &zone;
+	f->settings.zone_count = 1;
+	f->settings.peers.port = 7000;
+	f->settings.callers.port = 7001;
+	return platform_host_section(&f->settings, f->mem, id, entry,
+	    strlen(entry), &section, &started_ms);
+}
+
+static void
+test_odd_entry_of_another_writer_names_no_instance(void **state)
+{
+	struct fixture f = start(false);
+	char long_id[IR_MAX_NAME + 2] = "";
+
+	memset(long_id, 'x', IR_MAX_NAME + 1);
+	assert_non_null(decode(&f, "i-1", valid_entry));
+	assert_null(decode(&f, long_id, valid_entry));
+	for (size_t i = 0; i < sizeof(odd_entries) / sizeof(*odd_entries); i++)
+		if (decode(&f, "i-1", odd_entries[i]) != NULL)
+			fail_msg("%s", odd_entries[i]);
+	talloc_free(f.mem);
+}
+
 int
 main(void)
 {
@@ -137,6 +213,8 @@
 	    cmocka_unit_test(test_key_without_a_zone_cannot_be_decoded),
 	    cmocka_unit_test(test_key_is_not_read_without_the_setting),
 	    cmocka_unit_test(test_next_page_follows_a_page_without_items),
+	    cmocka_unit_test(
+		test_odd_entry_of_another_writer_names_no_instance),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_slow_caller.c
+++ b/test/test_slow_caller.c
@@ -16,7 +16,6 @@
 
 #include "fakes/lib/lifetime.h"
 #include "ibisrail/limits.h"
-#include "io/listen.h"
 #include "platform/names.h"
 #include "support/process_load.h"
 #include "support/raw_http.h"
@@ -28,32 +27,10 @@
 /* Longer than a stop takes without work, shorter than the drain. */
 #define UNREAD_US (2 * IR_US_PER_S)
 
-static const struct pr_fleet fleet = {.host_count = HOSTS,
-    .memory_mb = PR_MEMORY_MB,
-    .platform_dialect = true,
-    .start_nodes_later = true,
-    .first_account_unlimited = true};
-
 static int
 set_up(void **state)
 {
-	struct ir_endpoint any = {"", 0};
-	uint16_t peers_port;
-
-	procs = pr_fleet_start(program_path, &fleet);
-	/* All nodes use the same port, each at its own address. */
-	any.address = procs->hosts[0].published_address;
-	close(ir_listen(&any, false, &peers_port));
-	for (size_t i = 0; i < HOSTS; i++) {
-		struct pr_host *h = &procs->hosts[i];
-
-		/* No proxy stands between the hosts. */
-		strcpy(h->address, h->published_address);
-		pr_node_start(procs, h, peers_port);
-		pr_publish(procs, h, "live");
-	}
-	pr_wait_serving(procs);
-	return 0;
+	return processes_set_up_platform(HOSTS);
 }
 
 /* Returns the connection. */
