Upstream: an answer that names no attempt is not trusted on a used connection

What callers saw: nothing here yet. Other operators report a faulty instance that wrote an earlier refusal once more on a kept connection, so that callers were told 'not run' for requests that had run, and one that ended within its answer's head, which gave callers an empty 200.

Looked at here: a repeated refusal that names its attempt was skipped already, and requests that are not idempotent get new connections, so that neither REFUSED nor TWICE can come of it. But a refusal without an attempt's id was believed on any connection (test: shed, where the request may be running). It is a broken answer there now, with an unknown outcome; on a new connection it holds. An answer cut at each byte of its head was never taken as whole: a test keeps it so.

Ruled out: skipping such an answer and waiting for the next, as a caller would wait until its deadline where an upstream gives no ids.

--- a/src/io/upstream/upstream_answer.c
+++ b/src/io/upstream/upstream_answer.c
@@ -160,6 +160,14 @@
 	       status == HTTP_SERVICE_UNAVAILABLE;
 }
 
+/* Whether it may be a copy of an answer to an earlier request. */
+static bool
+may_be_of_another_request(const struct ir_upstream_answer *a)
+{
+	return a->dialect->headers.caller_attempt != NULL && !a->has_attempt &&
+	       a->conn_was_used;
+}
+
 static bool
 was_shed_by_upstream(const struct ir_upstream_answer *a, uint16_t status)
 {
@@ -192,6 +200,10 @@
 	struct ir_run_result *r = &a->message->u.result;
 
 	r->status = status;
+	if (may_be_of_another_request(a)) {
+		r->end = IR_RUN_BROKEN;
+		return;
+	}
 	if (was_shed_by_upstream(a, status)) {
 		r->end = IR_RUN_SHED;
 	} else if (!is_valid(a, status)) {
--- a/src/io/upstream/upstream_answer.h
+++ b/src/io/upstream/upstream_answer.h
@@ -25,6 +25,7 @@
 	bool has_content_encoding; /* the body was encoded on the way */
 	bool has_attempt;	   /* has the header with the attempt's id */
 	bool attempt_differs;	   /* that id is not caller_attempt */
+	bool conn_was_used;	   /* for an earlier request */
 	bool too_large;		   /* headers or the body exceed a limit */
 };
 
@@ -61,8 +62,9 @@
  * Fills the result in a->message from a complete answer: IR_RUN_SHED,
  * IR_RUN_ANSWERED, or IR_RUN_BROKEN if the answer is invalid: too large or,
  * where the dialect requires a digest, a success without it or with an encoded
- * body, or an error that callers would take as not run. Headers that are only
- * for this connection are left out.
+ * body, or an error that callers would take as not run; or if it names no
+ * attempt on a connection that was used before, as it may be a copy of an
+ * earlier answer. Headers that are only for this connection are left out.
  */
 void ir_upstream_answer_finish(struct ir_upstream_answer *a, uint16_t status);
 
--- a/src/io/upstream/upstream_conn.c
+++ b/src/io/upstream/upstream_conn.c
@@ -661,6 +661,7 @@
 		return;
 	}
 	c->transfer = t;
+	t->answer.conn_was_used = !c->connecting;
 	c->answer_started = false;
 	c->answer_complete = false;
 	c->skipped_answers = 0;
--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -465,6 +465,51 @@
 	    IR_RUN_ANSWERED);
 }
 
+/* The first bytes of an answer, and then the end of the connection. */
+static void
+test_answer_cut_within_its_head_is_broken(void **state)
+{
+	static const char *const answers[] = {
+	    SIGNED_HEAD "Content-Length: 0\r\n\r\n",
+	    SIGNED_HEAD "\r\n",
+	    CHUNKED_HEAD,
+	};
+
+	for (size_t k = 0; k < sizeof(answers) / sizeof(*answers); k++) {
+		for (size_t i = 1; i < strlen(answers[k]); i++) {
+			char *cut = talloc_strndup(*state, answers[k], i);
+
+			expect_run_end(*state, cut, IR_RUN_BROKEN);
+			talloc_free(cut);
+		}
+	}
+}
+
+#define REFUSAL(field)                                              \
+	"HTTP/1.1 503 Busy\r\nX-Ibisrail-Not-Executed: 1\r\n" field \
+	"Content-Length: 0\r\n\r\n"
+#define REFUSAL_OF(id) REFUSAL("X-Ibisrail-Attempt-Id: " id "\r\n")
+
+static void
+test_repeated_refusal_is_not_taken_for_the_next_request(void **state)
+{
+	static const struct script s = {
+	    .answers = {REFUSAL_OF("1"),
+		REFUSAL_OF("1") SIGNED_ANSWER("2", "bb"), REFUSAL("")}};
+	struct fixture *f = *state;
+	struct ir_to_core *m;
+
+	use_script(f, &s);
+	m = run_request(f, "1");
+	assert_int_equal(m->u.result.end, IR_RUN_SHED);
+	talloc_free(m);
+	expect_body(run_request(f, "2"), "bb");
+	m = run_request(f, "3");
+	assert_int_equal(m->u.result.end, IR_RUN_BROKEN);
+	talloc_free(m);
+	assert_int_equal(f->connections, 1);
+}
+
 /* On a reused connection the upstream would read the rest of the body as the
  * next request. */
 static void
@@ -560,6 +605,9 @@
 		test_end_of_the_upstream_is_told_from_a_broken_connection),
 	    WITH_UPSTREAM(test_answer_without_length_ends_with_connection),
 	    WITH_UPSTREAM(test_only_not_run_answers_are_shed),
+	    WITH_UPSTREAM(test_answer_cut_within_its_head_is_broken),
+	    WITH_UPSTREAM(
+		test_repeated_refusal_is_not_taken_for_the_next_request),
 	    WITH_UPSTREAM(
 		test_answer_before_complete_request_closes_connection),
 	    WITH_UPSTREAM(test_answers_without_end_are_given_up),
