Soak: a stopping node answers what it passed on, and leaves nothing waiting

Now a node that got SIGTERM, and was neither killed nor paused, must answer each request that an upstream has seen, and may not close a connection later than loss_slack_ms (200 ms) after the request on it was sent. The time counts to the last step of the client in which the connection was still open, so that a client that waits for a core does not fail the check.

--- a/test/fakes/lib/fetch.c
+++ b/test/fakes/lib/fetch.c
@@ -8,6 +8,7 @@
 
 #include "core/table.h"
 #include "fakes/lib/fetch.h"
+#include "fakes/lib/lifetime.h"
 
 #define MAX_ANSWER_BYTES (8 * 1024 * 1024)
 
@@ -16,6 +17,7 @@
 	bool cancel; /* cancels the active job with this id */
 	CURL *easy;
 	int send_count; /* requests sent on a connection */
+	int64_t send_us;
 	struct curl_slist *headers;
 	char *outcome;
 	char *error;
@@ -30,8 +32,10 @@
 struct fake_fetcher {
 	CURLM *multi;
 	pthread_mutex_t lock;
-	struct fetch_job *inbox;  /* guarded by lock */
-	struct fetch_job *active; /* by id; used by the stepping thread only */
+	struct fetch_job *inbox; /* guarded by lock */
+	/* Used by the stepping thread only. */
+	struct fetch_job *active; /* by id */
+	int64_t polled_us; /* all sockets were last looked at after this */
 };
 
 struct fake_fetcher *
@@ -159,6 +163,7 @@
 {
 	struct fetch_job *j = arg;
 
+	j->send_us = fake_now_us();
 	return j->send_count++ == 0 ? CURL_PREREQFUNC_OK
 				    : CURL_PREREQFUNC_ABORT;
 }
@@ -251,6 +256,8 @@
 	r.retry_after_ms = j->retry_after_ms;
 	r.body = j->body;
 	r.body_bytes = j->body_bytes;
+	if (j->send_us != 0 && f->polled_us > j->send_us)
+		r.open_us = f->polled_us - j->send_us;
 	remove_active(f, j);
 	j->in.done(j->in.ctx, j->in.id, &r);
 	free_job(f, j);
@@ -259,6 +266,7 @@
 void
 fake_fetcher_step(struct fake_fetcher *f, int wait_ms)
 {
+	int64_t begin_us = fake_now_us();
 	int running, left;
 	CURLMsg *m;
 	char *private;
@@ -272,6 +280,7 @@
 		finish(f, (struct fetch_job *)(void *)private, m->data.result);
 		wait_ms = 0;
 	}
+	f->polled_us = begin_us;
 	if (wait_ms > 0)
 		curl_multi_poll(f->multi, NULL, 0, wait_ms, NULL);
 }
--- a/test/fakes/lib/fetch.h
+++ b/test/fakes/lib/fetch.h
@@ -21,6 +21,11 @@
 	uint32_t retry_after_ms;
 	const uint8_t *body;
 	size_t body_bytes;
+	/*
+	 * The connection was still open this long after the request was sent,
+	 * in microseconds; 0 if it was not sent, or is not known to have been.
+	 */
+	int64_t open_us;
 };
 
 /* A request. */
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -36,6 +36,7 @@
 	if (h->node.pid == 0)
 		return;
 	pr_signal(&h->node, paused ? SIGSTOP : SIGCONT);
+	s->hosts[i].stopping_number = 0;
 	s->hosts[i].paused = paused;
 }
 
@@ -52,10 +53,13 @@
 	switch (soak_random_below(s, 5) + (i == s->never_stopped ? 2 : 0)) {
 	case 0:
 		t->end_expected = true;
+		t->stopping_number = 0;
 		pr_signal(&h->node, SIGKILL);
 		t->paused = false;
 		break;
 	case 1:
+		if (!t->end_expected && !t->paused)
+			t->stopping_number = t->start_number;
 		t->end_expected = true;
 		pr_signal(&h->node, SIGTERM);
 		break;
--- a/test/soak/load.c
+++ b/test/soak/load.c
@@ -98,7 +98,7 @@
 		    "request %" PRIu64 " got the answer to another request",
 		    id);
 	if (was_closed(r))
-		soak_note_closed(s, q->host, q->start_number, id);
+		soak_note_closed(s, q->host, q->start_number, id, r->open_us);
 	check_key(s, q, id);
 	talloc_free(own);
 }
@@ -244,7 +244,10 @@
 	}
 }
 
-/* A running node must answer every request that it has forwarded. */
+/*
+ * A node must answer every request that it has forwarded, while it runs and
+ * when it was told to stop.
+ */
 void
 soak_check_closed(struct soak *s)
 {
@@ -254,7 +257,7 @@
 		if (pr_count_seen(procs, pr_test_id(procs, c->id)) > 0)
 			soak_note_failure(s,
 			    "request %" PRIu64 " was forwarded by %s, which "
-			    "runs but closed without an answer",
+			    "closed without an answer",
 			    c->id, procs->hosts[c->host].name);
 	}
 }
--- a/test/soak/slow_client.c
+++ b/test/soak/slow_client.c
@@ -301,7 +301,7 @@
 		return;
 	for (uint32_t i = c->answered; i < c->requested; i++)
 		soak_note_closed(
-		    c->soak, c->host, c->start_number, c->first_id + i);
+		    c->soak, c->host, c->start_number, c->first_id + i, 0);
 }
 
 /* Returns false if the connection was closed or failed. */
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -16,7 +16,8 @@
  *
  * Checked: no request that is not idempotent runs twice; none runs although its
  * answer says not run; an answer belongs to its request; a request that a node
- * has forwarded is answered while the node runs; no withdrawn key is served
+ * has forwarded is answered while the node runs, and also if it was told to
+ * stop; such a node leaves no request waiting; no withdrawn key is served
  * after the time limit; no node exceeds its memory limit; no process ends
  * unexpectedly; all nodes serve again after the faults and take a new
  * configuration. Exit code 0 if no check fails.
@@ -98,10 +99,19 @@
 }
 
 void
-soak_note_closed(struct soak *s, size_t i, uint32_t start_number, uint64_t id)
+soak_note_closed(struct soak *s, size_t i, uint32_t start_number, uint64_t id,
+    int64_t open_us)
 {
-	if (!soak_node_running(s, i, start_number) ||
-	    s->closed_count == SOAK_MAX_CLOSED)
+	bool stopping = s->hosts[i].stopping_number == start_number;
+
+	if (!stopping && !soak_node_running(s, i, start_number))
+		return;
+	if (stopping && open_us > SOAK_LOSS_SLACK_US)
+		soak_note_failure(s,
+		    "%s was told to stop, and closed without an answer %" PRId64
+		    " ms after request %" PRIu64 " was sent",
+		    procs->hosts[i].name, open_us / IR_US_PER_MS, id);
+	if (s->closed_count == SOAK_MAX_CLOSED)
 		return;
 	s->closed[s->closed_count++] = (struct closed_request){id, (uint16_t)i};
 }
@@ -195,7 +205,7 @@
 	printf("seed %" PRIu64 "%s, %u hosts: %u faults, %u restores, %u "
 	       "requests: %u served, %u not "
 	       "run, %u unknown, %u without answer; %u held: %u answered; %u "
-	       "closed by living nodes; at most %" PRIu64
+	       "closed by nodes that ran or stopped; at most %" PRIu64
 	       " MB of %u (%s); all served after %" PRId64 " ms; %s\n",
 	    s->seed, procs->platform_dialect ? " of the platform" : "",
 	    procs->host_count, s->fault_count, s->restore_count, s->sent_count,
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -18,6 +18,8 @@
 #define SOAK_MAX_REQUESTS 1000000
 #define SOAK_MAX_CLOSED 4096
 #define SOAK_MAX_FAILURE_BYTES 512
+/* For this long a request may have been on its way to a node that ends. */
+#define SOAK_LOSS_SLACK_US (200 * IR_US_PER_MS)
 
 /* Faults at a host, and the load sent to it. */
 struct host_state {
@@ -26,8 +28,10 @@
 	bool leaving;
 	bool has_large_answers; /* of its upstream */
 	uint32_t start_number;	/* of its node */
-	uint32_t open;		/* requests of the load in flight there */
-	int64_t next_send_us;	/* no request is sent there before */
+	/* Of the process terminated last, not killed or paused; 0: none. */
+	uint32_t stopping_number;
+	uint32_t open;	      /* requests of the load in flight there */
+	int64_t next_send_us; /* no request is sent there before */
 	uint64_t max_memory_bytes;
 	int64_t link_fault_us; /* when its links last had a fault */
 	enum proxy_mode peer_link;
@@ -44,7 +48,7 @@
 	int64_t sent_us;
 };
 
-/* A request whose connection a running node closed without an answer. */
+/* A request whose connection its node closed without an answer. */
 struct closed_request {
 	uint64_t id;
 	uint16_t host;
@@ -100,9 +104,12 @@
 void soak_start_node(struct soak *s, size_t i);
 /* Whether that process of the node runs and is not expected to end. */
 bool soak_node_running(const struct soak *s, size_t i, uint32_t start_number);
-/* Notes a request closed without an answer, if the node still runs. */
-void soak_note_closed(
-    struct soak *s, size_t i, uint32_t start_number, uint64_t id);
+/*
+ * Notes a request closed without an answer, if the node still runs or was told
+ * to stop. open_us: the request was sent at least that long before.
+ */
+void soak_note_closed(struct soak *s, size_t i, uint32_t start_number,
+    uint64_t id, int64_t open_us);
 /* Return the numbers of a host's proxies. */
 uint32_t soak_peers_proxy(size_t i);
 uint32_t soak_store_proxy(size_t i);
