--- a/test/support/process_load.c
+++ b/test/support/process_load.c
@@ -209,7 +209,8 @@
 		struct pr_host *h = &procs->hosts[i];
 
 		/* No proxy stands between the hosts. */
-		strcpy(h->address, h->published_address);
+		snprintf(
+		    h->address, sizeof(h->address), "%s", h->published_address);
 		pr_node_start(procs, h, peers_port);
 		pr_publish(procs, h, "live");
 	}
--- a/test/test_odd_entry.c
+++ b/test/test_odd_entry.c
@@ -15,7 +15,7 @@
 #include "support/process_load.h"
 
 #define HOSTS 2
-#define DEEP "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[["
+static const char deep[] = "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[";
 
 static int
 set_up(void **state)
@@ -28,8 +28,8 @@
 put_odd_entries(const struct pr_host *h)
 {
 	const char *const values[] = {
-	    DEEP,
-	    "{\"a\":" DEEP,
+	    deep,
+	    talloc_asprintf(procs, "{\"a\":%s", deep),
 	    "not JSON",
 	    talloc_asprintf(procs,
 		"{\"" FIELD_SERVICE "\":\"t\",\"" FIELD_ADDRESS
