Test of cut answers: texts live as long as the thread that sends them

The test freed each text after the run had ended, when the server's thread could still be in send(). The texts now belong to the fixture, which ends that thread first. What is checked is unchanged.

--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -480,7 +480,6 @@
 			char *cut = talloc_strndup(*state, answers[k], i);
 
 			expect_run_end(*state, cut, IR_RUN_BROKEN);
-			talloc_free(cut);
 		}
 	}
 }
