Settings: the grace period comes by the command line, not by the template

Cause: put {{bounds.grace_s}} into deploy/settings.tmpl. Who fills in the template knows a fixed set; a new name is left as it is and is no JSON. (With no value at all, "grace_s": , is none either.)

Ruled out: an environment variable. It would do as well, but a process's command line can be seen on a host by everyone who operates it.

Empty means not known: then a stop waits for what is in progress for 20 s, as ever, since a shorter limit would cut requests that the supervisor may still wait for. finish_ms, for a later change, says by when what is taken after SIGTERM has to end; without a grace period it is 2.5 s.

Not changed: without the quota bounds the template gives no JSON. All deployments known have them.

--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -12,6 +12,8 @@
 /* For the last answers and the end of the threads. */
 #define STOP_AFTER_DRAIN_MS 600
 #define DEFAULT_DRAIN_MS 20000
+/* Without a known grace period: shorter than supervisors usually give. */
+#define DEFAULT_FINISH_MS 2500
 #define MIN_DRAIN_MS 100
 #define MAX_DRAIN_MS 120000
 #define MIN_GRACE_S 0.5
@@ -19,6 +21,7 @@
 /* Parts of the grace period: for requests, and until the process ends. */
 #define DRAIN_SHARE (5.0 / 6)
 #define STOP_SHARE (14.0 / 15)
+#define MS_PER_S 1000.0
 #define MIN_MEMORY_MB 32
 #define MAX_MEMORY_MB (1024 * 1024)
 
@@ -110,28 +113,59 @@
 	return ir_json_has(top, key) && ir_json_bool(in, top, "", key);
 }
 
+static void
+set_times_of_grace(struct ir_settings *s, double grace_s)
+{
+	s->drain_ms = (uint32_t)(DRAIN_SHARE * MS_PER_S * grace_s);
+	s->stop_ms = (uint32_t)(STOP_SHARE * MS_PER_S * grace_s);
+	s->finish_ms = s->drain_ms;
+	if (s->leave_ms > s->drain_ms)
+		s->leave_ms = s->drain_ms;
+}
+
+void
+ir_settings_set_grace(struct ir_settings *s, double grace_s)
+{
+	if (!s->has_stop_times && grace_s != 0)
+		set_times_of_grace(s, grace_s);
+}
+
+bool
+ir_settings_parse_grace(const char *text, double *grace_s)
+{
+	char *end;
+
+	*grace_s = 0;
+	if (*text == '\0')
+		return true;
+	*grace_s = strtod(text, &end);
+	return *end == '\0' && *grace_s >= MIN_GRACE_S &&
+	       *grace_s <= MAX_GRACE_S;
+}
+
 /* With grace_s, the times follow from it; drain_ms goes before it. */
 static void
 read_stop_times(
     struct ir_json_reader *in, struct json_object *top, struct ir_settings *s)
 {
-	uint32_t max_leave_ms;
+	bool has_grace = ir_json_has(top, "grace_s");
+	uint32_t max_leave_ms = MAX_DRAIN_MS;
 
 	s->drain_ms = DEFAULT_DRAIN_MS;
 	s->stop_ms = DEFAULT_DRAIN_MS + STOP_AFTER_DRAIN_MS;
-	if (ir_json_has(top, "grace_s")) {
-		double grace_ms = 1000 * ir_json_number(in, top, "", "grace_s",
-					     MIN_GRACE_S, MAX_GRACE_S);
-
-		s->drain_ms = (uint32_t)(DRAIN_SHARE * grace_ms);
-		s->stop_ms = (uint32_t)(STOP_SHARE * grace_ms);
-	}
+	s->finish_ms = DEFAULT_FINISH_MS;
+	s->has_stop_times = has_grace || ir_json_has(top, "drain_ms");
+	if (has_grace)
+		set_times_of_grace(s, ir_json_number(in, top, "", "grace_s",
+					  MIN_GRACE_S, MAX_GRACE_S));
 	if (ir_json_has(top, "drain_ms")) {
 		s->drain_ms = (uint32_t)ir_json_int(
 		    in, top, "", "drain_ms", MIN_DRAIN_MS, MAX_DRAIN_MS);
 		s->stop_ms = s->drain_ms + STOP_AFTER_DRAIN_MS;
+		s->finish_ms = s->drain_ms;
 	}
-	max_leave_ms = ir_json_has(top, "grace_s") ? MAX_DRAIN_MS : s->drain_ms;
+	if (!has_grace)
+		max_leave_ms = s->drain_ms;
 	if (ir_json_has(top, "leave_ms"))
 		s->leave_ms = (uint32_t)ir_json_int(
 		    in, top, "", "leave_ms", 0, max_leave_ms);
--- a/src/conf/settings.h
+++ b/src/conf/settings.h
@@ -56,6 +56,12 @@
 	uint32_t drain_ms;  /* time for requests after SIGTERM, 100 to 120000 */
 	uint32_t stop_ms;   /* from SIGTERM to forced exit, above drain_ms */
 	uint32_t leave_ms;  /* from SIGTERM to refusing calls, 0 to drain_ms */
+	/*
+	 * Calls that are accepted after SIGTERM must be able to end in this
+	 * time: drain_ms, or less while the grace period is not known.
+	 */
+	uint32_t finish_ms;
+	bool has_stop_times;	 /* the file gives grace_s or drain_ms */
 	enum ir_level log_level; /* "error".."debug" */
 	bool baseline_policy;	 /* "policy" is "plain", not "full" */
 	bool cold_starts; /* upstreams are cold after a start; default false */
@@ -66,6 +72,19 @@
 	size_t zone_count;
 };
 
+/*
+ * Derives the times of a stop from the supervisor's grace period, the seconds
+ * from SIGTERM to SIGKILL, unless the file gives them. 0: not known, changes
+ * nothing.
+ */
+void ir_settings_set_grace(struct ir_settings *s, double grace_s);
+
+/*
+ * Reads a grace period from text; "" gives 0. Returns false if it is not a
+ * number in the range of the key grace_s.
+ */
+bool ir_settings_parse_grace(const char *text, double *grace_s);
+
 /* Region of a zone, or NULL when the settings do not list the zone. */
 const char *ir_settings_region(const struct ir_settings *s, const char *zone);
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -34,7 +34,7 @@
 }
 
 static int
-serve(const struct ir_settings *settings, const char *file,
+serve(const struct ir_settings *settings, const char *file, double grace_s,
     const struct ir_dialect *dialect)
 {
 	int signal_fd = open_signal_fd();
@@ -45,7 +45,7 @@
 		fprintf(stderr, PROGRAM ": cannot initialize libraries\n");
 		return EXIT_FAILURE;
 	}
-	p = ir_process_start(NULL, settings, file, dialect);
+	p = ir_process_start(NULL, settings, file, grace_s, dialect);
 	if (p == NULL)
 		return EXIT_FAILURE;
 	ir_process_run(p, signal_fd);
@@ -56,8 +56,8 @@
 }
 
 static int
-read_settings_and_serve(
-    const char *file, bool check_only, const struct ir_dialect *dialect)
+read_settings_and_serve(const char *file, double grace_s, bool check_only,
+    const struct ir_dialect *dialect)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
 	char *error = NULL;
@@ -68,7 +68,8 @@
 		fprintf(stderr, PROGRAM ": %s\n", error);
 		status = EXIT_SETTINGS;
 	} else if (!check_only) {
-		status = serve(settings, file, dialect);
+		ir_settings_set_grace(settings, grace_s);
+		status = serve(settings, file, grace_s, dialect);
 	}
 	talloc_free(mem);
 	return status;
@@ -100,6 +101,8 @@
 ir_daemon_main(int argc, char **argv, const struct ir_dialect *dialect)
 {
 	struct arg_file *config = arg_file0("c", "config", "FILE", "settings");
+	struct arg_str *grace = arg_str0(NULL, "grace-s", "SECONDS",
+	    "from SIGTERM to SIGKILL, unless the settings say; may be empty");
 	struct arg_lit *check =
 	    arg_lit0(NULL, "check", "check the settings and exit");
 	struct arg_lit *version =
@@ -107,8 +110,9 @@
 	struct arg_lit *help =
 	    arg_lit0(NULL, "help", "print this help and exit");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {config, check, version, help, end};
+	void *table[] = {config, grace, check, version, help, end};
 	int status = EXIT_SUCCESS;
+	double grace_s = 0;
 	const char *file;
 	int errors;
 
@@ -123,12 +127,17 @@
 	} else if (errors > 0) {
 		arg_print_errors(stderr, end, PROGRAM);
 		status = EXIT_SETTINGS;
+	} else if (grace->count > 0 &&
+		   !ir_settings_parse_grace(grace->sval[0], &grace_s)) {
+		fprintf(stderr,
+		    PROGRAM ": --grace-s must be a number from 0.5 to 120\n");
+		status = EXIT_SETTINGS;
 	} else if (file == NULL) {
 		fprintf(stderr, PROGRAM ": -c FILE is missing\n");
 		status = EXIT_SETTINGS;
 	} else {
-		status =
-		    read_settings_and_serve(file, check->count > 0, dialect);
+		status = read_settings_and_serve(
+		    file, grace_s, check->count > 0, dialect);
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return status;
--- a/src/daemon/process.c
+++ b/src/daemon/process.c
@@ -60,6 +60,7 @@
 struct ir_process {
 	const struct ir_settings *settings;
 	const char *settings_file;
+	double grace_s;			/* of the command line; 0: not given */
 	struct timespec settings_mtime; /* as last seen */
 	const struct ir_dialect *dialect;
 	struct ir_descriptor_limits descriptors;
@@ -261,7 +262,7 @@
 
 struct ir_process *
 ir_process_start(TALLOC_CTX *mem, const struct ir_settings *settings,
-    const char *settings_file, const struct ir_dialect *dialect)
+    const char *settings_file, double grace_s, const struct ir_dialect *dialect)
 {
 	struct ir_process *p = talloc_zero(mem, struct ir_process);
 
@@ -272,6 +273,7 @@
 	talloc_set_destructor(p, free_process);
 	p->settings = settings;
 	p->settings_file = settings_file;
+	p->grace_s = grace_s;
 	p->settings_mtime = modification_time(settings_file);
 	p->dialect = dialect;
 	p->log =
@@ -329,6 +331,7 @@
 		talloc_free(error);
 		return;
 	}
+	ir_settings_set_grace(s, p->grace_s);
 	ir_io_log_event(p->log, IR_EVENT_SETTINGS_READ, NULL,
 	    "why=%s restart=%s", why, ir_settings_restart_key(p->settings, s));
 	ir_log_set_level(p->log, s->log_level);
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -15,11 +15,12 @@
 /*
  * Starts all threads. Returns NULL with the cause logged. The signals handled
  * by ir_process_run() must be blocked before. settings_file is read again on
- * SIGHUP and when it changes.
+ * SIGHUP and when it changes; grace_s is then applied as by
+ * ir_settings_set_grace().
  */
 struct ir_process *ir_process_start(TALLOC_CTX *mem,
     const struct ir_settings *settings, const char *settings_file,
-    const struct ir_dialect *dialect);
+    double grace_s, const struct ir_dialect *dialect);
 
 /*
  * Handles signals until the core is drained. SIGTERM and SIGINT start a
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -193,6 +193,35 @@
 	talloc_free(mem);
 }
 
+static void
+test_grace_period_of_the_command_line(void **state)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	char *error;
+	double grace_s;
+	struct ir_settings *s = ir_settings_parse(mem, "f",
+	    replace(mem, "300}", "300,\"drain_ms\":700,\"leave_ms\":600}"),
+	    &error);
+
+	ir_settings_set_grace(s, 6);
+	assert_int_equal(s->drain_ms, 700);
+	assert_int_equal(s->finish_ms, 700);
+	s = ir_settings_parse(
+	    mem, "f", replace(mem, "300}", "300,\"leave_ms\":3000}"), &error);
+	ir_settings_set_grace(s, 1.5);
+	assert_int_equal(s->drain_ms, 1250);
+	assert_int_equal(s->leave_ms, 1250);
+	assert_true(ir_settings_parse_grace("", &grace_s));
+	assert_true(grace_s == 0);
+	assert_true(ir_settings_parse_grace("6", &grace_s));
+	assert_true(grace_s == 6);
+	assert_false(ir_settings_parse_grace("0.4", &grace_s));
+	assert_false(ir_settings_parse_grace("121", &grace_s));
+	assert_false(ir_settings_parse_grace("nan", &grace_s));
+	assert_false(ir_settings_parse_grace("6 s", &grace_s));
+	talloc_free(mem);
+}
+
 static void
 test_settings_file(void **state)
 {
@@ -222,6 +251,7 @@
 	    cmocka_unit_test(test_invalid_settings_are_refused),
 	    cmocka_unit_test(test_valid_settings_are_read),
 	    cmocka_unit_test(test_stop_times_follow_the_grace_period),
+	    cmocka_unit_test(test_grace_period_of_the_command_line),
 	    cmocka_unit_test(test_settings_file),
 	};
 
