Store client: a watch begins at the older of the two reads that it follows

Cause: after a 410 the configuration and the host list are read in full, each after a random time of up to 0.3 s. Then one watch, of all keys, returns the changes of both, and it began at the revision of the host list alone. A change between the two reads was in neither. From then on each answer of that watch confirmed the configuration, although it covered only what came later, so that nothing was ever overdue. Confirmation and coverage were two facts, in two places.

Reading both parts with one request would do, but the dialect's full read of all keys is not smaller than the host list, and other dialects have no such request.

Change: host/coverage.c holds up to which revision each part is covered. It says what is read next (the joint watch begins at the lower revision) and refuses to count an answer that begins later than its part is covered. Lost history voids both parts. The store client keeps no revisions of its own any more. An older event that comes again is harmless: configurations go by generation, events of an answer are in order.

--- a/src/io/store/store_client.c
+++ b/src/io/store/store_client.c
@@ -7,6 +7,7 @@
 
 #include "core/random.h"
 
+#include "host/coverage.h"
 #include "host/position.h"
 #include "ibisrail/memory.h"
 #include "io/admin/io_log.h"
@@ -43,9 +44,9 @@
 /* Repeated reads of the configuration or of the host list. */
 struct watch {
 	struct ir_store_client *client;
-	bool hosts;
-	uint64_t revision; /* of this era: highest read, or held by the core */
-	char *next_key;	   /* of a full read: where its next page begins */
+	enum ir_store_part part;
+	uint64_t after; /* where the read in flight began; 0: full read */
+	char *next_key; /* of a full read: where its next page begins */
 	uint64_t full_read_revision; /* store revision of its first page */
 	uint64_t reached; /* store revision up to which the last read went */
 	struct ir_host_items *host_items; /* NULL: items are sections */
@@ -81,7 +82,8 @@
 	const struct ir_store_dialect *dialect;
 	struct watch config;
 	struct watch hosts;
-	uint64_t era; /* of the last valid answer */
+	struct ir_coverage coverage; /* in the present era */
+	uint64_t era;		     /* of the last valid answer */
 	bool has_era;
 	uint64_t random;
 	bool polling;
@@ -142,14 +144,33 @@
 	TALLOC_FREE(w->message);
 }
 
+static bool
+is_of_hosts(const struct watch *w)
+{
+	return w->part == IR_PART_HOSTS;
+}
+
+static uint64_t
+covered_revision(const struct watch *w)
+{
+	return w->client->coverage.revision[w->part];
+}
+
+static struct ir_read_plan
+next_read(const struct watch *w)
+{
+	return ir_coverage_plan(&w->client->coverage, w->part);
+}
+
 static uint32_t
 change_wait_ms(const struct watch *w)
 {
 	const struct ir_store_dialect *d = w->client->dialect;
-	uint32_t wait_ms = w->hosts ? d->hosts_wait_ms : d->config_wait_ms;
+	uint32_t wait_ms =
+	    is_of_hosts(w) ? d->hosts_wait_ms : d->config_wait_ms;
 
 	/* A full read needs the time for its answer. */
-	if (w->failed && w->revision != 0 && wait_ms > FAILED_WAIT_MS)
+	if (w->failed && covered_revision(w) != 0 && wait_ms > FAILED_WAIT_MS)
 		return FAILED_WAIT_MS;
 	return wait_ms;
 }
@@ -158,8 +179,8 @@
 make_query(const struct watch *w)
 {
 	struct ir_store_query query = {
-	    .hosts = w->hosts,
-	    .revision = w->revision,
+	    .hosts = is_of_hosts(w),
+	    .revision = w->after,
 	    .after_key = w->next_key,
 	    .wait_ms = change_wait_ms(w),
 	};
@@ -215,6 +236,7 @@
 start_read(struct watch *w, int64_t now)
 {
 	w->started_us = now;
+	w->after = next_read(w).after;
 	w->message = ir_to_core_new(IR_TO_CORE_STORE_READ);
 	w->easy = curl_easy_init();
 	if (w->easy == NULL) {
@@ -296,8 +318,8 @@
 	talloc_free(w->reported_error);
 	w->reported_error = ir_text_copy(w->client, error);
 	ir_io_log_event(w->client->channel->log, IR_EVENT_SECTION_REFUSED,
-	    error, "part=%s revision=%" PRIu64, w->hosts ? "hosts" : "config",
-	    w->revision);
+	    error, "part=%s revision=%" PRIu64,
+	    is_of_hosts(w) ? "hosts" : "config", covered_revision(w));
 }
 
 /* Adds a page to the read; false if the full read has further pages. */
@@ -334,17 +356,15 @@
 	return true;
 }
 
-/* Sends the read to the core. reached: the store revision that was read. */
+/* Sends the read to the core. */
 static void
-deliver(struct watch *w, uint64_t reached)
+deliver(struct watch *w)
 {
 	struct ir_store_read *r = &w->message->u.store;
 
 	r->request_sent_us = w->started_us;
-	r->is_host_list = w->hosts;
+	r->is_host_list = is_of_hosts(w);
 	w->full_read_due = false;
-	if (reached > w->revision)
-		w->revision = reached;
 	TALLOC_FREE(w->body);
 	ir_outbox_push(&w->client->outbox, w->message);
 	w->message = NULL;
@@ -376,9 +396,12 @@
 		w->next_read_us = w->started_us + wait_us;
 }
 
-/* Delivers the configuration from a read of the host list. */
+/*
+ * Delivers the configuration from the answer to a watch of the host list that
+ * began at a revision.
+ */
 static void
-deliver_config(struct ir_store_client *c, int64_t started_us,
+deliver_config(struct ir_store_client *c, int64_t started_us, uint64_t after,
     const struct ir_store_page *page)
 {
 	struct watch *w = &c->config;
@@ -391,8 +414,9 @@
 		page->config_items != NULL ? page->generation : w->generation,
 	};
 
-	/* Before its first full read there is no configuration to confirm. */
-	if (w->revision == 0 && page->config_items == NULL)
+	/* A changed configuration comes as a whole. */
+	if (!ir_coverage_add(&c->coverage, IR_PART_CONFIG,
+		config.full ? 0 : after, page->revision))
 		return;
 	end_read(w);
 	w->message = ir_to_core_new(IR_TO_CORE_STORE_READ);
@@ -400,7 +424,7 @@
 	if (page->config_items != NULL)
 		talloc_steal(w->message, page->config_items);
 	set_sections(w, &config);
-	deliver(w, page->revision);
+	deliver(w);
 }
 
 static void
@@ -416,14 +440,16 @@
 		w->next_read_us = now;
 		return;
 	}
-	if (w->hosts && c->dialect->hosts_include_config && !page->full)
-		deliver_config(c, w->started_us, page);
+	if (is_of_hosts(w) && c->dialect->hosts_include_config && !page->full)
+		deliver_config(c, w->started_us, w->after, page);
 	if (w->host_items != NULL) {
 		reached = w->reached;
 		ir_host_items_take_changes(
 		    w->host_items, now, w->message, page->full, r);
 	}
-	deliver(w, reached);
+	if (ir_coverage_add(
+		&c->coverage, w->part, page->full ? 0 : w->after, reached))
+		deliver(w);
 	end_read(w);
 	schedule_next_read(
 	    w, now, page->item_count + page->config_item_count != 0);
@@ -437,11 +463,22 @@
 
 	end_read(w);
 	TALLOC_FREE(w->next_key);
-	w->revision = 0;
+	ir_coverage_drop(&w->client->coverage, w->part);
 	w->full_read_due = true;
 	w->next_read_us = now + delay_ms * IR_US_PER_MS;
 }
 
+static void
+handle_lost_history(struct watch *w, int64_t now)
+{
+	struct ir_store_client *c = w->client;
+
+	ir_coverage_history_lost(&c->coverage, w->part);
+	restart_full_read(w, now);
+	if (is_of_hosts(w) && covered_revision(&c->config) == 0)
+		restart_full_read(&c->config, now);
+}
+
 static void
 set_page_era(const struct watch *w, struct ir_store_page *page)
 {
@@ -476,8 +513,8 @@
 	ir_io_log_event(c->channel->log, IR_EVENT_STORE_RESTORED, NULL,
 	    "era=%" PRIu64 " revision=%" PRIu64 " old_era=%" PRIu64
 	    " config=%" PRIu64 " hosts=%" PRIu64,
-	    page->era, page->revision, c->era, c->config.revision,
-	    c->hosts.revision);
+	    page->era, page->revision, c->era, covered_revision(&c->config),
+	    covered_revision(&c->hosts));
 	restart_full_read(&c->config, now);
 	restart_full_read(&c->hosts, now);
 	/* What the copy lacks is written again, as after a failure. */
@@ -503,7 +540,8 @@
 	if (!page->has_era || page->era > IR_MAX_STORE_ERA ||
 	    (c->has_era && page->era <= c->era))
 		return false;
-	began = c->config.revision != 0 || c->hosts.revision != 0;
+	began = covered_revision(&c->config) != 0 ||
+		covered_revision(&c->hosts) != 0;
 	if (began)
 		begin_era(c, now, page);
 	delay_removals(&c->config, now);
@@ -542,9 +580,7 @@
 		return;
 	}
 	if (result == IR_STORE_EXPIRED) {
-		restart_full_read(w, now);
-		if (w->hosts && c->dialect->hosts_include_config)
-			restart_full_read(&c->config, now);
+		handle_lost_history(w, now);
 		return;
 	}
 	if (code == CURLE_WRITE_ERROR && w->too_large)
@@ -573,8 +609,7 @@
 
 	if (ir_position_era(held) != w->client->era || w->full_read_due)
 		return;
-	if (revision > w->revision)
-		w->revision = revision;
+	ir_coverage_raise(&w->client->coverage, w->part, revision);
 }
 
 static void
@@ -610,25 +645,12 @@
 	w->removal_due_us = 0;
 	m = ir_to_core_new(IR_TO_CORE_STORE_READ);
 	m->u.store.request_sent_us = w->started_us;
-	m->u.store.is_host_list = w->hosts;
-	m->u.store.reached_revision = position(w->client, w->revision);
+	m->u.store.is_host_list = is_of_hosts(w);
+	m->u.store.reached_revision = position(w->client, covered_revision(w));
 	ir_host_items_take_changes(w->host_items, now, m, false, &m->u.store);
 	ir_outbox_push(&w->client->outbox, m);
 }
 
-/*
- * Whether reads of the host list also return the configuration's changes: once
- * both were read.
- */
-static bool
-is_included_in_host_reads(const struct watch *w)
-{
-	const struct ir_store_client *c = w->client;
-
-	return c->dialect->hosts_include_config && !w->hosts &&
-	       w->revision != 0 && c->hosts.revision != 0;
-}
-
 static void
 run_watch(struct watch *w, int64_t now)
 {
@@ -641,7 +663,7 @@
 		w->removals_due_us = 0;
 		restart_full_read(w, now);
 	}
-	if (is_included_in_host_reads(w))
+	if (next_read(w).kind == IR_READ_NONE)
 		return;
 	if (w->easy == NULL && now >= w->next_read_us)
 		start_read(w, now);
@@ -657,7 +679,7 @@
 
 	if (!w->client->polling)
 		return max_ms;
-	if (w->easy == NULL && !is_included_in_host_reads(w) &&
+	if (w->easy == NULL && next_read(w).kind != IR_READ_NONE &&
 	    (next_us == 0 || w->next_read_us < next_us))
 		next_us = w->next_read_us;
 	if (next_us == 0)
@@ -727,10 +749,10 @@
 }
 
 static void
-init_watch(struct ir_store_client *c, struct watch *w, bool hosts)
+init_watch(struct ir_store_client *c, struct watch *w, enum ir_store_part part)
 {
 	w->client = c;
-	w->hosts = hosts;
+	w->part = part;
 	w->backoff_us = BACKOFF_MIN_US;
 }
 
@@ -751,8 +773,9 @@
 	c->dialect = dialect;
 	c->max_answer_bytes = max_answer_bytes(settings);
 	ir_outbox_init(&c->outbox, channel->to_core);
-	init_watch(c, &c->config, false);
-	init_watch(c, &c->hosts, true);
+	init_watch(c, &c->config, IR_PART_CONFIG);
+	init_watch(c, &c->hosts, IR_PART_HOSTS);
+	c->coverage.joint = dialect->hosts_include_config;
 	if (dialect->uses_host_items) {
 		c->hosts.host_items = ir_host_items_new(c);
 		if (c->hosts.host_items == NULL)
--- a/test/test_store_client.c
+++ b/test/test_store_client.c
@@ -5,23 +5,28 @@
 #include <sys/socket.h>
 
 #include <fcntl.h>
+#include <inttypes.h>
 #include <poll.h>
 #include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include <cmocka.h>
 #include <curl/curl.h>
+#include <sodium.h>
 
 #include "fakes/lib/server.h"
 #include "host/position.h"
 #include "io/listen.h"
 #include "io/store/store_answer.h"
 #include "io/store/store_client.h"
+#include "platform/names.h"
+#include "platform/platform.h"
 #include "support/core_side.h"
 
 #define RING_SLOTS 64
@@ -409,6 +414,108 @@
 	talloc_free(f.core);
 }
 
+/*
+ * A store in which the configuration was written at revision 9 and again, in
+ * the next generation, at 11: after the full read of it, at 10, and before the
+ * one of the host list, at 12.
+ */
+#define CONFIG_TEXT(generation)                                     \
+	"{\"" FIELD_VERSION "\":\"" generation "\",\"" FIELD_ROUTES \
+	"\":{},\"" FIELD_SERVICES "\":{},\"" FIELD_TENANTS "\":{}}"
+#define OLD_REVISION UINT64_C(9)
+#define NEW_REVISION UINT64_C(11)
+
+static char *
+config_item(TALLOC_CTX *mem, const char *text, uint64_t revision)
+{
+	char value[512];
+
+	sodium_bin2base64(value, sizeof(value), (const uint8_t *)text,
+	    strlen(text), sodium_base64_VARIANT_ORIGINAL);
+	return talloc_asprintf(mem,
+	    "\"" FIELD_KEY "\":\"" CONFIG_KEY "\",\"" FIELD_VALUE
+	    "\":\"%s\",\"" FIELD_REVISION "\":%" PRIu64 ",\"" FIELD_CREATED
+	    "\":1",
+	    value, revision);
+}
+
+static void
+answer_watch(struct fake_request *r)
+{
+	const char *after = strstr(r->uri, "after=");
+	uint64_t revision = strtoull(after + strlen("after="), NULL, 10);
+	char *event = config_item(r, CONFIG_TEXT("00000008"), NEW_REVISION);
+
+	if (revision < NEW_REVISION)
+		fake_answer_json(r, 200,
+		    talloc_asprintf(r,
+			"{\"" FIELD_STORE_REVISION "\":12,\"" FIELD_EVENTS
+			"\":[{%s}]}",
+			event));
+	else
+		fake_answer_json(r, 200,
+		    "{\"" FIELD_STORE_REVISION "\":12,\"" FIELD_EVENTS
+		    "\":[]}");
+}
+
+/* The watch of the configuration alone gets no answer. */
+static void
+answer_as_platform(void *ctx, struct fake_request *r)
+{
+	struct fixture *f = ctx;
+
+	if (strcmp(r->path, READ_KEY_PATH) == 0) {
+		f->config_reads++;
+		fake_answer_json(r, 200,
+		    talloc_asprintf(r, "{\"" FIELD_STORE_REVISION "\":10,%s}",
+			config_item(r, CONFIG_TEXT("00000007"), OLD_REVISION)));
+	} else if (strcmp(r->path, READ_RANGE_PATH) == 0) {
+		if (f->config_reads > 0)
+			fake_answer_json(r, 200,
+			    "{\"" FIELD_STORE_REVISION "\":12,\"" FIELD_ITEMS
+			    "\":[],\"" FIELD_TRUNCATED "\":false}");
+	} else if (strstr(r->uri, "path_prefix=&") != NULL) {
+		answer_watch(r);
+	}
+}
+
+static void
+test_change_between_the_full_reads_is_not_missed(void **state)
+{
+	static const struct fake_handler platform = {
+	    answer_as_platform, on_disconnect};
+	struct fixture f = {.settings.platform.address = "127.0.0.1"};
+	struct ir_to_core *m;
+	uint64_t held = 0;
+	int failures = 0;
+
+	f.server = fake_server_start(0, &platform, &f);
+	f.settings.platform.port = fake_server_port(f.server);
+	f.core = ir_wakeup_new(NULL);
+	f.channel = ir_channel_new(f.core, f.core, NULL, RING_SLOTS);
+	f.client = ir_store_client_new(
+	    f.core, f.channel, &f.settings, &platform_dialect.store);
+	pthread_create(&f.thread, NULL, ir_store_client_run, f.client);
+	start_polling(&f);
+	while (held != NEW_REVISION) {
+		m = next_read(&f, &failures);
+		/* What is confirmed beyond a change includes that change. */
+		if (!m->u.store.is_host_list) {
+			if (m->u.store.section_count > 0)
+				held = m->u.store.sections[0].revision;
+			assert_true(
+			    m->u.store.reached_revision < NEW_REVISION ||
+			    held >= NEW_REVISION);
+		}
+		talloc_free(m);
+	}
+	ir_ring_push(f.channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
+	pthread_join(f.thread, NULL);
+	talloc_free(f.client);
+	fake_server_stop(f.server);
+	talloc_free(f.core);
+}
+
 static void
 expect_rejected(const char *text)
 {
@@ -454,6 +561,7 @@
 		test_answers_without_a_valid_era_are_not_used, set_up,
 		tear_down),
 	    cmocka_unit_test(test_stopped_thread_starts_no_read),
+	    cmocka_unit_test(test_change_between_the_full_reads_is_not_missed),
 	    cmocka_unit_test(test_answer_too_large_for_the_process_is_not_read),
 	    cmocka_unit_test(test_provisional_answers_without_end_are_not_read),
 	    cmocka_unit_test(test_invalid_documents),
