Stop: a host takes only calls that can end before it does

Cause: after SIGTERM a host serves callers for leave_ms, 3 s, since they learn of the stop by readiness only, and breaks off what is in progress at five sixths of the grace period, 5 s. Nothing compared what a request needs with what was left. A retry was begun as late as that, too.

Ruled out: a shorter leave_ms (it would refuse requests that take 0.1 s, and still cut those of 4 s); refusing whatever has its deadline after the end (with route timeouts of 10 s that is everything, from SIGTERM on, before callers can know).

Change: host/call_times.c keeps the longest call of each route in the last 10 to 20 s and says whether a call that begins now can end in time: by its deadline, or as the longest ones do and a quarter later. While the process stops, a new call that cannot is refused as not run (503), a call that waits for a token likewise, and no retry is begun. Calls of runs in progress on the host are no longer refused at leave_ms: without them the run cannot end.

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -262,10 +262,19 @@
 
 /*
  * Starts a graceful shutdown. Refuses work from peers, finishes work in
- * progress and hands token buckets over. New calls of callers are refused from
- * refuse_us on; until then callers may not know that the host is leaving.
+ * progress and hands token buckets over. A new call, attempt or retry that
+ * cannot end in time is refused, or not made.
  */
-void ir_node_stop(struct ir_node *n, int64_t now, int64_t refuse_us);
+struct ir_stop_times {
+	/* New calls of callers are refused from then on. Until then callers may
+	   not know that the host is leaving. */
+	int64_t refuse_us;
+	int64_t finish_us; /* new calls of callers must end by then */
+	int64_t end_us;	   /* all others are broken off */
+};
+
+void ir_node_stop(
+    struct ir_node *n, int64_t now, const struct ir_stop_times *times);
 /* Changes the rate tolerance while the node runs. Ignores all else in s. */
 void ir_node_set_rate_tolerance(
     struct ir_node *n, const struct ir_node_settings *s);
--- a/src/core/admit.c
+++ b/src/core/admit.c
@@ -86,6 +86,15 @@
 	return IR_OK;
 }
 
+uint64_t
+admit_hash_route(const struct ir_route *route)
+{
+	return XXH64(route->path, strlen(route->path),
+	    route->authority != NULL
+		? XXH64(route->authority, strlen(route->authority), 0)
+		: 0);
+}
+
 static void
 set_deadline(
     struct call *c, const struct ir_route *route, uint32_t requested_ms)
@@ -262,6 +271,7 @@
 		return IR_E_NO_ROUTE;
 	c->config_revision = v->config_revision;
 	c->idempotent = route->idempotent;
+	c->route_hash = admit_hash_route(route);
 	set_deadline(c, route, in->deadline_ms);
 	e = in->egress ? admit_egress(n, c, in, route)
 		       : admit_caller_request(n, now, c, in, route);
--- a/src/core/call.c
+++ b/src/core/call.c
@@ -63,6 +63,9 @@
 static void
 free_call(struct ir_node *n, int64_t now, struct call *c)
 {
+	if (c->sent_attempts > 0)
+		ir_call_times_add(
+		    &n->call_times, now, c->route_hash, now - c->start_us);
 	if (c->attempt != NULL)
 		attempt_cancel(n, now, c->attempt);
 	while (c->lost_attempts != NULL)
@@ -328,6 +331,16 @@
 	DL_APPEND2(n->token_waiters, c, wait_prev, wait_next);
 }
 
+/* Whether an attempt that begins now can be answered before end_us. */
+static bool
+can_end(
+    const struct ir_node *n, int64_t now, const struct call *c, int64_t end_us)
+{
+	return !n->stopping || ir_call_can_end(now, end_us, c->deadline_us,
+				   ir_call_times_longest_us(
+				       &n->call_times, now, c->route_hash));
+}
+
 /*
  * Starts the first attempt. Takes the token after choosing the host, so that
  * none is spent where no host is available. Without a token the call fails, or
@@ -344,6 +357,10 @@
 		fail(n, now, c, IR_E_DEADLINE, 0);
 		return;
 	}
+	if (!can_end(n, now, c, n->stop_times.end_us)) {
+		fail(n, now, c, IR_E_STOPPING, 0);
+		return;
+	}
 	h = choose_host(n, now, c, &e, &retry_ms);
 	if (h == NULL) {
 		fail(n, now, c, e, retry_ms);
@@ -398,7 +415,8 @@
 	enum ir_error e; /* the caller has its own */
 	uint32_t retry_ms;
 
-	if (now >= c->deadline_us || c->tried_count >= MAX_TRIED_HOSTS)
+	if (now >= c->deadline_us || c->tried_count >= MAX_TRIED_HOSTS ||
+	    !can_end(n, now, c, n->stop_times.end_us))
 		return NULL;
 	h = choose_host(n, now, c, &e, &retry_ms);
 	return h != NULL && may_retry(n, now, c) ? h : NULL;
@@ -467,7 +485,8 @@
 	ir_counters_add(&n->counters,
 	    in->egress ? IR_COUNTER_EGRESS_CALLS : IR_COUNTER_CALLS, 1);
 	e = admit_check_sizes(in);
-	if (e == IR_OK && n->stopping && now >= n->refuse_at_us && !in->egress)
+	if (e == IR_OK && n->stopping && now >= n->stop_times.refuse_us &&
+	    !belongs_to_run(n, in))
 		e = IR_E_STOPPING;
 	if (e == IR_OK && !can_accept_call(n, in))
 		e = IR_E_OVERLOAD;
@@ -475,6 +494,9 @@
 		c = admit_copy_call(n, now, in);
 		e = c == NULL ? IR_E_OVERLOAD : admit_call(n, now, c, in);
 	}
+	if (e == IR_OK && !belongs_to_run(n, in) &&
+	    !can_end(n, now, c, n->stop_times.finish_us))
+		e = IR_E_STOPPING;
 	if (e != IR_OK) {
 		if (c != NULL)
 			free_unadmitted(c);
--- a/src/core/event.c
+++ b/src/core/event.c
@@ -128,11 +128,11 @@
 }
 
 void
-ir_node_stop(struct ir_node *n, int64_t now, int64_t refuse_us)
+ir_node_stop(struct ir_node *n, int64_t now, const struct ir_stop_times *times)
 {
 	n->now_us = now;
 	n->stopping = true;
-	n->refuse_at_us = refuse_us;
+	n->stop_times = *times;
 	node_log(n, IR_EVENT_STOPPING, "calls=%u open_records=%zu",
 	    HASH_COUNT(n->calls), ir_records_open_count(n->records));
 	run_deferred(n, now);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -21,6 +21,7 @@
 #include "contract/key.h"
 #include "contract/rate_limiter.h"
 #include "contract/retry.h"
+#include "host/call_times.h"
 #include "host/section.h"
 #include "host/view_lease.h"
 #include "ibisrail/counter.h"
@@ -70,6 +71,7 @@
 	struct ir_request_id request;
 	int64_t start_us;
 	int64_t deadline_us;
+	uint64_t route_hash;
 	struct ir_header *headers;
 	uint32_t header_count;
 	uint8_t *body;
@@ -292,7 +294,8 @@
 	bool view_received;	/* a peer has answered a VIEW_REQUEST */
 	bool runs_to_start;	/* records wait in IR_RECORD_STARTING */
 	bool stopping;
-	int64_t refuse_at_us; /* stopping: callers are refused from then on */
+	struct ir_stop_times stop_times;
+	struct ir_call_times call_times;
 };
 
 /* context.c */
@@ -367,6 +370,8 @@
  * last settings.child_separator in attempt. NULL if no record has that id,
  * attempt is NULL or no separator is set.
  */
+/* Identifies a route to tables of limited size; authority and path only. */
+uint64_t admit_hash_route(const struct ir_route *route);
 struct ir_record *admit_find_parent(struct ir_node *n, const char *attempt);
 /*
  * IR_E_TOO_LARGE when a part of the call exceeds its bound in the peer
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -365,12 +365,7 @@
 		route = ir_view_route(v, f->authority, f->path);
 	else if (s != NULL)
 		route = ir_service_route(s, f->method, f->path);
-	if (route == NULL)
-		return 0;
-	return XXH64(route->path, strlen(route->path),
-	    route->authority != NULL
-		? XXH64(route->authority, strlen(route->authority), 0)
-		: 0);
+	return route != NULL ? admit_hash_route(route) : 0;
 }
 
 /*
--- a/src/io/core/core_loop.c
+++ b/src/io/core/core_loop.c
@@ -106,14 +106,22 @@
 start_stopping(struct core *c, int64_t now, int64_t since_us)
 {
 	const struct ir_settings *s = c->loop->settings;
+	const struct ir_drain_times times = {
+	    .leave_ms = s->leave_ms,
+	    .finish_ms = s->finish_ms,
+	    .drain_ms = s->drain_ms,
+	    .stop_ms = s->stop_ms,
+	};
 
 	if (ir_drain_has_begun(&c->drain))
 		return;
-	ir_drain_begin(
-	    &c->drain, since_us, s->leave_ms, s->drain_ms, s->stop_ms);
+	ir_drain_begin(&c->drain, since_us, &times);
 	ir_outbox_push(&c->outboxes[IR_THREAD_CALLERS],
 	    ir_from_core_new(IR_FROM_CORE_LEAVING));
-	ir_node_stop(c->node, now, c->drain.leave_us);
+	ir_node_stop(c->node, now,
+	    &(struct ir_stop_times){.refuse_us = c->drain.leave_us,
+		.finish_us = c->drain.finish_us,
+		.end_us = c->drain.deadline_us});
 }
 
 static void
--- a/src/io/core/drain.c
+++ b/src/io/core/drain.c
@@ -12,13 +12,14 @@
 #define ENOUGH_NOT_READY_ANSWERS 2
 
 void
-ir_drain_begin(struct ir_drain *d, int64_t begin_us, uint32_t leave_ms,
-    uint32_t drain_ms, uint32_t stop_ms)
+ir_drain_begin(
+    struct ir_drain *d, int64_t begin_us, const struct ir_drain_times *times)
 {
 	d->begin_us = begin_us;
-	d->leave_us = begin_us + leave_ms * IR_US_PER_MS;
-	d->deadline_us = begin_us + drain_ms * IR_US_PER_MS;
-	d->end_us = begin_us + stop_ms * IR_US_PER_MS;
+	d->leave_us = begin_us + times->leave_ms * IR_US_PER_MS;
+	d->finish_us = begin_us + times->finish_ms * IR_US_PER_MS;
+	d->deadline_us = begin_us + times->drain_ms * IR_US_PER_MS;
+	d->end_us = begin_us + times->stop_ms * IR_US_PER_MS;
 }
 
 bool
--- a/src/io/core/drain.h
+++ b/src/io/core/drain.h
@@ -13,6 +13,7 @@
 struct ir_drain {
 	int64_t begin_us;	    /* the signal; 0: not stopping */
 	int64_t leave_us;	    /* new calls are refused from then on */
+	int64_t finish_us;	    /* calls that begin now must end by then */
 	int64_t deadline_us;	    /* requests are broken off */
 	int64_t end_us;		    /* the process ends by then */
 	uint32_t not_ready_answers; /* to readiness checks, since the signal */
@@ -26,9 +27,16 @@
 	uint32_t unsent_answers;
 };
 
-/* Durations are in milliseconds from begin_us. */
-void ir_drain_begin(struct ir_drain *d, int64_t begin_us, uint32_t leave_ms,
-    uint32_t drain_ms, uint32_t stop_ms);
+/* Milliseconds from the signal, as in struct ir_settings. */
+struct ir_drain_times {
+	uint32_t leave_ms;
+	uint32_t finish_ms;
+	uint32_t drain_ms;
+	uint32_t stop_ms;
+};
+
+void ir_drain_begin(
+    struct ir_drain *d, int64_t begin_us, const struct ir_drain_times *times);
 bool ir_drain_has_begun(const struct ir_drain *d);
 /* Counts an answer to a readiness check. */
 void ir_drain_note_not_ready(struct ir_drain *d);
--- a/test/support/matrix_fault.c
+++ b/test/support/matrix_fault.c
@@ -238,6 +238,7 @@
 start_graceful_stop(struct matrix *m, int node)
 {
 	struct fleet *f = m->f;
+	const struct ir_stop_times times = {f->now_us, INT64_MAX, INT64_MAX};
 
 	if (!f->nodes[node].alive || m->stopping_count == 2)
 		return;
@@ -250,7 +251,7 @@
 	}
 	m->stopping[m->stopping_count++] = node;
 	fleet_publish_host(f, node, "leaving");
-	ir_node_stop(f->nodes[node].node, f->now_us, f->now_us);
+	ir_node_stop(f->nodes[node].node, f->now_us, &times);
 }
 
 /* Ends a stopping node once it is idle and its answers were delivered. */
--- a/test/test_core_loop.c
+++ b/test/test_core_loop.c
@@ -46,6 +46,7 @@
 	f->settings.slots = 1;
 	f->settings.drain_ms = DRAIN_MS;
 	f->settings.leave_ms = LEAVE_MS;
+	f->settings.finish_ms = DRAIN_MS;
 	l->settings = &f->settings;
 	l->memory = &f->memory;
 	l->dialect = &f->dialect;
--- a/test/test_drain.c
+++ b/test/test_drain.c
@@ -30,9 +30,13 @@
 static struct ir_drain
 begun(void)
 {
+	static const struct ir_drain_times times = {.leave_ms = LEAVE_MS,
+	    .finish_ms = DRAIN_MS,
+	    .drain_ms = DRAIN_MS,
+	    .stop_ms = STOP_MS};
 	struct ir_drain d = {0};
 
-	ir_drain_begin(&d, BEGIN_US, LEAVE_MS, DRAIN_MS, STOP_MS);
+	ir_drain_begin(&d, BEGIN_US, &times);
 	return d;
 }
 
