Gate: a key that moved to another account is not a withdrawn key

Cause: an entry with the older configuration names the former account, and a gate with the later one found the key to be of another account and answered key-unknown. Only the reverse, an entry that knows more than the gate, was let pass.

Ruled out: a retry at the entry (the gate's refusal is right about its own view, and the entry may keep the older one for longer than the request has).

Change: a gate refuses a key that its configuration does not have. If another account has the key there, the request runs for the account of the later of the two configurations, and the upstream is told that one.

--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -443,10 +443,13 @@
 /* serve.c */
 /*
  * node_check_key() for a forwarded request. A key unknown here is accepted
- * when the origin admitted it by a later configuration.
+ * when the origin admitted it by a later configuration; one that has moved to
+ * another account, always.
  */
 enum ir_error serve_check_key(
     struct ir_node *n, int64_t now, const struct ir_forward *f);
+/* Sets the account to the one that has the key in the later configuration. */
+void serve_update_account(struct ir_node *n, struct ir_forward *f);
 /*
  * IR_OK if the request may run in this region, else IR_E_WRONG_GATE, which
  * earlier versions also know.
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -110,6 +110,7 @@
 	if (e == IR_OK)
 		e = serve_check_regions(n, r);
 	if (e == IR_OK) {
+		serve_update_account(n, r->forward);
 		start_run(n, now, r);
 		return;
 	}
--- a/src/core/serve.c
+++ b/src/core/serve.c
@@ -243,11 +243,29 @@
 	enum ir_error e =
 	    node_check_key(n, now, f->open, f->account, f->key_digest);
 
+	if (e != IR_E_KEY_UNKNOWN)
+		return e;
 	/* The origin may know a new key from a later configuration. */
-	if (e == IR_E_KEY_UNKNOWN &&
-	    f->config_revision > node_view(n)->config_revision)
+	if (f->config_revision > node_view(n)->config_revision)
 		return IR_OK;
-	return e;
+	/* It may know the key of another account from an earlier one. */
+	return ir_view_account_by_key(node_view(n), f->key_digest) != NULL
+		   ? IR_OK
+		   : e;
+}
+
+void
+serve_update_account(struct ir_node *n, struct ir_forward *f)
+{
+	const struct ir_view *v = node_view(n);
+	const struct ir_account *a =
+	    f->open ? NULL : ir_view_account_by_key(v, f->key_digest);
+
+	if (a == NULL || f->config_revision > v->config_revision ||
+	    strcmp(a->name, f->account) == 0)
+		return;
+	talloc_free(f->account);
+	f->account = talloc_strdup(f, a->name);
 }
 
 enum ir_error
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -224,6 +224,10 @@
 	struct fleet_run *runs;
 	int run_count;
 	bool key_published;
+	/* The account that fleet_key was moved to, and when; NULL: account "a".
+	 */
+	const char *key_account;
+	int64_t key_moved_us;
 	int64_t key_withdrawn_us;
 	int64_t key_withdrawal_readable_us; /* 0: not readable yet */
 	uint64_t tokens_spent;
@@ -276,6 +280,8 @@
 /* The same with the given generation. */
 void fleet_publish_rate(struct fleet *f, uint64_t generation,
     uint64_t rate_per_s, uint64_t burst, bool with_key);
+/* Publishes account "a" without fleet_key, and another one with it. */
+void fleet_move_key(struct fleet *f, const char *account);
 /* Lists the node as "live" or "leaving", or takes it off: "gone". */
 void fleet_publish_host(struct fleet *f, int node, const char *state);
 /* Begins or ends the evacuation of a zone. */
--- a/test/support/fleet_store.c
+++ b/test/support/fleet_store.c
@@ -232,6 +232,28 @@
 	fleet_publish_rate(f, next_generation(f), rate_per_s, burst, with_key);
 }
 
+void
+fleet_move_key(struct fleet *f, const char *account)
+{
+	uint64_t generation = next_generation(f);
+	char digest[IR_KEY_DIGEST_HEX + 1];
+	char *text;
+
+	ir_key_digest(fleet_key, digest);
+	text = talloc_asprintf(f,
+	    "{\"generation\":%llu,\"accounts\":[{\"name\":\"a\","
+	    "\"rate_per_s\":%llu,\"burst\":%llu,\"weight\":%llu,"
+	    "\"key_digests\":[]},{\"name\":\"%s\",\"weight\":1,"
+	    "\"key_digests\":[\"%s\"]}]}",
+	    (unsigned long long)generation,
+	    (unsigned long long)f->rate_mt_per_s / 1000,
+	    (unsigned long long)f->burst_mt / 1000,
+	    (unsigned long long)generation, account, digest);
+	fleet_publish(f, "accounts", text);
+	f->key_account = account;
+	f->key_moved_us = f->now_us;
+}
+
 void
 fleet_publish_account_regions(
     struct fleet *f, const char *only, const char *regions)
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -113,6 +113,28 @@
 	end_fleet(f);
 }
 
+/* Gates that knew of the change refused what entries had let in before. */
+static void
+test_key_that_moves_to_another_account_is_not_refused(void **state)
+{
+	for (uint64_t seed = 61; seed < 66; seed++) {
+		struct fleet *f = make_fleet(seed);
+		int unknown = 0;
+
+		settle(f);
+		fleet_move_key(f, "b");
+		for (int i = 0; i < 500; i++) {
+			(void)fleet_call(f, i % f->node_count, &leaf_request);
+			fleet_run(f, 10 * IR_US_PER_MS);
+		}
+		fleet_run(f, IR_US_PER_S);
+		for (int i = 0; i < f->call_count; i++)
+			unknown += f->calls[i].answer.error == IR_E_KEY_UNKNOWN;
+		assert_int_equal(unknown, 0);
+		end_fleet(f);
+	}
+}
+
 static void
 test_calls_over_the_rate_get_a_retry_time(void **state)
 {
@@ -930,6 +952,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_request_and_its_egress_call_are_served),
 	    cmocka_unit_test(test_keys_are_checked),
+	    cmocka_unit_test(
+		test_key_that_moves_to_another_account_is_not_refused),
 	    cmocka_unit_test(test_calls_over_the_rate_get_a_retry_time),
 	    cmocka_unit_test(test_killed_gate_is_reported_as_host_lost),
 	    cmocka_unit_test(test_answer_arrives_after_a_silent_connection),
