Host list: a short failure delays removals by its duration, not by two seconds

Cause: after any failed read the removals that the next one finds wait 2 s, as entries may have lapsed during an outage and are written again. A watch that is cut is a failed read. And each further failure set the time of all waiting removals anew.

Ruled out: no delay after a cut connection (a store that goes down cuts its connections too, and the reader cannot tell).

Change: the delay is the time since the last answer, 2 s at most; an entry lapses after 4.5 s of silence, so that a shorter failure explains none by itself. Each removal keeps the time at which it was due first. A store restored from an older copy keeps the 2 s.

Test: test_short_failures_delay_removals_by_their_duration; with the fixed 2 s put back it fails.

--- a/src/io/store/host_items.c
+++ b/src/io/store/host_items.c
@@ -15,6 +15,7 @@
 	uint64_t last_full_read; /* last full read that had the item */
 	bool removed;		 /* freed by the next free_removed() */
 	bool removal_delayed;	 /* not before removal_due_us */
+	int64_t removal_due_us;	 /* 0: not known yet */
 	bool unreadable;	 /* cannot be decoded */
 	bool changed;		 /* since it was last passed on */
 	/* Read from a restored store, not used yet; NULL: none. */
@@ -41,7 +42,8 @@
 	uint64_t published_revision; /* highest of a change passed on */
 	bool in_recovery_read;	     /* in the first read after a failure */
 	bool in_restored_read;	     /* in the first read of a restored store */
-	int64_t removal_due_us;
+	int64_t grace_us;	     /* after the last failure */
+	int64_t grace_end_us;
 };
 
 static int
@@ -106,9 +108,18 @@
 }
 
 void
-ir_host_items_store_recovered(struct ir_host_items *h)
+ir_host_items_store_recovered(struct ir_host_items *h, int64_t outage_us)
 {
 	h->in_recovery_read = true;
+	if (h->in_restored_read || outage_us > IR_REMOVAL_GRACE_US)
+		outage_us = IR_REMOVAL_GRACE_US;
+	h->grace_us = outage_us;
+}
+
+int64_t
+ir_host_items_grace_us(const struct ir_host_items *h)
+{
+	return h->grace_us;
 }
 
 void
@@ -116,6 +127,7 @@
 {
 	h->in_recovery_read = true;
 	h->in_restored_read = true;
+	h->grace_us = IR_REMOVAL_GRACE_US;
 }
 
 static void
@@ -156,8 +168,10 @@
 static void
 mark_removed(struct ir_host_items *h, struct item *i)
 {
-	if (!i->removed)
+	if (!i->removed) {
 		i->removal_delayed = h->in_recovery_read;
+		i->removal_due_us = 0;
+	}
 	i->removed = true;
 }
 
@@ -203,7 +217,7 @@
 
 	HASH_ITER (hh, h->items, i, next) {
 		if (!i->removed || (i->removal_delayed && i->text != NULL &&
-				       now < h->removal_due_us))
+				       now < i->removal_due_us))
 			continue;
 		TALLOC_FREE(i->text);
 		/* Kept while the store has it, so that it is logged once. */
@@ -310,6 +324,19 @@
 	talloc_free(s);
 }
 
+/* Removals that an earlier read found stay due when they were. */
+static void
+begin_grace(struct ir_host_items *h, int64_t now)
+{
+	struct item *i, *next;
+
+	h->grace_end_us = now + h->grace_us;
+	HASH_ITER (hh, h->items, i, next) {
+		if (i->removal_delayed && i->removal_due_us == 0)
+			i->removal_due_us = h->grace_end_us;
+	}
+}
+
 void
 ir_host_items_take_changes(struct ir_host_items *h, int64_t now,
     TALLOC_CTX *mem, bool all, struct ir_store_read *r)
@@ -319,10 +346,10 @@
 	struct published_section *s, *next;
 
 	if (h->in_recovery_read)
-		h->removal_due_us = now + IR_REMOVAL_GRACE_US;
+		begin_grace(h, now);
 	h->in_recovery_read = false;
 	h->in_restored_read = false;
-	if (now >= h->removal_due_us)
+	if (now >= h->grace_end_us)
 		use_restored(h);
 	free_removed(h, now);
 	choose_newest(h);
--- a/src/io/store/host_items.h
+++ b/src/io/store/host_items.h
@@ -8,9 +8,10 @@
  * that is unknown or the same, the one with the highest creation revision. Only
  * sections that changed are passed on.
  *
- * Removals found by the first read after a failure of the store are delayed by
- * IR_REMOVAL_GRACE_US: items of running upstreams may have expired during the
- * failure and are written again. Later removals are passed on at once.
+ * Removals found by the first read after a failure of the store are delayed, by
+ * IR_REMOVAL_GRACE_US or by the duration of a shorter failure: items of running
+ * upstreams may have expired during the failure and are written again. Later
+ * removals are passed on at once.
  */
 #ifndef IR_IO_HOST_ITEMS_H
 #define IR_IO_HOST_ITEMS_H
@@ -40,9 +41,12 @@
 bool ir_host_items_put(struct ir_host_items *h, const struct ir_store_item *in);
 /*
  * Notes that the store answers again after a failure: removals that the read
- * in progress finds are delayed.
+ * in progress finds are delayed. outage_us: since the last answer.
  */
-void ir_host_items_store_recovered(struct ir_host_items *h);
+void ir_host_items_store_recovered(struct ir_host_items *h, int64_t outage_us);
+
+/* How long removals are delayed after the last failure. */
+int64_t ir_host_items_grace_us(const struct ir_host_items *h);
 
 /*
  * The same after the store was restored from an older copy. What differs there
--- a/src/io/store/store_client.c
+++ b/src/io/store/store_client.c
@@ -54,6 +54,7 @@
 	uint64_t generation; /* of the whole configuration: highest delivered */
 	char *reported_error; /* logged since the last success */
 	bool failed;	      /* the last read failed */
+	int64_t answered_us;  /* end of the last read that did not */
 	bool full_read_due;   /* whatever the core holds */
 	/*
 	 * When sections absent from a full read are removed, by another one: an
@@ -374,10 +375,12 @@
 reset_failure_state(struct watch *w, int64_t now)
 {
 	if (w->failed && w->host_items != NULL) {
-		ir_host_items_store_recovered(w->host_items);
-		w->removal_due_us = now + IR_REMOVAL_GRACE_US;
+		ir_host_items_store_recovered(
+		    w->host_items, now - w->answered_us);
+		w->removal_due_us = now + ir_host_items_grace_us(w->host_items);
 	}
 	w->failed = false;
+	w->answered_us = now;
 	TALLOC_FREE(w->reported_error);
 	w->backoff_us = BACKOFF_MIN_US;
 }
--- a/test/test_host_items.c
+++ b/test/test_host_items.c
@@ -201,7 +201,7 @@
 	put_item(f, "a", "host/1", "live", 1);
 	put_item(f, "b", "host/2", "live", 2);
 	assert_int_equal(take_changes(f, 0), 2);
-	ir_host_items_store_recovered(f->items);
+	ir_host_items_store_recovered(f->items, 3 * IR_US_PER_S);
 	put_item(f, "a", "host/1", "", 0);
 	put_item(f, "b", "host/2", "", 0);
 	assert_int_equal(take_changes(f, 100), 0);
@@ -212,6 +212,27 @@
 	expect_one_change(f, 100 + IR_REMOVAL_GRACE_US, "host/2", "");
 }
 
+/* Each cut watch delayed what the next read found by two seconds. */
+static void
+test_short_failures_delay_removals_by_their_duration(void **state)
+{
+	struct fixture *f = *state;
+
+	put_item(f, "a", "host/1", "live", 1);
+	put_item(f, "b", "host/2", "live", 2);
+	assert_int_equal(take_changes(f, 0), 2);
+	ir_host_items_store_recovered(f->items, 300);
+	put_item(f, "a", "host/1", "", 0);
+	assert_int_equal(take_changes(f, 1000), 0);
+	/* Another failure does not delay it further. */
+	ir_host_items_store_recovered(f->items, 200);
+	put_item(f, "b", "host/2", "", 0);
+	assert_int_equal(take_changes(f, 1250), 0);
+	expect_one_change(f, 1300, "host/1", "");
+	assert_int_equal(take_changes(f, 1449), 0);
+	expect_one_change(f, 1450, "host/2", "");
+}
+
 /*
  * An upstream that leaves just after the store's recovery. When this removal
  * was delayed too, its host was given work for another 2.1 s (seen in an
@@ -283,7 +304,7 @@
 
 	put_item(f, "a", "host/1", "live", 1);
 	assert_int_equal(take_changes(f, 0), 1);
-	ir_host_items_store_recovered(f->items);
+	ir_host_items_store_recovered(f->items, 3 * IR_US_PER_S);
 	assert_int_equal(take_changes(f, 100), 0);
 	put_item(f, "a", "host/1", "", 0);
 	expect_one_change(f, 200, "host/1", "");
@@ -338,6 +359,8 @@
 	    WITH_HOST_ITEMS(
 		test_change_that_was_undone_between_two_reads_is_passed_on),
 	    WITH_HOST_ITEMS(test_removals_are_delayed_after_a_failure),
+	    WITH_HOST_ITEMS(
+		test_short_failures_delay_removals_by_their_duration),
 	    WITH_HOST_ITEMS(
 		test_older_copy_does_not_undo_a_change_that_is_written_again),
 	    WITH_HOST_ITEMS(
