Test of the settings template: the file's text ends where the file does

Traced: the test took ir_file_read()'s bytes for a string. They have no NUL at the end, and what follows them in memory, that time a part of another text with {{, was searched too. The check is unchanged: no placeholder may be left in the file.

--- a/test/test_settings_template.c
+++ b/test/test_settings_template.c
@@ -73,11 +73,13 @@
 {
 	size_t size;
 	char *error = NULL;
-	char *text =
+	const char *bytes =
 	    ir_file_read(mem, "deploy/settings.tmpl", MAX_BYTES, &size, &error);
 	struct ir_settings *s;
+	char *text;
 
-	assert_non_null(text);
+	assert_non_null(bytes);
+	text = talloc_strndup(mem, bytes, size);
 	for (size_t i = 0; i < sizeof(known) / sizeof(known[0]); i++)
 		text = replace_all(mem, text, known[i].text, known[i].value);
 	text = drop_section(mem, text, "bounds.cold_overage");
