--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 PROGRAMS = $(BUILD)/ibisraild $(BUILD)/ibisrailctl $(BUILD)/ibisraild-platform
 
 .PHONY: soak all check demo bench capacity lint tidy format format-check \
-	generate clean install-packages matrix mutations process
+	generate clean install-packages matrix mutations process review promises
 .SECONDARY:
 
 all: $(if $(DAEMON_SRC),$(PROGRAMS)) $(FAKES) $(TESTS) $(BENCHES) \
@@ -109,6 +109,15 @@
 soak: all
 	for s in $(SEEDS); do $(BUILD)/test/soak $$s $(SECONDS) || exit 1; done
 
+# The cases of review/, with the program as it is deployed; about 100 s.
+review:
+	sh test/review.sh
+
+# Deploy file, README's commands and what the pages name.
+promises: all
+	@sh test/deploy.sh
+	@BUILD=$(BUILD) sh test/commands.sh
+
 matrix: $(BUILD)/test/test_matrix
 	$(BUILD)/test/test_matrix
 
--- /dev/null
+++ b/test/review.sh
@@ -0,0 +1,59 @@
+#!/bin/sh
+# Builds the program as deploy/system.toml says, and runs the cases of review/
+# beside each other, RUNS times; arguments select cases by number. A case exits
+# with 0 if its rule held, 1 if it was broken, 2 if the case could not run, and
+# fails in the latter two. Cases named in KNOWN-RED.txt by "test: review/N" are
+# passed over.
+cd "$(dirname "$0")/.." || exit 1
+limit_s=${LIMIT_S:-150}
+log=build/review.log
+
+run_case() {
+	timeout -k 5 $limit_s "review/$1/run.sh" >"$log.$1" 2>&1
+	code=$?
+	case $code in
+	0) echo "ok review/$1"; return 0 ;;
+	1) echo "FAIL review/$1: the rule was broken" ;;
+	2) echo "FAIL review/$1: did not run" ;;
+	124|137) echo "FAIL review/$1: did not end within $limit_s s" ;;
+	*) echo "FAIL review/$1: exit code $code" ;;
+	esac
+	tail -5 "$log.$1" "review/$1/record.txt"
+	return 1
+}
+
+is_known_red() {
+	grep -qx "test: review/$1" KNOWN-RED.txt 2>/dev/null
+}
+
+mkdir -p build
+rm -rf target review/build
+command=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
+{ sh -c "$command" && review/build.sh; } >"$log" 2>&1 || {
+	tail -30 "$log"
+	echo "FAIL review: not built"
+	exit 1
+}
+[ $# -gt 0 ] || set -- $(cd review && ls -d [0-9]*)
+passed=0 failed=0 known_red=0
+for run in $(seq "${RUNS:-1}"); do
+	pids=
+	for n; do
+		if is_known_red "$n"; then
+			echo "known red, passed over: review/$n"
+			known_red=$((known_red + 1))
+			continue
+		fi
+		run_case "$n" &
+		pids="$pids $!"
+	done
+	for pid in $pids; do
+		if wait "$pid"; then
+			passed=$((passed + 1))
+		else
+			failed=$((failed + 1))
+		fi
+	done
+done
+echo "$passed passed, $failed failed, $known_red skipped"
+[ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
