--- a/include/ibisrail/limits.h
+++ b/include/ibisrail/limits.h
@@ -15,6 +15,8 @@
 #define IR_VIEW_LEASE_US (2200 * IR_US_PER_MS)
 /* Interval at which a node requests confirmation of its view. */
 #define IR_VIEW_POLL_US (400 * IR_US_PER_MS)
+/* Interval at which a reader that cannot read the store asks its deputy. */
+#define IR_DEPUTY_POLL_US (200 * IR_US_PER_MS)
 /* Heartbeat period of a link in use. */
 #define IR_HEARTBEAT_PERIOD_US (200 * IR_US_PER_MS)
 /* A link is lost if a reply is due and the peer sends nothing for this time. */
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -17,6 +17,8 @@
  * link cannot be told from those of the reply.
  */
 #define MAX_FETCH_US (10 * IR_US_PER_S)
+/* How long a deputy has to come up with a confirmation. */
+#define DEPUTY_TURN_US (3 * IR_DEPUTY_POLL_US)
 /* Between the readers of a region that request sections from another one. */
 #define FETCH_STAGGER_US (200 * IR_US_PER_MS)
 
@@ -154,9 +156,11 @@
 void
 control_store_failed(struct ir_node *n, int64_t now, int64_t request_sent_us)
 {
-	if (!n->store_down)
+	if (!n->store_down) {
 		node_log(n, IR_EVENT_STORE_FAILED, "after_ms=%lld",
 		    (long long)((now - request_sent_us) / IR_US_PER_MS));
+		n->deputy_since_us = now;
+	}
 	n->store_down = true;
 	ir_view_lease_store_failed(n->view_lease, request_sent_us);
 }
@@ -172,11 +176,14 @@
 	const struct ir_read_duty duty = {
 	    .is_reader = ir_is_store_reader(v, self) || v->host_count == 0,
 	    .store_is_down = believes_outage,
+	    .asked_to_read_us = n->asked_to_read_us == INT64_MIN
+				    ? INT64_MAX
+				    : n->now_us - n->asked_to_read_us,
 	    .unanswered_polls = n->view_source_tries,
 	    .peer_age_us = ir_view_lease_peer_age_us(n->view_lease, n->now_us),
 	    .age_us = ir_view_lease_age_us(n->view_lease, n->now_us),
 	    .read_period_us = n->settings.store_read_period_us,
-	    .overdue_us = view_overdue_us(n),
+	    .overdue_us = view_overdue_us(n) + IR_VIEW_POLL_US,
 	    .rank = ir_relay_rank(v, self),
 	};
 
@@ -309,6 +316,27 @@
 	ir_counters_add(&n->counters, IR_COUNTER_VIEW_BYTES_SENT, bytes);
 }
 
+/*
+ * A reader of the zone that has no older view than this host asks for its
+ * confirmation: the reader cannot read the store.
+ */
+static bool
+is_asked_to_read(
+    struct ir_node *n, const char *from, const struct ir_view_request *request)
+{
+	const struct ir_view *v = node_view(n);
+	const struct ir_host *self = node_self(n), *h = ir_view_host(v, from);
+	uint64_t config, list;
+
+	if (self == NULL || h == NULL || strcmp(h->zone, self->zone) != 0 ||
+	    !ir_is_store_reader(v, h) ||
+	    request->config_revision == REPORT_ONLY)
+		return false;
+	ir_node_revisions(n, &config, &list);
+	return request->config_revision >= config &&
+	       request->list_revision >= list;
+}
+
 static void
 handle_view_request(struct ir_node *n, int64_t now, uint32_t conn, uint32_t xid,
     const char *from, const struct ir_view_request *request)
@@ -320,6 +348,8 @@
 	bool full = false;
 	size_t count;
 
+	if (is_asked_to_read(n, from, request))
+		n->asked_to_read_us = now;
 	count = ir_sections_since(n->sections, n, request->config_revision,
 	    request->list_revision, &sections, &full);
 	ir_node_revisions(
@@ -632,6 +662,32 @@
 	fetch_sections(n, now, p);
 }
 
+/*
+ * Asks a deputy for the view while the store does not answer this reader, and
+ * another one if that brings no recent confirmation.
+ */
+static void
+poll_deputy(struct ir_node *n, int64_t now, const struct ir_view *v,
+    const struct ir_host *self)
+{
+	const struct ir_host *h;
+	struct peer *p;
+
+	if (ir_view_lease_age_us(n->view_lease, now) <
+	    n->settings.store_read_period_us)
+		n->deputy_since_us = now;
+	if (now - n->deputy_polled_us < IR_DEPUTY_POLL_US ||
+	    is_fetching_sections(n, now))
+		return;
+	h = ir_deputy(
+	    v, self, (uint32_t)((now - n->deputy_since_us) / DEPUTY_TURN_US));
+	p = h != NULL ? peer_get(n, h->name) : NULL;
+	if (p == NULL || !can_request_view(n, now, p))
+		return;
+	n->deputy_polled_us = now;
+	fetch_sections(n, now, p);
+}
+
 static void
 poll_view(struct ir_node *n, int64_t now)
 {
@@ -641,10 +697,14 @@
 
 	if (self == NULL && node_serves_unlisted(n))
 		self = node_self_or_placeholder(n);
-	if (self == NULL || now - n->last_view_poll_us < IR_VIEW_POLL_US)
+	if (self == NULL)
 		return;
-	n->last_view_poll_us = now;
 	reader = ir_is_store_reader(v, self);
+	if (reader && n->view_received && n->store_down)
+		poll_deputy(n, now, v, self);
+	if (now - n->last_view_poll_us < IR_VIEW_POLL_US)
+		return;
+	n->last_view_poll_us = now;
 	if (reader && n->view_received &&
 	    ir_view_lease_age_us(n->view_lease, now) < view_overdue_us(n))
 		return;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -271,6 +271,11 @@
 	int64_t sections_requested_us; /* last time */
 	char *sections_source;	       /* host that they were requested from */
 	uint32_t view_source_tries;    /* polls since the last VIEW reply */
+	/* Of a reader whose reads fail: last request to a deputy, and since
+	   when no confirmation has been recent. */
+	int64_t deputy_polled_us;
+	int64_t deputy_since_us;
+	int64_t asked_to_read_us; /* by a reader, last time; INT64_MIN: never */
 	/* A poll was skipped to let the link to its source come up. */
 	bool view_source_waited;
 	/* Last change to the hosts of this service or to allowed regions. */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -38,6 +38,7 @@
 			return false;
 		ir_memory_init(n->settings.memory, 0);
 	}
+	n->asked_to_read_us = INT64_MIN;
 	if (n->settings.store_read_period_us == 0)
 		n->settings.store_read_period_us = IR_VIEW_POLL_US;
 	n->settings.host = talloc_strdup(n, s->host);
--- a/src/host/read_duty.h
+++ b/src/host/read_duty.h
@@ -4,6 +4,9 @@
  * nobody confirms it: the hosts that they ask are silent, or have no
  * confirmation themselves.
  *
+ * A reader whose reads fail asks a host of its zone to read in its place, and
+ * gets the view from it, so that the hosts that ask the reader still get it.
+ *
  * Silence is taken seriously soon, as it concerns few hosts: those that lost
  * contact with their zone. If the others answer but their view is old, the
  * store or the path to it is probably slow for all; hosts then begin one after
@@ -20,6 +23,8 @@
 	bool is_reader;
 	/* The readers of all regions agree that the store answers none. */
 	bool store_is_down;
+	/* Since a reader asked this host to read; INT64_MAX: never. */
+	int64_t asked_to_read_us;
 	uint32_t unanswered_polls; /* of other hosts for the view, in a row */
 	int64_t age_us; /* of the latest confirmation; INT64_MAX: none yet */
 	/* Of the latest one by another host; INT64_MAX: none, or not of this
--- a/src/zone/placement.c
+++ b/src/zone/placement.c
@@ -184,6 +184,25 @@
 	return index > readers ? index - readers : 0;
 }
 
+const struct ir_host *
+ir_deputy(
+    const struct ir_view *v, const struct ir_host *reader, uint32_t attempt)
+{
+	const struct ir_zone *z = zone_of(v, reader);
+	size_t first, count = 0;
+
+	if (z == NULL)
+		return NULL;
+	first = max_readers(v, z->region);
+	while (count < IR_DEPUTIES_PER_ZONE &&
+	       live_host_at(z, first + count) != NULL)
+		count++;
+	if (count == 0)
+		return NULL;
+	return live_host_at(
+	    z, first + (live_index(z, reader) + attempt) % count);
+}
+
 size_t
 ir_store_readers(
     const struct ir_view *v, TALLOC_CTX *mem, struct ir_store_reader **readers)
--- a/src/zone/placement.h
+++ b/src/zone/placement.h
@@ -12,6 +12,8 @@
 
 /* In regions of up to two zones; one less in those of more. */
 #define IR_STORE_READERS_PER_ZONE 3
+/* Hosts of a zone that readers of it ask to read the store in their place. */
+#define IR_DEPUTIES_PER_ZONE 3
 #define IR_RELAY_FANOUT 8
 
 /* Whether the host is one of the store readers of its zone. */
@@ -29,6 +31,15 @@
  */
 size_t ir_relay_rank(const struct ir_view *v, const struct ir_host *h);
 
+/*
+ * The host that a store reader asks, on the given attempt, to read the store in
+ * its place: one of the live hosts of its zone after the readers. Readers begin
+ * with different ones, so that as many hosts read as before. NULL if the zone
+ * has readers only.
+ */
+const struct ir_host *ir_deputy(
+    const struct ir_view *v, const struct ir_host *reader, uint32_t attempt);
+
 /* The store readers of all zones, as an array under mem; returns its size. */
 size_t ir_store_readers(
     const struct ir_view *v, TALLOC_CTX *mem, struct ir_store_reader **readers);
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -184,6 +184,10 @@
 	bool cut[FLEET_MAX_NODES][FLEET_MAX_NODES]; /* [from][to] */
 	/* A read of the store is answered after this time; 0: at once. */
 	int64_t store_wait_us;
+	/* The nodes' setting, if reads may take longer than store_wait_us. */
+	int64_t store_read_period_us;
+	/* After which a read that is not answered fails; 0: store_wait_us. */
+	int64_t store_timeout_us;
 	/* The contract tolerates requests over the rate; views are believed
 	   unconfirmed. To be set before fleet_publish_defaults(). */
 	bool tolerant;
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -786,6 +786,60 @@
 	end_fleet(f);
 }
 
+/*
+ * Fifteen hosts of one zone, whose watches of up to half a second return early,
+ * as heartbeats in the store end them.
+ */
+static struct fleet *
+make_large_zone(uint64_t seed)
+{
+	struct fleet *f = fleet_create(NULL, seed);
+
+	f->tolerant = true;
+	f->store_wait_us = 200 * IR_US_PER_MS;
+	f->store_read_period_us = 700 * IR_US_PER_MS;
+	f->store_timeout_us = 850 * IR_US_PER_MS;
+	for (int i = 0; i < 15; i++)
+		(void)fleet_add_node(f, "t", "r1", "z1");
+	fleet_publish_defaults(f);
+	for (int i = 0; i < f->node_count; i++)
+		fleet_start(f, i);
+	settle(f);
+	return f;
+}
+
+/* Hosts whose readers answer but cannot read the store keep a withdrawn key. */
+static void
+test_key_withdrawn_while_readers_are_cut_off_from_the_store(void **state)
+{
+	for (uint64_t seed = 61; seed < 81; seed++) {
+		struct fleet *f = make_large_zone(seed);
+		int cut = 0;
+
+		assert_int_equal(count_store_readers(f), 3);
+		for (int i = 0; i < f->node_count; i++) {
+			f->store_cut[i] =
+			    ir_node_should_read_store(f->nodes[i].node);
+			cut += f->store_cut[i];
+		}
+		assert_int_equal(cut, 3);
+		fleet_run(f, (int64_t)(seed % 10) * 200 * IR_US_PER_MS);
+		fleet_publish_account(f, 1000, 1000, false);
+		fleet_run(f, 2 * IR_US_PER_S);
+		for (int i = 0; i < f->node_count; i++) {
+			uint64_t config, list;
+
+			ir_node_revisions(f->nodes[i].node, &config, &list);
+			if (!f->store_cut[i])
+				assert_int_equal(config, f->config_revision);
+		}
+		memset(f->store_cut, 0, sizeof(f->store_cut));
+		fleet_run(f, 5 * IR_US_PER_S);
+		assert_int_equal(count_store_readers(f), 3);
+		end_fleet(f);
+	}
+}
+
 static void
 restart_all(struct fleet *f)
 {
@@ -983,6 +1037,8 @@
 	    cmocka_unit_test(test_rates_are_granted_while_the_store_is_silent),
 	    cmocka_unit_test(
 		test_host_cut_off_from_others_learns_of_a_withdrawn_key),
+	    cmocka_unit_test(
+		test_key_withdrawn_while_readers_are_cut_off_from_the_store),
 	    cmocka_unit_test(test_store_that_is_down_is_not_read_by_all_hosts),
 	    cmocka_unit_test(
 		test_rates_are_granted_after_all_processes_were_killed),
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -86,6 +86,43 @@
 	talloc_free(v);
 }
 
+static void
+test_readers_have_different_deputies_of_their_zone(void **state)
+{
+	struct ir_view *v = contract_view_new(NULL, 7, 443);
+
+	for (size_t i = 0; i < v->zone_count; i++) {
+		const struct ir_zone *z = &v->zones[i];
+
+		for (uint32_t attempt = 0; attempt < 4; attempt++) {
+			const struct ir_host *d =
+			    ir_deputy(v, z->hosts[0], attempt);
+
+			assert_string_equal(d->zone, z->name);
+			assert_false(ir_is_store_reader(v, d));
+			assert_ptr_not_equal(
+			    d, ir_deputy(v, z->hosts[1], attempt));
+			assert_ptr_not_equal(
+			    d, ir_deputy(v, z->hosts[0], attempt + 1));
+		}
+	}
+	talloc_free(v);
+}
+
+static void
+test_zone_of_readers_only_has_no_deputy(void **state)
+{
+	struct ir_view *v = contract_view_new(NULL, 7, READERS);
+	struct ir_view *larger = contract_view_new(v, 7, READERS + 1);
+
+	assert_null(ir_deputy(v, v->zones[0].hosts[0], 0));
+	for (uint32_t attempt = 0; attempt < 3; attempt++)
+		assert_ptr_equal(
+		    ir_deputy(larger, larger->zones[0].hosts[0], attempt),
+		    larger->zones[0].hosts[READERS]);
+	talloc_free(v);
+}
+
 static void
 test_readers_of_a_region_have_different_ranks(void **state)
 {
@@ -300,6 +337,9 @@
 		test_zones_of_small_regions_have_more_store_readers),
 	    cmocka_unit_test(test_host_that_is_not_listed_is_no_store_reader),
 	    cmocka_unit_test(test_leaving_host_is_no_store_reader),
+	    cmocka_unit_test(
+		test_readers_have_different_deputies_of_their_zone),
+	    cmocka_unit_test(test_zone_of_readers_only_has_no_deputy),
 	    cmocka_unit_test(test_readers_of_a_region_have_different_ranks),
 	    cmocka_unit_test(test_first_view_sources_form_a_shallow_tree),
 	    cmocka_unit_test(test_attempts_reach_other_zones_and_wrap),
--- a/test/test_read_duty.c
+++ b/test/test_read_duty.c
@@ -16,6 +16,7 @@
 {
 	struct ir_read_duty d = {.age_us = IR_US_PER_S,
 	    .peer_age_us = IR_US_PER_S,
+	    .asked_to_read_us = INT64_MAX,
 	    .read_period_us = OVERDUE_US / 2,
 	    .overdue_us = OVERDUE_US,
 	    .rank = 2};
@@ -82,11 +83,25 @@
 	}
 }
 
+static void
+test_it_reads_while_a_reader_asks_it_to(void **state)
+{
+	struct ir_read_duty d = fresh();
+
+	d.asked_to_read_us = 0;
+	assert_true(ir_host_reads_store(&d));
+	d.asked_to_read_us = 4 * IR_DEPUTY_POLL_US;
+	assert_true(ir_host_reads_store(&d));
+	d.asked_to_read_us = 5 * IR_DEPUTY_POLL_US;
+	assert_false(ir_host_reads_store(&d));
+}
+
 static void
 test_store_that_answers_none_is_left_to_the_readers(void **state)
 {
 	struct ir_read_duty d = fresh();
 
+	d.asked_to_read_us = 0;
 	d.store_is_down = true;
 	d.peer_age_us = 100 * IR_US_PER_S;
 	assert_false(ir_host_reads_store(&d));
@@ -106,6 +121,7 @@
 		test_silence_of_others_makes_it_read_whatever_its_rank),
 	    cmocka_unit_test(
 		test_hosts_with_old_confirmations_begin_one_after_the_other),
+	    cmocka_unit_test(test_it_reads_while_a_reader_asks_it_to),
 	    cmocka_unit_test(
 		test_store_that_answers_none_is_left_to_the_readers),
 	};
