--- a/include/ibisrail/dialect.h
+++ b/include/ibisrail/dialect.h
@@ -105,6 +105,7 @@
 	bool hosts_include_config;
 	uint32_t config_wait_ms; /* ir_store_query.wait_ms of each kind */
 	uint32_t hosts_wait_ms;
+	uint32_t full_read_ms; /* that a full read may take; 0: as a watch */
 	uint32_t min_pause_ms; /* between an answer and the next request */
 };
 
--- a/src/io/store/store_client.c
+++ b/src/io/store/store_client.c
@@ -176,6 +176,16 @@
 	return wait_ms;
 }
 
+static long
+read_timeout_ms(const struct watch *w)
+{
+	uint32_t full_read_ms = w->client->dialect->full_read_ms;
+
+	if (w->after == 0 && full_read_ms != 0)
+		return (long)full_read_ms;
+	return (long)change_wait_ms(w) + ANSWER_TIMEOUT_MS;
+}
+
 static struct ir_store_query
 make_query(const struct watch *w)
 {
@@ -205,8 +215,7 @@
 	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(e, CURLOPT_PROXY, "");
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(
-	    e, CURLOPT_TIMEOUT_MS, (long)change_wait_ms(w) + ANSWER_TIMEOUT_MS);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, read_timeout_ms(w));
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body_data);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, w);
 	curl_easy_setopt(e, CURLOPT_PRIVATE, w);
--- a/test/test_platform_store.c
+++ b/test/test_platform_store.c
@@ -58,6 +58,21 @@
 	"{\"key\":\"" EVACUATE_PREFIX zone "\",\"value\":\"e30=\"," \
 	"\"revision\":7,\"created\":7}"
 
+#define CONFIG_BYTES (1024 * 1024) /* the largest value of the store */
+#define PATH_BYTES_PER_MS (60000 / 8)
+#define ANSWER_MS 350
+
+/* Readers of the region without the store give up a large configuration. */
+static void
+test_six_readers_can_read_a_large_configuration_at_once(void **state)
+{
+	const struct ir_store_dialect *d = &platform_dialect.store;
+	uint32_t transfer_ms = 6 * CONFIG_BYTES / PATH_BYTES_PER_MS;
+
+	assert_true(d->full_read_ms >= transfer_ms + ANSWER_MS);
+	assert_true(d->full_read_ms >= d->config_wait_ms + ANSWER_MS);
+}
+
 static void
 test_key_is_the_section_of_its_zone(void **state)
 {
@@ -208,6 +223,8 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(
+		test_six_readers_can_read_a_large_configuration_at_once),
 	    cmocka_unit_test(test_key_is_the_section_of_its_zone),
 	    cmocka_unit_test(test_removed_key_removes_its_section),
 	    cmocka_unit_test(test_key_without_a_zone_cannot_be_decoded),
