Review script: print the records of a case that failed

`tail -5` with two files is refused by GNU tail, so that a failed case showed its verdict without its record. `tail -n 5` prints both.

--- a/test/commands.sh
+++ b/test/commands.sh
@@ -21,7 +21,7 @@
 	timeout -k 5 $limit_s sh -c "$command" >build/command.log 2>&1 </dev/null
 	code=$?
 	[ $code -eq 0 ] && echo "ok $command" && continue
-	tail -30 build/command.log
+	tail -n 30 build/command.log
 	fail "$command: exit code $code"
 done <build/commands
 [ -s build/commands ] || fail "no commands found in README.md"
--- a/test/deploy.sh
+++ b/test/deploy.sh
@@ -16,7 +16,7 @@
 
 mkdir -p build
 sh -c "$(value build)" >build/deploy.log 2>&1 || {
-	tail -30 build/deploy.log
+	tail -n 30 build/deploy.log
 	fail "the build command of deploy/system.toml"
 }
 set -- $(value run)
--- a/test/review.sh
+++ b/test/review.sh
@@ -21,7 +21,7 @@
 	124|137) echo "FAIL review/$1: did not end within $limit_s s" ;;
 	*) echo "FAIL review/$1: exit code $code" ;;
 	esac
-	tail -5 "$log.$1" "review/$1/record.txt"
+	tail -n 5 "$log.$1" "review/$1/record.txt"
 	return 1
 }
 
@@ -58,7 +58,7 @@
 	sh -c "$command" && review/build.sh &&
 	    { [ -z "${PREVIOUS:-}" ] || mix_builds; }
 } >"$log" 2>&1 || {
-	tail -30 "$log"
+	tail -n 30 "$log"
 	echo "FAIL review: not built"
 	exit 1
 }
