--- a/review/harness/harness.c
+++ b/review/harness/harness.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -113,16 +114,19 @@
 	return fd;
 }
 
+/* Below the ports that connections are given. */
 static int
 free_port(void)
 {
-	struct sockaddr_in a;
-	socklen_t n = sizeof(a);
-	int fd = make_socket("0.0.0.0", 0, false);
+	static int last;
+	int fd = -1;
 
-	getsockname(fd, (struct sockaddr *)&a, &n);
+	if (last == 0)
+		last = 12000 + (int)(random() % 15000);
+	while (fd < 0 && last < 32000)
+		fd = make_socket("0.0.0.0", ++last, false);
 	close(fd);
-	return ntohs(a.sin_port);
+	return last;
 }
 
 bool
@@ -902,8 +906,8 @@
 	return NULL;
 }
 
-static void
-write_entry(struct instance *i)
+void
+instance_write_entry(struct instance *i)
 {
 	char key[64], value[512];
 
@@ -924,7 +928,7 @@
 	struct instance *i = arg;
 
 	while (!i->ended && !i->dark && i->registers) {
-		write_entry(i);
+		instance_write_entry(i);
 		for (int k = 0; k < HEARTBEAT_MS / 20; k++) {
 			if (i->ended || i->dark || !i->registers)
 				break;
@@ -1052,6 +1056,8 @@
 	snprintf(program, sizeof(program), "%s/target/ibisraild-platform", root);
 	n->pid = fork();
 	if (n->pid == 0) {
+		/* Ends with the script, however that ends. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		int fd = open(n->log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 
 		dup2(fd, 1);
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -93,6 +93,8 @@
 };
 struct instance *instance_start(int machine, const char *service,
     const char *zone, const char *id, int slots, work_fn work);
+/* Writes its entry now; returns after the ack. */
+void instance_write_entry(struct instance *i);
 /* The process ends: connections are reset, nothing is written any more. */
 void instance_crash(struct instance *i);
 /* Falls silent: connections stay, nothing is read, written or registered. */
