--- a/review/harness/harness.c
+++ b/review/harness/harness.c
@@ -407,7 +407,6 @@
 static uint64_t revision = 100;
 static pthread_mutex_t store_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t store_changed = PTHREAD_COND_INITIALIZER;
-static enum store_mode store_modes[256];
 
 static struct item *
 find_item(const char *key)
@@ -470,12 +469,6 @@
 	pthread_mutex_unlock(&store_lock);
 }
 
-void
-store_set_mode(int machine, enum store_mode mode)
-{
-	store_modes[machine] = mode;
-}
-
 static char *
 base64(const char *text)
 {
@@ -654,24 +647,11 @@
 	return 404;
 }
 
-/* The last part of the address of the other end. */
-static int
-peer_machine(int fd)
-{
-	struct sockaddr_in a;
-	socklen_t n = sizeof(a);
-
-	if (getpeername(fd, (struct sockaddr *)&a, &n) != 0)
-		return 0;
-	return (int)(ntohl(a.sin_addr.s_addr) & 255);
-}
-
 static void *
 serve_store(void *arg)
 {
 	int fd = (int)(intptr_t)arg;
 	struct message *m = malloc(sizeof(*m));
-	int machine = peer_machine(fd);
 
 	while (message_read(fd, true, m)) {
 		char *text = NULL, head[256];
@@ -679,20 +659,10 @@
 		FILE *f;
 		int status;
 
-		if (store_modes[machine] == STORE_SILENT) {
-			while (store_modes[machine] == STORE_SILENT)
-				sleep_ms(20);
-			break;
-		}
 		f = open_memstream(&text, &size);
-		if (store_modes[machine] == STORE_BUSY) {
-			fprintf(f, "{}");
-			status = 503;
-		} else {
-			pthread_mutex_lock(&store_lock);
-			status = store_answer(f, m->target);
-			pthread_mutex_unlock(&store_lock);
-		}
+		pthread_mutex_lock(&store_lock);
+		status = store_answer(f, m->target);
+		pthread_mutex_unlock(&store_lock);
 		fclose(f);
 		sleep_ms(4);
 		snprintf(head, sizeof(head),
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -39,9 +39,6 @@
 void store_start(void);
 uint64_t store_put(const char *key, const char *value);
 void store_delete(const char *key);
-/* How the store treats one machine. */
-enum store_mode { STORE_SERVES, STORE_BUSY, STORE_SILENT };
-void store_set_mode(int machine, enum store_mode mode);
 
 /* A parsed HTTP message. */
 struct message {
