--- a/review/harness/harness.c
+++ b/review/harness/harness.c
@@ -651,7 +651,7 @@
 serve_store(void *arg)
 {
 	int fd = (int)(intptr_t)arg;
-	struct message *m = malloc(sizeof(*m));
+	struct message *m = calloc(1, sizeof(*m));
 
 	while (message_read(fd, true, m)) {
 		char *text = NULL, head[256];
@@ -822,7 +822,7 @@
 {
 	struct instance_conn *c = arg;
 	struct instance *i = c->instance;
-	struct message *m = malloc(sizeof(*m));
+	struct message *m = calloc(1, sizeof(*m));
 	int slot = -1;
 
 	pthread_mutex_lock(&i->lock);
@@ -1085,7 +1085,7 @@
 node_wait_ready(struct node *n, int timeout_ms)
 {
 	int64_t end = now_ms() + timeout_ms;
-	struct message *m = malloc(sizeof(*m));
+	struct message *m = calloc(1, sizeof(*m));
 	bool ready = false;
 
 	while (!ready && now_ms() < end) {
@@ -1122,7 +1122,7 @@
     const char *path, const char *headers, const char *body, size_t body_bytes,
     int deadline_ms, struct answer *a)
 {
-	struct message *m = malloc(sizeof(*m));
+	struct message *m = calloc(1, sizeof(*m));
 	struct timeval t = {
 	    (deadline_ms + 2000) / 1000, (deadline_ms + 2000) % 1000 * 1000};
 	char *head = malloc(40000);
