--- a/test/fakes/store.c
+++ b/test/fakes/store.c
@@ -5,9 +5,11 @@
  * under SERVERS_PREFIX are rewritten at each heartbeat with the next sequence
  * number.
  * Controls: PUT and DELETE of /control/kv/KEY (the body is the value; KEY may
- * contain slashes), POST /control/faults, GET /control/stats.
+ * contain slashes and is percent-encoded), POST /control/faults, GET
+ * /control/stats.
  *
  * Faults, each in force until it is set again:
+ *   page_items items in a page of a range, 500 at first
  *   down    resets the connections of readers
  *   hang    readers get no answer
  *   slow_ms delays answers
@@ -22,6 +24,7 @@
 #include <argtable2.h>
 #include <inttypes.h>
 #include <json-c/json.h>
+#include <microhttpd.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -37,7 +40,7 @@
 #define POLL_US 5000
 #define HEARTBEAT_MS 500
 #define MAX_WAIT_MS 30000
-#define MAX_PAGE_ITEMS 500
+#define PAGE_ITEMS 500
 #define OTHER_KEY "other/key" /* of no interest to readers */
 #define F_SEQUENCE "sequence"
 #define US_PER_MS 1000
@@ -60,6 +63,7 @@
 	bool hang;
 	int64_t slow_us;
 	int64_t heartbeat_us;
+	size_t page_items;
 	uint64_t read_count;
 	uint64_t compacted_count;
 };
@@ -185,7 +189,7 @@
 			continue;
 		if (after != NULL && strcmp(i->key, after) <= 0)
 			continue;
-		more = json_object_array_length(list) == MAX_PAGE_ITEMS;
+		more = json_object_array_length(list) == s->page_items;
 		if (!more)
 			json_object_array_add(list, item_json(i));
 	}
@@ -357,8 +361,11 @@
 }
 
 static void
-on_write(struct store *s, struct fake_request *r, const char *key)
+on_write(struct store *s, struct fake_request *r, const char *encoded_key)
 {
+	char *key = talloc_strdup(r, encoded_key);
+
+	MHD_http_unescape(key);
 	if (strcmp(r->method, "PUT") == 0)
 		fake_kv_put(s->kv, fake_now_us(), key, (const char *)r->body,
 		    r->body_bytes);
@@ -418,6 +425,8 @@
 	s->hang = get_flag(o, "hang", s->hang);
 	if (json_object_object_get_ex(o, "slow_ms", &v))
 		s->slow_us = json_object_get_int64(v) * US_PER_MS;
+	if (json_object_object_get_ex(o, "page_items", &v))
+		s->page_items = (size_t)json_object_get_int64(v);
 	if (get_flag(o, "forget", false))
 		fake_kv_compact(s->kv);
 	if (json_object_object_get_ex(o, "restore_ms", &v))
@@ -473,6 +482,7 @@
 	fake_block_signals();
 	s->kv = fake_kv_new(s, 1);
 	s->heartbeat_us = (int64_t)heartbeat_ms * US_PER_MS;
+	s->page_items = PAGE_ITEMS;
 	s->server = fake_server_start(port, &handler, s);
 	if (s->server == NULL) {
 		fprintf(stderr, "store: cannot listen on port %u\n", port);
--- a/test/test_platform_store.c
+++ b/test/test_platform_store.c
@@ -1,15 +1,24 @@
-/* Answers of the platform's store: the keys of evacuated zones. */
+/*
+ * Targets of reads of the platform's store, and its answers: pages, the keys of
+ * evacuated zones, entries of other writers.
+ */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <string.h>
 
 #include <cmocka.h>
+#include <curl/curl.h>
 
 #include "link/peer.h"
 #include "platform/names.h"
 #include "platform/platform.h"
 
+/* Bytes that a target has as they are (RFC 3986, 2.3). */
+#define UNRESERVED                   \
+	"ABCDEFGHIJKLMNOPQRSTUVWXYZ" \
+	"abcdefghijklmnopqrstuvwxyz0123456789-._~"
+
 struct fixture {
 	TALLOC_CTX *mem;
 	struct ir_settings settings;
@@ -45,6 +54,21 @@
 	return platform_store_target(&f->settings, f->mem, &query);
 }
 
+/* The key that the store reads from the target, which must be a valid one. */
+static void
+expect_after(const char *text, const char *key)
+{
+	const char *after = strstr(text, "&after=");
+	char *decoded;
+
+	assert_non_null(after);
+	after += strlen("&after=");
+	assert_int_equal(strspn(after, UNRESERVED "%"), strlen(after));
+	decoded = curl_easy_unescape(NULL, after, 0, NULL);
+	assert_string_equal(decoded, key);
+	curl_free(decoded);
+}
+
 static void
 expect_item(
     const struct fixture *f, size_t i, const char *section, const char *text)
@@ -138,12 +162,28 @@
 		  "{\"key\":\"op/other\",\"value\":\"\",\"revision\":3}]}");
 	assert_int_equal(f.page.item_count, 0);
 	assert_string_equal(f.page.next_key, "op/other");
-	assert_non_null(strstr(target(&f, "op/other"), "after=op/other"));
-	assert_non_null(strstr(target(&f, NULL), "after=" CONFIG_KEY));
+	expect_after(target(&f, "op/other"), "op/other");
+	expect_after(target(&f, NULL), CONFIG_KEY);
 	assert_true(strcmp(CONFIG_KEY, EVACUATE_PREFIX) < 0);
 	talloc_free(f.mem);
 }
 
+static void
+test_every_key_can_begin_a_page(void **state)
+{
+	for (int evacuations = 0; evacuations < 2; evacuations++) {
+		struct fixture f = start(evacuations);
+
+		for (int c = 1; c <= UINT8_MAX; c++) {
+			char key[] = SERVERS_PREFIX "a?b";
+
+			*strchr(key, '?') = (char)c;
+			expect_after(target(&f, key), key);
+		}
+		talloc_free(f.mem);
+	}
+}
+
 #define ENTRY_BEGIN                                              \
 	"{\"service\":\"s\",\"zone\":\"z1\",\"version\":\"v1\"," \
 	"\"cold_remaining_ms\":0,\"sequence\":4"
@@ -230,6 +270,7 @@
 	    cmocka_unit_test(test_key_without_a_zone_cannot_be_decoded),
 	    cmocka_unit_test(test_key_is_not_read_without_the_setting),
 	    cmocka_unit_test(test_next_page_follows_a_page_without_items),
+	    cmocka_unit_test(test_every_key_can_begin_a_page),
 	    cmocka_unit_test(
 		test_odd_entry_of_another_writer_names_no_instance),
 	};
