Store: a key is bytes with a length

Cause: keys were texts that ended at their first zero byte. Two entries that differ behind it were one item, the next page began at the shorter key, "op/evacuate/z1\0" evacuated zone z1, and "op/config\0" was taken for the configuration.

A key now has a length, from the answer to the table of items and into the target. A key with a zero byte names no instance and no zone.

Ruled out: escaping keys at the adapter. They would be texts, but not sorted as the store's are, and in logs not as operators know them.

Tests: test_host_items, test_keys_with_zero_bytes_are_different_items, and test_platform_store, test_key_with_a_zero_byte_is_no_other_key. They need the new type.

--- a/include/ibisrail/dialect.h
+++ b/include/ibisrail/dialect.h
@@ -39,9 +39,15 @@
 	const char *upstream_id;    /* of the upstream that answers */
 };
 
+/* A key of the store: any bytes, followed by a NUL that is not one of them. */
+struct ir_store_key {
+	const char *bytes; /* NULL: no key */
+	size_t size_bytes;
+};
+
 /* An item of the store, decoded to a section of the view. */
 struct ir_store_item {
-	char *key;     /* in the store */
+	struct ir_store_key key;
 	char *section; /* name of the section; NULL: cannot be decoded */
 	char *text;    /* of the section; "" if the item was removed */
 	uint64_t revision;
@@ -54,18 +60,18 @@
 
 /* Parameters of a read of the store. */
 struct ir_store_query {
-	bool hosts;	       /* the host list; false: the configuration */
-	uint64_t revision;     /* changes after this one; 0: everything */
-	const char *after_key; /* start of the next page; NULL: the first */
-	uint32_t wait_ms;      /* how long the store waits for a change */
+	bool hosts;	   /* the host list; false: the configuration */
+	uint64_t revision; /* changes after this one; 0: everything */
+	struct ir_store_key after_key; /* page after it; none: the first */
+	uint32_t wait_ms; /* how long the store waits for a change */
 };
 
 /* A decoded answer. */
 struct ir_store_page {
 	/* This page and those after it hold all items; false: changes only. */
 	bool full;
-	char *next_key;	   /* after_key of the next page; NULL: the last page */
-	uint64_t revision; /* of the store */
+	struct ir_store_key next_key; /* after_key of the next page, if any */
+	uint64_t revision;	      /* of the store */
 	/*
 	 * Era of the store's history. It rises when the store is restored from
 	 * an older copy; its revisions may then stand for other contents.
--- a/src/io/native_dialect.c
+++ b/src/io/native_dialect.c
@@ -1,4 +1,6 @@
 /* The native dialect: header names and store requests of ibisrail itself. */
+#include <string.h>
+
 #include <inttypes.h>
 
 #include "conf/settings.h"
@@ -43,7 +45,8 @@
 	for (size_t i = 0; i < r.section_count; i++) {
 		struct ir_store_item *to = &page->items[i];
 
-		to->key = r.sections[i].name;
+		to->key.bytes = r.sections[i].name;
+		to->key.size_bytes = strlen(r.sections[i].name);
 		to->section = r.sections[i].name;
 		to->text = r.sections[i].text;
 		to->revision = r.sections[i].revision;
--- a/src/io/store/host_items.c
+++ b/src/io/store/host_items.c
@@ -6,9 +6,10 @@
 #include "host/entry_choice.h"
 #include "io/message.h"
 #include "io/store/host_items.h"
+#include "io/store/store_key.h"
 
 struct item {
-	char *key;
+	struct ir_store_key key;
 	char *section;
 	char *text;
 	char *service; /* of the upstream, or NULL */
@@ -103,16 +104,16 @@
 }
 
 static struct item *
-find_or_add_item(struct ir_host_items *h, const char *key)
+find_or_add_item(struct ir_host_items *h, const struct ir_store_key *key)
 {
 	struct item *i;
 
-	HASH_FIND_STR(h->items, key, i);
+	HASH_FIND(hh, h->items, key->bytes, key->size_bytes, i);
 	if (i != NULL)
 		return i;
 	i = ir_check_alloc(talloc_zero(h, struct item));
-	i->key = ir_text_copy(i, key);
-	HASH_ADD_KEYPTR(hh, h->items, i->key, strlen(i->key), i);
+	i->key = ir_store_key_copy(i, key);
+	HASH_ADD_KEYPTR(hh, h->items, i->key.bytes, i->key.size_bytes, i);
 	return i;
 }
 
@@ -225,7 +226,7 @@
 bool
 ir_host_items_put(struct ir_host_items *h, const struct ir_store_item *in)
 {
-	struct item *i = find_or_add_item(h, in->key);
+	struct item *i = find_or_add_item(h, &in->key);
 	bool was_unreadable = i->unreadable;
 
 	i->last_full_read = h->full_read_count;
@@ -389,6 +390,7 @@
 static void
 report_not_used(struct ir_host_items *h)
 {
+	static const struct ir_store_key no_key;
 	struct item *i, *next;
 
 	HASH_ITER (hh, h->items, i, next) {
@@ -402,9 +404,9 @@
 		i->not_used_reported = true;
 		s = find_published(h, i->section);
 		if (h->on_not_used != NULL)
-			h->on_not_used(h->on_not_used_ctx, i->key, i->section,
-			    s != NULL && s->chosen != NULL ? s->chosen->key
-							   : "");
+			h->on_not_used(h->on_not_used_ctx, &i->key, i->section,
+			    s != NULL && s->chosen != NULL ? &s->chosen->key
+							   : &no_key);
 	}
 }
 
--- a/src/io/store/host_items.h
+++ b/src/io/store/host_items.h
@@ -25,10 +25,10 @@
 
 /*
  * Called once for an item that describes no host, as another one of its section
- * does; used: the key of that item, "" if there is none.
+ * does; used: the key of that item, none if there is none.
  */
-typedef void ir_item_not_used_fn(
-    void *ctx, const char *key, const char *section, const char *used);
+typedef void ir_item_not_used_fn(void *ctx, const struct ir_store_key *key,
+    const char *section, const struct ir_store_key *used);
 
 /* Returns NULL if out of memory. */
 struct ir_host_items *ir_host_items_new(TALLOC_CTX *mem);
--- a/src/io/store/store_client.c
+++ b/src/io/store/store_client.c
@@ -6,6 +6,7 @@
 #include <strings.h>
 
 #include "core/random.h"
+#include "core/unconst.h"
 
 #include "host/coverage.h"
 #include "host/position.h"
@@ -16,6 +17,7 @@
 #include "io/store/host_items.h"
 #include "io/store/store_answer.h"
 #include "io/store/store_client.h"
+#include "io/store/store_key.h"
 
 /* Added to the wait for a change; below IR_VIEW_POLL_US. */
 #define ANSWER_TIMEOUT_MS 350
@@ -48,8 +50,8 @@
 	struct ir_store_client *client;
 	enum ir_store_part part;
 	uint64_t after; /* where the read in flight began; 0: full read */
-	char *next_key; /* of a full read: where its next page begins */
-	uint64_t full_read_revision; /* store revision of its first page */
+	struct ir_store_key next_key; /* of a full read: its next page */
+	uint64_t full_read_revision;  /* store revision of its first page */
 	uint64_t reached; /* store revision up to which the last read went */
 	struct ir_host_items *host_items; /* NULL: items are sections */
 	uint64_t section_position;	  /* highest delivered to the core */
@@ -324,18 +326,19 @@
 log_unreadable_item(struct watch *w, const struct ir_store_item *item)
 {
 	ir_io_log_event(w->client->channel->log, IR_EVENT_SECTION_REFUSED,
-	    "unreadable", "key=%s revision=%" PRIu64, item->key,
+	    "unreadable", "key=%s revision=%" PRIu64, item->key.bytes,
 	    item->revision);
 }
 
 static void
-log_item_not_used(
-    void *ctx, const char *key, const char *section, const char *used)
+log_item_not_used(void *ctx, const struct ir_store_key *key,
+    const char *section, const struct ir_store_key *used)
 {
 	const struct ir_store_client *c = ctx;
 
 	ir_io_log_event(c->channel->log, IR_EVENT_ENTRY_NOT_USED, NULL,
-	    "key=%s section=%s used=%s", key, section, used);
+	    "key=%s section=%s used=%s", key->bytes, section,
+	    used->bytes != NULL ? used->bytes : "");
 }
 
 /* Logs an error once while successive reads fail with the same error. */
@@ -351,12 +354,19 @@
 	    is_of_hosts(w) ? "hosts" : "config", covered_revision(w));
 }
 
+static void
+set_next_key(struct watch *w, const struct ir_store_key *key)
+{
+	talloc_free(ir_unconst(w->next_key.bytes));
+	w->next_key = ir_store_key_copy(w->client, key);
+}
+
 /* Adds a page to the read; false if the full read has further pages. */
 static bool
 add_page(struct watch *w, struct ir_store_page *page)
 {
 	struct ir_store_read *r = &w->message->u.store;
-	bool first_page = page->full && w->next_key == NULL;
+	bool first_page = page->full && ir_store_key_is_none(&w->next_key);
 
 	if (w->host_items == NULL) {
 		set_sections(w, page);
@@ -373,11 +383,9 @@
 		if (ir_host_items_put(w->host_items, &item))
 			log_unreadable_item(w, &page->items[i]);
 	}
-	TALLOC_FREE(w->next_key);
-	if (page->full && page->next_key != NULL) {
-		w->next_key = ir_text_copy(w->client, page->next_key);
+	set_next_key(w, &page->next_key);
+	if (page->full && !ir_store_key_is_none(&w->next_key))
 		return false;
-	}
 	if (page->full)
 		ir_host_items_end_full_read(w->host_items);
 	w->reached = page->full ? w->full_read_revision : page->revision;
@@ -489,11 +497,12 @@
 static void
 restart_full_read(struct watch *w, int64_t now)
 {
+	static const struct ir_store_key no_key;
 	uint32_t delay_ms =
 	    ir_random_below(&w->client->random, FULL_READ_SPREAD_MS);
 
 	end_read(w);
-	TALLOC_FREE(w->next_key);
+	set_next_key(w, &no_key);
 	ir_coverage_drop(&w->client->coverage, w->part);
 	w->full_read_due = true;
 	w->next_read_us = now + delay_ms * IR_US_PER_MS;
--- a/test/test_host_items.c
+++ b/test/test_host_items.c
@@ -41,7 +41,7 @@
 put_item(struct fixture *f, const char *key, const char *host, const char *text,
     uint64_t created)
 {
-	struct ir_store_item in = {.key = (char *)key,
+	struct ir_store_item in = {.key = {key, strlen(key)},
 	    .section = text != NULL ? (char *)host : NULL,
 	    .text = text != NULL ? (char *)text : (char *)"",
 	    .revision = ++f->revision,
@@ -104,7 +104,7 @@
 put_started_item(struct fixture *f, const char *key, const char *text,
     uint64_t created, int64_t started_ms)
 {
-	struct ir_store_item in = {.key = (char *)key,
+	struct ir_store_item in = {.key = {key, strlen(key)},
 	    .section = (char *)"host/1",
 	    .text = (char *)text,
 	    .revision = ++f->revision,
@@ -343,6 +343,25 @@
 	assert_int_equal(take_changes(f, 0), 0);
 }
 
+static void
+test_keys_with_zero_bytes_are_different_items(void **state)
+{
+	static const char *const hosts[] = {"host/1", "host/2"};
+	static const char keys[][4] = {"a\0b", "a\0c"};
+	struct fixture *f = *state;
+
+	for (int i = 0; i < 2; i++) {
+		struct ir_store_item in = {.key = {keys[i], 3},
+		    .section = (char *)hosts[i],
+		    .text = (char *)"live",
+		    .revision = ++f->revision,
+		    .created_revision = f->revision};
+
+		ir_host_items_put(f->items, &in);
+	}
+	assert_int_equal(take_changes(f, 0), 2);
+}
+
 #define PORT 8080
 #define OTHER_PORT 8580
 #define HEARTBEAT_US (1500 * IR_US_PER_MS)
@@ -351,7 +370,7 @@
 put_listed(struct fixture *f, const char *key, const char *service,
     uint16_t port, const char *text, uint64_t created)
 {
-	struct ir_store_item in = {.key = (char *)key,
+	struct ir_store_item in = {.key = {key, strlen(key)},
 	    .section = (char *)"host/1",
 	    .text = (char *)text,
 	    .revision = ++f->revision,
@@ -452,12 +471,12 @@
 }
 
 static void
-count_not_used(
-    void *ctx, const char *key, const char *section, const char *used)
+count_not_used(void *ctx, const struct ir_store_key *key, const char *section,
+    const struct ir_store_key *used)
 {
-	assert_string_equal(key, "n");
+	assert_string_equal(key->bytes, "n");
 	assert_string_equal(section, "host/1");
-	assert_string_equal(used, "i-1");
+	assert_string_equal(used->bytes, "i-1");
 	(*(int *)ctx)++;
 }
 
@@ -542,6 +561,7 @@
 	    cmocka_unit_test(test_listed_neighbor_does_not_hide_the_upstream),
 	    WITH_HOST_ITEMS(test_new_reader_takes_the_upstream_that_writes),
 	    WITH_HOST_ITEMS(test_entry_that_is_not_used_is_reported_once),
+	    WITH_HOST_ITEMS(test_keys_with_zero_bytes_are_different_items),
 	    WITH_HOST_ITEMS(
 		test_other_choice_is_passed_on_with_the_revision_reached),
 	    WITH_HOST_ITEMS(
--- a/test/test_platform_store.c
+++ b/test/test_platform_store.c
@@ -47,13 +47,22 @@
 }
 
 static const char *
-target(struct fixture *f, const char *after_key)
+target_after(struct fixture *f, struct ir_store_key key)
 {
-	struct ir_store_query query = {.hosts = true, .after_key = after_key};
+	struct ir_store_query query = {.hosts = true, .after_key = key};
 
 	return platform_store_target(&f->settings, f->mem, &query);
 }
 
+static const char *
+target(struct fixture *f, const char *after_key)
+{
+	struct ir_store_key key = {
+	    after_key, after_key != NULL ? strlen(after_key) : 0};
+
+	return target_after(f, key);
+}
+
 /* The key that the store reads from the target, which must be a valid one. */
 static void
 expect_after(const char *text, const char *key)
@@ -104,7 +113,7 @@
 
 	parse(&f, "{\"store_revision\":9,\"items\":[" ZONE_ITEM("z1") "]}");
 	assert_true(f.page.full);
-	assert_null(f.page.next_key);
+	assert_null(f.page.next_key.bytes);
 	assert_int_equal(f.page.item_count, 1);
 	expect_item(&f, 0, "zone/z1", "{\"name\":\"z1\",\"evacuated\":true}");
 	assert_int_equal(f.page.items[0].created_revision, 7);
@@ -121,7 +130,8 @@
 		"z1") ",{\"key\":\"" EVACUATE_PREFIX "z1\",\"deleted\":true,"
 		      "\"revision\":9}]}");
 	assert_int_equal(f.page.item_count, 2);
-	assert_string_equal(f.page.items[1].key, f.page.items[0].key);
+	assert_string_equal(
+	    f.page.items[1].key.bytes, f.page.items[0].key.bytes);
 	assert_string_equal(f.page.items[1].text, "");
 	assert_int_equal(f.page.items[1].revision, 9);
 	talloc_free(f.mem);
@@ -161,7 +171,8 @@
 	parse(&f, "{\"store_revision\":9,\"truncated\":true,\"items\":["
 		  "{\"key\":\"op/other\",\"value\":\"\",\"revision\":3}]}");
 	assert_int_equal(f.page.item_count, 0);
-	assert_string_equal(f.page.next_key, "op/other");
+	assert_string_equal(f.page.next_key.bytes, "op/other");
+	assert_int_equal(f.page.next_key.size_bytes, strlen("op/other"));
 	expect_after(target(&f, "op/other"), "op/other");
 	expect_after(target(&f, NULL), CONFIG_KEY);
 	assert_true(strcmp(CONFIG_KEY, EVACUATE_PREFIX) < 0);
@@ -184,6 +195,29 @@
 	}
 }
 
+static void
+test_key_with_a_zero_byte_is_no_other_key(void **state)
+{
+	static const char key[] = SERVERS_PREFIX "a\0b";
+	struct fixture f = start(true);
+
+	parse(&f, "{\"store_revision\":9,\"truncated\":true,\"items\":["
+		  "{\"key\":\"" EVACUATE_PREFIX "z1\\u0000\",\"revision\":7},"
+		  "{\"key\":\"" SERVERS_PREFIX "a\\u0000b\",\"value\":\"e30=\","
+		  "\"revision\":8}]}");
+	assert_int_equal(f.page.item_count, 2);
+	assert_null(f.page.items[0].section);
+	assert_null(f.page.items[1].section);
+	assert_int_equal(f.page.items[1].key.size_bytes, sizeof(key) - 1);
+	assert_memory_equal(f.page.items[1].key.bytes, key, sizeof(key));
+	assert_non_null(
+	    strstr(target_after(&f, f.page.next_key), "after=servers%2Fa%00b"));
+	parse(&f, "{\"store_revision\":9,\"events\":[{\"key\":\"" CONFIG_KEY
+		  "\\u0000\",\"value\":\"e30=\",\"revision\":9}]}");
+	assert_null(f.page.config_items);
+	talloc_free(f.mem);
+}
+
 #define ENTRY_BEGIN                                              \
 	"{\"service\":\"s\",\"zone\":\"z1\",\"version\":\"v1\"," \
 	"\"cold_remaining_ms\":0,\"sequence\":4"
@@ -271,6 +305,7 @@
 	    cmocka_unit_test(test_key_is_not_read_without_the_setting),
 	    cmocka_unit_test(test_next_page_follows_a_page_without_items),
 	    cmocka_unit_test(test_every_key_can_begin_a_page),
+	    cmocka_unit_test(test_key_with_a_zero_byte_is_no_other_key),
 	    cmocka_unit_test(
 		test_odd_entry_of_another_writer_names_no_instance),
 	};
