Store client: a list that gets no further is a failed read

What callers saw: nothing was served while a node asked for the same page of the host list without pause or end, and no log line told so.

Cause: nothing compared a page with the key that it was asked to follow.

A page that does not end behind that key is now a failed read: section-refused names the key, and after the usual pause the list is read from its first page. Pages before it do not shorten that pause.

Ruled out: to use what was read so far. It is not known to be the list, and hosts missing from it would be taken for removed.

Test: test_store_client, test_list_that_gets_no_further_is_a_failed_read.

--- a/src/io/store/store_client.c
+++ b/src/io/store/store_client.c
@@ -45,6 +45,8 @@
 #define ANSWER_DIVISOR 16
 #define BYTES_PER_MB (UINT64_C(1024) * 1024)
 
+static const struct ir_store_key no_key;
+
 /* Repeated reads of the configuration or of the host list. */
 struct watch {
 	struct ir_store_client *client;
@@ -350,8 +352,9 @@
 	talloc_free(w->reported_error);
 	w->reported_error = ir_text_copy(w->client, error);
 	ir_io_log_event(w->client->channel->log, IR_EVENT_SECTION_REFUSED,
-	    error, "part=%s revision=%" PRIu64,
-	    is_of_hosts(w) ? "hosts" : "config", covered_revision(w));
+	    error, "part=%s revision=%" PRIu64 " after=%s",
+	    is_of_hosts(w) ? "hosts" : "config", covered_revision(w),
+	    ir_store_key_is_none(&w->next_key) ? "" : w->next_key.bytes);
 }
 
 static void
@@ -417,6 +420,12 @@
 	}
 	w->failed = false;
 	w->answered_us = now;
+}
+
+/* A page of a read that fails later is no reason to repeat it sooner. */
+static void
+reset_backoff(struct watch *w)
+{
 	TALLOC_FREE(w->reported_error);
 	w->backoff_us = BACKOFF_MIN_US;
 }
@@ -466,6 +475,15 @@
 	deliver(w);
 }
 
+/* Whether the page is the last one, or ends behind the key that it follows. */
+static bool
+ends_further(const struct watch *w, const struct ir_store_page *page)
+{
+	return ir_store_key_is_none(&w->next_key) ||
+	       ir_store_key_is_none(&page->next_key) ||
+	       ir_store_key_is_after(&page->next_key, &w->next_key);
+}
+
 static void
 handle_page(struct watch *w, int64_t now, struct ir_store_page *page)
 {
@@ -479,6 +497,7 @@
 		w->next_read_us = now;
 		return;
 	}
+	reset_backoff(w);
 	if (is_of_hosts(w) && c->dialect->hosts_include_config && !page->full)
 		deliver_config(c, w->started_us, w->after, page);
 	if (w->host_items != NULL) {
@@ -497,7 +516,6 @@
 static void
 restart_full_read(struct watch *w, int64_t now)
 {
-	static const struct ir_store_key no_key;
 	uint32_t delay_ms =
 	    ir_random_below(&w->client->random, FULL_READ_SPREAD_MS);
 
@@ -615,7 +633,7 @@
 		result = IR_STORE_FAILED;
 		error = check_era(c, &page);
 	}
-	if (result == IR_STORE_OK) {
+	if (result == IR_STORE_OK && ends_further(w, &page)) {
 		handle_page(w, now, &page);
 		return;
 	}
@@ -629,7 +647,11 @@
 			    : "answer too large for the memory limit";
 	else if (code != CURLE_OK)
 		error = curl_easy_strerror(code);
+	if (result == IR_STORE_OK)
+		error = "page does not end behind the key that it follows";
 	log_invalid_answer(w, error);
+	if (result == IR_STORE_OK)
+		set_next_key(w, &no_key);
 	handle_read_failure(w, now);
 }
 
--- a/test/test_store_client.c
+++ b/test/test_store_client.c
@@ -47,6 +47,8 @@
 	struct fake_server *server;
 	pthread_t thread;
 	int config_reads;
+	int list_reads;
+	int first_pages;
 	bool bad_query;
 	const char *const *script; /* answers about the configuration */
 	const char *next_full_answer;
@@ -516,6 +518,80 @@
 	talloc_free(f.core);
 }
 
+#define INSTANCE(n)                                                           \
+	"{\"service\":\"s\",\"address\":\"10.0.0." n ":80\",\"zone\":\"z1\"," \
+	"\"version\":\"1\",\"slots\":8,\"state\":\"ready\","                  \
+	"\"cold_remaining_ms\":0,\"sequence\":1}"
+#define REPEATED_PAGES 5
+
+static char *
+list_page(TALLOC_CTX *mem, const char *id, const char *instance, bool more)
+{
+	char value[512];
+
+	sodium_bin2base64(value, sizeof(value), (const uint8_t *)instance,
+	    strlen(instance), sodium_base64_VARIANT_ORIGINAL);
+	return talloc_asprintf(mem,
+	    "{\"" FIELD_STORE_REVISION "\":12,\"" FIELD_TRUNCATED
+	    "\":%s,\"" FIELD_ITEMS "\":[{\"" FIELD_KEY "\":\"" SERVERS_PREFIX
+	    "%s\",\"" FIELD_VALUE "\":\"%s\",\"" FIELD_REVISION
+	    "\":3,\"" FIELD_CREATED "\":3}]}",
+	    more ? "true" : "false", id, value);
+}
+
+/* The list of two pages; the first one is repeated at first. */
+static void
+answer_pages(void *ctx, struct fake_request *r)
+{
+	struct fixture *f = ctx;
+	bool first = strstr(r->uri, "after=") == NULL;
+
+	if (strcmp(r->path, READ_RANGE_PATH) != 0)
+		return;
+	f->list_reads++;
+	f->first_pages += first;
+	if (first || f->list_reads <= REPEATED_PAGES)
+		fake_answer_json(
+		    r, 200, list_page(r, "i-1", INSTANCE("1"), true));
+	else
+		fake_answer_json(
+		    r, 200, list_page(r, "i-2", INSTANCE("2"), false));
+}
+
+static void
+test_list_that_gets_no_further_is_a_failed_read(void **state)
+{
+	static const struct fake_handler pages = {answer_pages, on_disconnect};
+	struct ir_zone_region zone = {.zone = "z1", .region = "r"};
+	struct fixture f = {.settings.platform.address = "127.0.0.1",
+	    .settings.zones = &zone,
+	    .settings.zone_count = 1};
+	struct ir_to_core *m;
+	int failures = 0;
+
+	f.server = fake_server_start(0, &pages, &f);
+	f.settings.platform.port = fake_server_port(f.server);
+	f.core = ir_wakeup_new(NULL);
+	f.channel = ir_channel_new(f.core, f.core, NULL, RING_SLOTS);
+	f.client = ir_store_client_new(
+	    f.core, f.channel, &f.settings, &platform_dialect.store);
+	pthread_create(&f.thread, NULL, ir_store_client_run, f.client);
+	start_polling(&f);
+	m = next_read(&f, &failures);
+	assert_true(m->u.store.is_host_list);
+	assert_int_equal(m->u.store.section_count, 2);
+	/* Two reads failed at their second page. */
+	fake_server_lock(f.server);
+	assert_int_equal(f.first_pages, 3);
+	fake_server_unlock(f.server);
+	talloc_free(m);
+	ir_ring_push(f.channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
+	pthread_join(f.thread, NULL);
+	talloc_free(f.client);
+	fake_server_stop(f.server);
+	talloc_free(f.core);
+}
+
 static void
 expect_rejected(const char *text)
 {
@@ -562,6 +638,7 @@
 		tear_down),
 	    cmocka_unit_test(test_stopped_thread_starts_no_read),
 	    cmocka_unit_test(test_change_between_the_full_reads_is_not_missed),
+	    cmocka_unit_test(test_list_that_gets_no_further_is_a_failed_read),
 	    cmocka_unit_test(test_answer_too_large_for_the_process_is_not_read),
 	    cmocka_unit_test(test_provisional_answers_without_end_are_not_read),
 	    cmocka_unit_test(test_invalid_documents),
