Store: an item that cannot be read hides no others

What callers would see: with one item in the list that has no key or no revision, the whole page, or the whole answer to a watch, was refused, again and again: no list at the start, no changes later. Not reported; found by looking for the same cause.

A truncated page goes on from the last key that it has. One without any key, or without items, fails: it was taken for the end of the list, and what did not come was removed.

--- a/test/test_platform_store.c
+++ b/test/test_platform_store.c
@@ -9,6 +9,7 @@
 
 #include <cmocka.h>
 #include <curl/curl.h>
+#include <sodium.h>
 
 #include "link/peer.h"
 #include "platform/names.h"
@@ -228,6 +229,60 @@
 
 static const char valid_entry[] = ENTRY_BEGIN ADDRESS SLOTS STATE "}";
 
+/* A range or a watch with three items that cannot be read before a fourth. */
+static void
+expect_fourth_alone(struct fixture *f, const char *list)
+{
+	char value[512];
+	struct ir_zone_region zone = {.zone = "z1", .region = "r"};
+
+	f->settings.zones = &zone;
+	f->settings.zone_count = 1;
+	f->settings.peers.port = 7000;
+	f->settings.callers.port = 7001;
+	sodium_bin2base64(value, sizeof(value), (const uint8_t *)valid_entry,
+	    strlen(valid_entry), sodium_base64_VARIANT_ORIGINAL);
+	parse(f, talloc_asprintf(f->mem,
+		     "{\"store_revision\":9,\"%s\":[7,{\"key\":3,"
+		     "\"revision\":4},{\"key\":\"" SERVERS_PREFIX
+		     "i-0\",\"value\":\"%s\"},{\"key\":\"" SERVERS_PREFIX
+		     "i-1\",\"value\":\"%s\",\"revision\":5}]}",
+		     list, value, value));
+	assert_int_equal(f->page.item_count, 4);
+	for (size_t i = 0; i < 3; i++)
+		assert_null(f->page.items[i].section);
+	assert_string_equal(f->page.items[3].section, "host/10.0.0.9");
+}
+
+static void
+test_items_without_key_or_revision_hide_no_others(void **state)
+{
+	struct fixture f = start(false);
+
+	expect_fourth_alone(&f, FIELD_ITEMS);
+	expect_fourth_alone(&f, FIELD_EVENTS);
+	talloc_free(f.mem);
+}
+
+/* It would be taken for the whole list. */
+static void
+test_truncated_page_goes_on_from_its_last_key_or_fails(void **state)
+{
+	static const char empty[] =
+	    "{\"store_revision\":9,\"truncated\":true,\"items\":[]}";
+	struct fixture f = start(false);
+	struct ir_store_query query = {.hosts = true};
+	const char *error = NULL;
+
+	parse(&f, "{\"store_revision\":9,\"truncated\":true,\"items\":["
+		  "{\"key\":\"" SERVERS_PREFIX "i-1\"},{\"key\":3}]}");
+	assert_string_equal(f.page.next_key.bytes, SERVERS_PREFIX "i-1");
+	assert_int_equal(platform_store_parse(&f.settings, f.mem, &query, 200,
+			     empty, strlen(empty), &f.page, &error),
+	    IR_STORE_FAILED);
+	talloc_free(f.mem);
+}
+
 /* Other writers' entries. */
 static const char *const odd_entries[] = {
     "",
@@ -306,6 +361,9 @@
 	    cmocka_unit_test(test_next_page_follows_a_page_without_items),
 	    cmocka_unit_test(test_every_key_can_begin_a_page),
 	    cmocka_unit_test(test_key_with_a_zero_byte_is_no_other_key),
+	    cmocka_unit_test(test_items_without_key_or_revision_hide_no_others),
+	    cmocka_unit_test(
+		test_truncated_page_goes_on_from_its_last_key_or_fails),
 	    cmocka_unit_test(
 		test_odd_entry_of_another_writer_names_no_instance),
 	};
