Host list: an id that a header cannot hold names no instance

What an instance would see: a key such as "servers/i-1\r\nX-Api-Key: k", of an entry with the instance's address, added header lines to every request sent to it, since its id is sent in the header that names the instance expected. Not reported; found by looking where else texts of the store go.

An id may have what the value of a header may: no control characters, no blank at either end. Others name no instance; a host section that has one, which a node of an earlier version may pass on, is refused.

--- a/src/conf/label.c
+++ b/src/conf/label.c
@@ -15,10 +15,16 @@
 
 bool
 ir_is_name(const char *s)
+{
+	return strlen(s) <= IR_LABEL_MAX_BYTES && ir_is_header_value(s);
+}
+
+bool
+ir_is_header_value(const char *s)
 {
 	size_t n = strlen(s);
 
-	if (n == 0 || n > IR_LABEL_MAX_BYTES || s[0] == ' ' || s[n - 1] == ' ')
+	if (n == 0 || s[0] == ' ' || s[n - 1] == ' ')
 		return false;
 	for (size_t i = 0; i < n; i++) {
 		if ((unsigned char)s[i] < ' ' || s[i] == DELETE)
--- a/src/conf/label.h
+++ b/src/conf/label.h
@@ -15,6 +15,8 @@
 
 bool ir_is_label(const char *s);
 bool ir_is_name(const char *s);
+/* Whether a header can hold the text unchanged; false if it is empty. */
+bool ir_is_header_value(const char *s);
 /* Getters of a required member, as in json.h; "" after an error. */
 const char *ir_json_label(struct ir_json_reader *in, struct json_object *obj,
     const char *path, const char *key);
--- a/src/conf/publication.c
+++ b/src/conf/publication.c
@@ -663,6 +663,21 @@
 	h->address = talloc_strdup(in->mem, shortest);
 }
 
+/* It is sent to the upstream in a header. */
+static const char *
+read_upstream_id(struct ir_json_reader *in, struct json_object *top)
+{
+	const char *id = "";
+
+	if (!ir_json_has(top, "upstream_id"))
+		return id;
+	id = ir_json_string(in, top, "", "upstream_id", 1, IR_MAX_NAME);
+	if (in->error == NULL && !ir_is_header_value(id))
+		ir_json_error(in, "upstream_id",
+		    "must consist of characters that a header may have");
+	return id;
+}
+
 struct ir_host *
 ir_host_parse(struct ir_json_reader *in, const char *name, const char *text,
     size_t size_bytes)
@@ -687,10 +702,7 @@
 	h->leaving = read_binary_choice(in, top, "state", "live", "leaving");
 	if (ir_json_has(top, "slots"))
 		h->slots = (uint32_t)ir_json_int(in, top, "", "slots", 1, 4096);
-	h->upstream_id = "";
-	if (ir_json_has(top, "upstream_id"))
-		h->upstream_id =
-		    ir_json_string(in, top, "", "upstream_id", 1, IR_MAX_NAME);
+	h->upstream_id = read_upstream_id(in, top);
 	if (ir_json_has(top, "cold"))
 		h->cold = ir_json_bool(in, top, "", "cold");
 	h->hash = XXH64(h->name, strlen(h->name), 0);
--- a/test/test_platform_store.c
+++ b/test/test_platform_store.c
@@ -318,6 +318,10 @@
     "{\"service\":\"s\",\"zone\":\"z1\"" ADDRESS SLOTS STATE "}",
 };
 
+/* Not as they are in the header that names the instance expected. */
+static const char *const odd_ids[] = {
+    "", "i-1\r\nX-A: b", "i\t1", "i\0011", "i\1771", " i-1", "i-1 "};
+
 static char *
 decode(struct fixture *f, const char *id, const char *entry)
 {
@@ -342,6 +346,10 @@
 	memset(long_id, 'x', IR_MAX_NAME + 1);
 	assert_non_null(decode(&f, "i-1", valid_entry));
 	assert_null(decode(&f, long_id, valid_entry));
+	for (size_t i = 0; i < sizeof(odd_ids) / sizeof(*odd_ids); i++)
+		if (decode(&f, odd_ids[i], valid_entry) != NULL)
+			fail_msg("%s", odd_ids[i]);
+	assert_non_null(decode(&f, "a&b+c#d%41 e", valid_entry));
 	for (size_t i = 0; i < sizeof(odd_entries) / sizeof(*odd_entries); i++)
 		if (decode(&f, "i-1", odd_entries[i]) != NULL)
 			fail_msg("%s", odd_entries[i]);
--- a/test/test_publication.c
+++ b/test/test_publication.c
@@ -177,6 +177,22 @@
 	talloc_free(mem);
 }
 
+static void
+test_upstream_id_adds_no_header(void **state)
+{
+	static const char text[] =
+	    "{\"name\":\"h1\",\"service\":\"s\",\"region\":\"r1\","
+	    "\"zone\":\"z1\",\"address\":\"127.0.0.1\",\"peer_port\":7001,"
+	    "\"caller_port\":7002,\"state\":\"live\",\"upstream_id\":"
+	    "\"i-1\\r\\nX-Api-Key: k\"}";
+	char *error = NULL;
+	TALLOC_CTX *mem = talloc_new(NULL);
+
+	assert_int_not_equal(ir_section_check(mem, "host/h1", text, &error), 0);
+	assert_non_null(strstr(error, "upstream_id"));
+	talloc_free(mem);
+}
+
 /* Texts with random bytes are refused with an error, or accepted. */
 static void
 test_damaged_texts_do_not_crash(void **state)
@@ -217,6 +233,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_invalid_texts_are_refused),
 	    cmocka_unit_test(test_valid_texts_are_parsed),
+	    cmocka_unit_test(test_upstream_id_adds_no_header),
 	    cmocka_unit_test(test_damaged_texts_do_not_crash),
 	};
 
