Configuration: a path of status checks adds no header lines

A path with a line break added header lines, one with a blank made the request invalid, so that a cold upstream was never seen to be warm by its checks. Not reported; found by looking where else texts of the store go into a target.

A path is used if it begins with '/' and has visible ASCII characters. Another one is left out and counted as a dropped entry; `ibisrailctl check` refuses it. The service's requests do not depend on it: its section is not refused, and a cold upstream's ramp then ends by time, as for a service without such a path.

Test: test_publication, test_check_path_adds_no_header: failed, passes.

--- a/src/conf/publication.c
+++ b/src/conf/publication.c
@@ -11,6 +11,7 @@
 #include "ibisrail/limits.h"
 #include "link/peer.h"
 
+#define DELETE 0x7f
 #define MT_PER_TOKEN 1000
 #define MAX_METHOD_BYTES 16
 
@@ -617,6 +618,32 @@
 		ir_json_error(in, "name", "must be \"%s\"", expected);
 }
 
+static bool
+is_request_target(const char *s)
+{
+	for (const char *p = s; *p != '\0'; p++) {
+		if ((uint8_t)*p <= ' ' || (uint8_t)*p >= DELETE)
+			return false;
+	}
+	return s[0] == '/';
+}
+
+/* NULL if there is none. Requests do not depend on it. */
+static const char *
+read_check_path(struct ir_json_reader *in, struct json_object *top)
+{
+	const char *s;
+
+	if (in->error != NULL || !ir_json_has(top, "check_path"))
+		return NULL;
+	s = ir_json_string(
+	    in, top, "", "check_path", 1, IR_MAX_ROUTE_PATH_BYTES);
+	if (in->error == NULL && !is_request_target(s))
+		ir_json_error(in, "check_path",
+		    "must begin with '/' and have visible ASCII characters");
+	return ir_json_end_entry(in, NULL) ? s : NULL;
+}
+
 struct ir_service *
 ir_service_parse(struct ir_json_reader *in, const char *name, const char *text,
     size_t size_bytes)
@@ -637,9 +664,7 @@
 		    MT_PER_TOKEN * ir_json_number(in, top, "",
 				       "cold_rate_per_s", 0.001,
 				       IR_MAX_COLD_RATE_PER_S));
-	if (ir_json_has(top, "check_path"))
-		s->check_path = ir_json_string(
-		    in, top, "", "check_path", 1, IR_MAX_ROUTE_PATH_BYTES);
+	s->check_path = read_check_path(in, top);
 	read_routes(in, top, s);
 	return finish_parse(in, top, s);
 }
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -110,7 +110,7 @@
 	"others are in force. Requests with a key of such an account, or on "
 	"such a route, get 503 and are not run; a key that two accounts have "
 	"stands for the first, and of two routes for the same requests the "
-	"first is used.",
+	"first is used. A path of status checks that is invalid is not used.",
 	"Correct the entries and publish the section again with a higher "
 	"generation."},
     {IR_EVENT_ENTRY_NOT_USED,
--- a/test/test_publication.c
+++ b/test/test_publication.c
@@ -193,6 +193,32 @@
 	talloc_free(mem);
 }
 
+/* The requests of the service do not depend on its status check. */
+static void
+test_check_path_adds_no_header(void **state)
+{
+	static const char *const paths[] = {
+	    "/a HTTP/1.1\\r\\nX-Api-Key: k", "/a b", "a", "/\xc3\xa9"};
+	TALLOC_CTX *mem = talloc_new(NULL);
+
+	for (size_t i = 0; i < sizeof(paths) / sizeof(*paths); i++) {
+		struct ir_json_reader strict = {.mem = mem};
+		struct ir_json_reader tolerant = {.mem = mem, .tolerant = true};
+		const char *text = talloc_asprintf(mem,
+		    "{\"generation\":1,\"name\":\"s\",\"routes\":[],"
+		    "\"check_path\":\"%s\"}",
+		    paths[i]);
+		struct ir_service *s;
+
+		assert_null(ir_service_parse(&strict, "s", text, strlen(text)));
+		s = ir_service_parse(&tolerant, "s", text, strlen(text));
+		assert_non_null(s);
+		assert_null(s->check_path);
+		assert_int_equal(tolerant.entry_error_count, 1);
+	}
+	talloc_free(mem);
+}
+
 /* Texts with random bytes are refused with an error, or accepted. */
 static void
 test_damaged_texts_do_not_crash(void **state)
@@ -234,6 +260,7 @@
 	    cmocka_unit_test(test_invalid_texts_are_refused),
 	    cmocka_unit_test(test_valid_texts_are_parsed),
 	    cmocka_unit_test(test_upstream_id_adds_no_header),
+	    cmocka_unit_test(test_check_path_adds_no_header),
 	    cmocka_unit_test(test_damaged_texts_do_not_crash),
 	};
 
