--- a/test/test_endless_answer.c
+++ b/test/test_endless_answer.c
@@ -3,12 +3,8 @@
  * place of an answer, until the node closes the connection.
  */
 #include <sys/socket.h>
-#include <sys/wait.h>
 
 #include <inttypes.h>
-#include <netinet/in.h>
-#include <poll.h>
-#include <pthread.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -16,14 +12,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 #include <cmocka.h>
 
 #include "ibisrail/limits.h"
-#include "io/listen.h"
 #include "platform/names.h"
 #include "support/process_load.h"
+#include "support/raw_server.h"
 
 /* Sanitizers hold memory of their own. */
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
@@ -36,9 +31,7 @@
 #define AT_ONCE 32 /* requests of each round */
 #define STORE_US (1500 * IR_US_PER_MS) /* several reads of the store */
 #define STEP_MS 5
-#define POLL_MS 50
 #define BYTES_PER_MB (UINT64_C(1024) * 1024)
-#define MAX_REQUEST 16384
 #define CHUNK 16384
 /* Unlike all that is sent in one piece by a sound upstream or store. */
 #define MAX_SENT_BYTES (UINT64_C(256) * BYTES_PER_MB)
@@ -74,21 +67,14 @@
 };
 #define FORMS (sizeof(forms) / sizeof(*forms))
 
-/* A server that answers each connection in the form selected. */
-struct server {
-	int fd;
-	pthread_t thread;
-	int form;	      /* atomic */
-	int stop;	      /* atomic */
+/* What the server sends on each connection, and what it has sent. */
+struct endless {
+	struct raw_server *server;
+	int form;	      /* atomic: index of the form */
 	int connections;      /* atomic: that got bytes */
 	uint64_t worst_bytes; /* atomic: sent on one connection */
 };
 
-struct server_conn {
-	struct server *server;
-	int fd;
-};
-
 static bool
 send_all(int fd, const char *data, size_t size, uint64_t *sent)
 {
@@ -104,33 +90,8 @@
 	return true;
 }
 
-/* Reads a request's head; copies its attempt id. */
-static bool
-read_request(int fd, char *id, size_t id_size)
-{
-	char text[MAX_REQUEST + 1];
-	size_t size = 0;
-	const char *at;
-
-	do {
-		ssize_t n = recv(fd, text + size, MAX_REQUEST - size, 0);
-
-		if (n <= 0)
-			return false;
-		size += (size_t)n;
-		text[size] = '\0';
-	} while (strstr(text, "\r\n\r\n") == NULL && size < MAX_REQUEST);
-	at = strstr(text, HEADER_ATTEMPT_ID ": ");
-	id[0] = '\0';
-	if (at != NULL) {
-		at += strlen(HEADER_ATTEMPT_ID ": ");
-		snprintf(id, id_size, "%.*s", (int)strcspn(at, "\r"), at);
-	}
-	return true;
-}
-
 static void
-note_sent(struct server *s, uint64_t bytes)
+note_sent(struct endless *s, uint64_t bytes)
 {
 	uint64_t worst = __atomic_load_n(&s->worst_bytes, __ATOMIC_RELAXED);
 
@@ -140,89 +101,38 @@
 		continue;
 }
 
-static void *
-serve_conn(void *ctx)
+static void
+serve_endless(void *ctx, const struct raw_server *server, int fd)
 {
-	struct server_conn *c = ctx;
-	struct server *s = c->server;
+	struct endless *s = ctx;
 	const struct form *f;
-	char id[256], head[1024], more[CHUNK];
+	char id[RAW_ID_BYTES], head[1024], more[CHUNK];
 	size_t unit, size = 0;
 	uint64_t sent = 0;
 
-	if (!read_request(c->fd, id, sizeof(id)))
-		goto end;
+	if (!raw_server_read_request(fd, id))
+		return;
 	f = &forms[__atomic_load_n(&s->form, __ATOMIC_RELAXED)];
 	__atomic_fetch_add(&s->connections, 1, __ATOMIC_RELAXED);
 	snprintf(head, sizeof(head), f->head, id);
 	unit = strlen(f->more);
 	for (; size + unit <= sizeof(more); size += unit)
 		memcpy(more + size, f->more, unit);
-	if (send_all(c->fd, head, strlen(head), &sent))
-		while (!__atomic_load_n(&s->stop, __ATOMIC_RELAXED) &&
-		       sent < MAX_SENT_BYTES &&
-		       send_all(c->fd, more, size, &sent))
+	if (send_all(fd, head, strlen(head), &sent))
+		while (!raw_server_is_stopping(server) &&
+		       sent < MAX_SENT_BYTES && send_all(fd, more, size, &sent))
 			continue;
 	note_sent(s, sent);
-end:
-	close(c->fd);
-	free(c);
-	return NULL;
-}
-
-static void *
-accept_conns(void *ctx)
-{
-	struct server *s = ctx;
-	struct pollfd p = {.fd = s->fd, .events = POLLIN};
-
-	while (!__atomic_load_n(&s->stop, __ATOMIC_RELAXED)) {
-		struct timeval limit = {.tv_sec = 20};
-		struct server_conn *c;
-		pthread_t thread;
-		int fd;
-
-		if (poll(&p, 1, POLL_MS) <= 0)
-			continue;
-		fd = accept(s->fd, NULL, NULL);
-		if (fd < 0)
-			continue;
-		setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
-		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-		c = malloc(sizeof(*c));
-		*c = (struct server_conn){s, fd};
-		if (pthread_create(&thread, NULL, serve_conn, c) == 0)
-			pthread_detach(thread);
-	}
-	close(s->fd);
-	return NULL;
 }
 
 /* Takes the place of a child that listens on the port. */
-static struct server *
+static struct endless *
 replace_child(struct pr_child *child, uint16_t port)
 {
-	struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons(port)};
-	struct server *s = talloc_zero(procs, struct server);
-	int on = 1, status;
-
-	pr_signal(child, SIGKILL);
-	while (!pr_reap(child, &status))
-		poll(NULL, 0, STEP_MS);
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	s->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	setsockopt(s->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	assert_int_equal(bind(s->fd, (struct sockaddr *)&a, sizeof(a)), 0);
-	assert_int_equal(listen(s->fd, 128), 0);
-	assert_int_equal(pthread_create(&s->thread, NULL, accept_conns, s), 0);
-	return s;
-}
+	struct endless *s = talloc_zero(procs, struct endless);
 
-static void
-stop_server(struct server *s)
-{
-	__atomic_store_n(&s->stop, 1, __ATOMIC_RELAXED);
-	pthread_join(s->thread, NULL);
+	s->server = raw_server_replace(procs, child, port, serve_endless, s);
+	return s;
 }
 
 static uint64_t peak_bytes;
@@ -297,7 +207,7 @@
 test_endless_answers_of_an_upstream_end_no_node(void **state)
 {
 	struct pr_host *h = &procs->hosts[FAULTY];
-	struct server *s = replace_child(&h->upstream, h->upstream_port);
+	struct endless *s = replace_child(&h->upstream, h->upstream_port);
 
 	for (size_t i = 0; i < FORMS; i++) {
 		struct round round = {.name = forms[i].name};
@@ -311,7 +221,7 @@
 	    __atomic_load_n(&s->connections, __ATOMIC_RELAXED) >= (int)FORMS);
 	assert_true(__atomic_load_n(&s->worst_bytes, __ATOMIC_RELAXED) <
 		    MAX_SENT_BYTES);
-	stop_server(s);
+	raw_server_stop(s->server);
 	print_message("peak %.1f MB of %d MB\n",
 	    (double)peak_bytes / BYTES_PER_MB, PR_MEMORY_MB);
 }
@@ -320,7 +230,7 @@
 static void
 test_endless_answers_of_the_store_end_no_node(void **state)
 {
-	struct server *s =
+	struct endless *s =
 	    replace_child(&procs->platform, procs->platform_port);
 
 	for (size_t i = 0; i < FORMS; i++) {
@@ -340,7 +250,7 @@
 		assert_true(
 		    __atomic_load_n(&s->connections, __ATOMIC_RELAXED) > 0);
 	}
-	stop_server(s);
+	raw_server_stop(s->server);
 	print_message("peak %.1f MB of %d MB\n",
 	    (double)peak_bytes / BYTES_PER_MB, PR_MEMORY_MB);
 }
