Upstream: heads of answers are checked as those of requests are

What callers got: an answer of an instance in trouble as an answer, with a field name that holds a blank passed on ("X Odd: a", "X-Odd : a"); with a body that no length bounds, as "Content-Length : 2" was not read as a length; with the body still coded, after "Transfer-Encoding: gzip, chunked"; with a control character in the reason.

Cause: http_parser is lenient, and takes a blank for a character of a name. Requests pass ir_http_head_fault() before it; answers passed nothing.

A head with a fault is a broken run, as any answer that cannot be parsed: 502, as the request may have run, and the event upstream-broken names the fault.

Weighed, each by RFC 9112: - A bare LF still ends a line of an answer (2.2); in a request it does not. - Folded lines are refused, also a first one (5.2 and 2.2 allow either). http_parser joins them as 5.2 says; but a line that begins with a blank may as well be a name with one, and it ended up in the value before it, such as the digest's. - Whitespace before the colon (5.1): removing it is for answers that are passed on. - Ruled out: to check in the parser's callbacks.

A read of a head that is not complete waits until there is memory for it and for the headers parsed from it.

--- a/src/io/http_head.c
+++ b/src/io/http_head.c
@@ -1,4 +1,4 @@
-/* Strict checks of the head of an HTTP/1.1 request. */
+/* Strict checks of the heads of HTTP/1.1 requests and answers. */
 #include <http_parser.h>
 #include <string.h>
 #include <strings.h>
@@ -16,7 +16,8 @@
 	const uint8_t *length; /* text of Content-Length, or NULL */
 	size_t length_bytes;
 	bool chunked;
-	bool has_host;
+	uint32_t hosts;
+	bool http_1_1;
 };
 
 size_t
@@ -36,6 +37,12 @@
 	return c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL;
 }
 
+static bool
+is_digit(uint8_t c)
+{
+	return c >= '0' && c <= '9';
+}
+
 static bool
 is_token(const uint8_t *p, size_t n)
 {
@@ -79,7 +86,7 @@
 	if (n == 0 || n > MAX_LENGTH_DIGITS)
 		return "content-length";
 	for (size_t i = 0; i < n; i++) {
-		if (value[i] < '0' || value[i] > '9')
+		if (!is_digit(value[i]))
 			return "content-length";
 	}
 	if (f->length != NULL &&
@@ -114,11 +121,8 @@
 			return "transfer-encoding";
 		f->chunked = true;
 	}
-	if (is_name(line, name_bytes, "host")) {
-		if (f->has_host)
-			return "host-twice";
-		f->has_host = true;
-	}
+	if (is_name(line, name_bytes, "host"))
+		f->hosts++;
 	return NULL;
 }
 
@@ -131,38 +135,82 @@
 	return n > size && memcmp(line + n - size, version, size) == 0;
 }
 
-const char *
-ir_http_head_fault(const uint8_t *head, size_t size_bytes)
+static const char *
+check_request_line(struct fields *f, const uint8_t *line, size_t n)
 {
-	const uint8_t *line = head;
-	const uint8_t *end = head + size_bytes - LINE_END_BYTES;
-	struct fields f = {0};
-	bool http_1_1 = false;
+	f->http_1_1 = is_http_1_1(line, n);
+	return NULL;
+}
+
+static const char *
+check_status_line(struct fields *f, const uint8_t *line, size_t n)
+{
+	static const char old[] = "HTTP/1.0 ";
+
+	f->http_1_1 =
+	    n < sizeof(old) - 1 || memcmp(line, old, sizeof(old) - 1) != 0;
+	return NULL;
+}
+
+typedef const char *first_line_fn(
+    struct fields *f, const uint8_t *line, size_t n);
+
+static const char *
+check_lines(struct fields *f, const uint8_t *head, size_t size_bytes,
+    first_line_fn *check_first, bool allow_bare_lf)
+{
+	const char *fault = NULL;
+	const uint8_t *line = head, *end = head + size_bytes;
 
-	while (line < end) {
-		const uint8_t *line_end =
-		    memmem(line, (size_t)(end - line) + LINE_END_BYTES, "\r\n",
-			LINE_END_BYTES);
-		size_t n = (size_t)(line_end - line);
-		const char *fault = NULL;
+	while (fault == NULL && line < end) {
+		const uint8_t *lf = memchr(line, '\n', (size_t)(end - line));
+		size_t n = (size_t)(lf - line);
+		bool crlf = n > 0 && lf[-1] == '\r';
 
-		if (has_control(line, n))
+		n -= crlf;
+		if (has_control(line, n) || (!crlf && !allow_bare_lf))
 			return "control-character";
 		if (line == head)
-			http_1_1 = is_http_1_1(line, n);
-		else
-			fault = check_field(&f, line, n);
-		if (fault != NULL)
-			return fault;
-		line = line_end + LINE_END_BYTES;
+			fault = check_first(f, line, n);
+		else if (n > 0)
+			fault = check_field(f, line, n);
+		line = lf + 1;
 	}
-	if (http_1_1 && !f.has_host)
-		return "host-missing";
-	if (f.chunked && f.length != NULL)
+	return fault;
+}
+
+static const char *
+check_coding(const struct fields *f)
+{
+	if (f->chunked && f->length != NULL)
 		return "length-and-coding";
-	if (f.chunked && !http_1_1)
-		return "coding-before-1.1";
-	return NULL;
+	return f->chunked && !f->http_1_1 ? "coding-before-1.1" : NULL;
+}
+
+const char *
+ir_http_head_fault(const uint8_t *head, size_t size_bytes)
+{
+	struct fields f = {0};
+	const char *fault =
+	    check_lines(&f, head, size_bytes, check_request_line, false);
+
+	if (fault != NULL)
+		return fault;
+	if (f.hosts > 1)
+		return "host-twice";
+	if (f.http_1_1 && f.hosts == 0)
+		return "host-missing";
+	return check_coding(&f);
+}
+
+const char *
+ir_http_answer_head_fault(const uint8_t *head, size_t size_bytes)
+{
+	struct fields f = {0};
+	const char *fault =
+	    check_lines(&f, head, size_bytes, check_status_line, true);
+
+	return fault != NULL ? fault : check_coding(&f);
 }
 
 const char *
--- a/src/io/http_head.h
+++ b/src/io/http_head.h
@@ -1,7 +1,8 @@
 /*
- * Strict checks of the head of an HTTP/1.1 request (RFC 9112), made before the
- * more lenient http_parser reads it. Rejects any head that two HTTP
- * implementations could interpret differently (request smuggling).
+ * Strict checks of the heads of HTTP/1.1 messages (RFC 9112), made before the
+ * more lenient http_parser reads them. Rejects any head that two HTTP
+ * implementations could interpret differently (request smuggling, response
+ * splitting).
  */
 #ifndef IR_IO_HTTP_HEAD_H
 #define IR_IO_HTTP_HEAD_H
@@ -14,15 +15,20 @@
 size_t ir_http_head_size(const uint8_t *data, size_t size_bytes);
 
 /*
- * Checks a complete request head. Returns NULL if the head has no fault, else
- * one word for the log that names the first fault. Faults are: a bare CR or LF,
- * a control character, a folded line, a line without a colon, a field name that
- * is not a token (including one followed by a blank), a Content-Length that is
- * not a number, several different ones, Content-Length together with
- * Transfer-Encoding, a transfer coding other than a single "chunked", a
- * transfer coding before HTTP/1.1, and several Host fields.
+ * Check a complete head, with its empty line. Return NULL if the head has no
+ * fault, else one word for the log that names the first fault. Faults are: a
+ * bare CR, a control character, a folded line, a line without a colon, a field
+ * name that is not a token (including one followed by a blank), a
+ * Content-Length that is not a number, several different ones, Content-Length
+ * together with Transfer-Encoding, a transfer coding other than a single
+ * "chunked", and a transfer coding before HTTP/1.1.
+ *
+ * In requests also: a bare LF, no Host field or several.
+ *
+ * Lines of answers may end with a bare LF.
  */
 const char *ir_http_head_fault(const uint8_t *head, size_t size_bytes);
+const char *ir_http_answer_head_fault(const uint8_t *head, size_t size_bytes);
 
 /* The standard reason phrase of a status; "Status" if it has none. */
 const char *ir_http_reason_phrase(unsigned status);
--- a/src/io/upstream/upstream_conn.c
+++ b/src/io/upstream/upstream_conn.c
@@ -20,9 +20,11 @@
 #define READ_BYTES 16384
 /*
  * Memory that one read may need: its bytes, and the allocator's overhead for
- * many small headers.
+ * many small headers. For each byte of a head that is not complete: a larger
+ * buffer, and the headers parsed from it.
  */
 #define READ_ROOM_BYTES (2 * READ_BYTES)
+#define HEAD_ROOM_FACTOR 4
 #define CONNECT_TIMEOUT_US IR_US_PER_S
 /*
  * For an upstream that gives no Keep-Alive timeout: half of the 10 s after
@@ -58,6 +60,7 @@
 	}
 	u->conn_count--;
 	u->paused_count -= c->read_paused;
+	ir_answer_head_reset(&c->head);
 	TALLOC_FREE(c->event);
 	TALLOC_FREE(c->timer);
 	close(c->fd);
@@ -231,6 +234,8 @@
 skip_answer(struct upstream_conn *c)
 {
 	ir_upstream_answer_reset(&c->transfer->answer);
+	c->in_head = true;
+	http_parser_pause(&c->parser, 1);
 	c->skipped_answers++;
 	if (c->skipped_answers <= MAX_SKIPPED_ANSWERS)
 		return true;
@@ -283,6 +288,42 @@
 	ir_upstream_finish(t, NULL);
 }
 
+/* Returns the number of bytes parsed: all, or those of an answer. */
+static size_t
+execute(struct upstream_conn *c, const uint8_t *data, size_t size)
+{
+	size_t n = http_parser_execute(
+	    &c->parser, &callbacks, (const char *)data, size);
+
+	/* An answer was skipped, and another one follows. */
+	if (c->in_head && HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED)
+		http_parser_pause(&c->parser, 0);
+	return n;
+}
+
+/* Returns the number of bytes read. */
+static size_t
+read_head(struct upstream_conn *c, const uint8_t *data, size_t size)
+{
+	size_t n = ir_answer_head_read(&c->head, data, size);
+
+	if (c->head.fault != NULL)
+		c->fault = c->head.fault;
+	if (c->head.text == NULL)
+		return n;
+	c->in_head = false;
+	(void)execute(c, c->head.text, c->head.text_bytes);
+	ir_answer_head_reset(&c->head);
+	return n;
+}
+
+static bool
+is_parsing(const struct upstream_conn *c)
+{
+	return !c->answer_complete && c->fault == NULL &&
+	       HTTP_PARSER_ERRNO(&c->parser) == HPE_OK;
+}
+
 /*
  * Parses what was read. Returns false if this ended the transfer: c is idle or
  * freed then.
@@ -290,9 +331,11 @@
 static bool
 parse(struct upstream_conn *c, const uint8_t *data, size_t size)
 {
-	size_t n = http_parser_execute(
-	    &c->parser, &callbacks, (const char *)data, size);
+	size_t n = 0;
 
+	while (n < size && is_parsing(c))
+		n += c->in_head ? read_head(c, data + n, size - n)
+				: execute(c, data + n, size - n);
 	if (c->answer_complete) {
 		finish_answer(c, size - n);
 		return false;
@@ -300,7 +343,7 @@
 	c->read_bytes += size;
 	if (c->read_bytes > MAX_ANSWER_READ_BYTES)
 		c->fault = "answer without end";
-	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK && c->fault == NULL)
+	if (is_parsing(c))
 		return true;
 	if (c->transfer->memory.reserve_failed)
 		fail_conn(c, "memory");
@@ -353,13 +396,14 @@
 {
 	struct ir_upstream *u = c->upstream;
 	struct transfer *t = c->transfer;
+	size_t room = READ_ROOM_BYTES + HEAD_ROOM_FACTOR * c->head.pieces_bytes;
 
 	if (t == NULL)
 		return true;
 	if (!next_stages_have_room(u->memory))
 		return false;
 	if (t == u->exempt_transfer ||
-	    ir_memory_has_room(u->memory, IR_MEMORY_UPSTREAM, READ_ROOM_BYTES))
+	    ir_memory_has_room(u->memory, IR_MEMORY_UPSTREAM, room))
 		return true;
 	if (u->exempt_transfer != NULL)
 		return false;
@@ -667,6 +711,8 @@
 	c->skipped_answers = 0;
 	c->read_bytes = 0;
 	c->fault = NULL;
+	c->head.memory = &t->memory;
+	c->in_head = true;
 	c->max_idle_us = DEFAULT_MAX_IDLE_US;
 	c->sent_bytes = 0;
 	c->request = talloc_steal(c, out);
--- a/src/io/upstream/upstream_conn.h
+++ b/src/io/upstream/upstream_conn.h
@@ -13,6 +13,7 @@
 #include <tevent.h>
 
 #include "core/table.h"
+#include "io/upstream/answer_head.h"
 #include "io/upstream/upstream.h"
 #include "io/upstream/upstream_answer.h"
 #include "upstream/conn_demand.h"
@@ -44,6 +45,8 @@
 	size_t receive_bytes; /* granted for its receive buffer */
 	struct tevent_fd *event;
 	struct tevent_timer *timer; /* connect timeout; NULL once connected */
+	struct ir_answer_head head;
+	bool in_head; /* of an answer; false: in its body */
 	http_parser parser;
 	struct transfer *transfer; /* NULL: idle */
 	bool connecting;
--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -484,6 +484,97 @@
 	}
 }
 
+#define ID "X-Ibisrail-Attempt-Id: 1\r\n"
+#define SIGNATURE "X-Ibisrail-Response-Signature: s\r\n"
+#define LENGTH "Content-Length: 2\r\n"
+/* A whole signed answer with a status line and further fields. */
+#define ANSWER(status_line, fields) \
+	status_line "\r\n" ID SIGNATURE fields "\r\nab"
+#define OK "HTTP/1.1 200 OK"
+
+static void
+test_odd_field_names_are_no_answer(void **state)
+{
+	static const char *const answers[] = {
+	    ANSWER(OK, "X B: c\r\n" LENGTH),
+	    ANSWER(OK, "X-B : c\r\n" LENGTH),
+	    ANSWER(OK, " X-B: c\r\n" LENGTH),
+	    ANSWER(OK, "X\tB: c\r\n" LENGTH),
+	    ANSWER(OK, "X-B\t: c\r\n" LENGTH),
+	    ANSWER(OK, "X\001B: c\r\n" LENGTH),
+	    ANSWER(OK, "X\177B: c\r\n" LENGTH),
+	    ANSWER(OK, "X\200B: c\r\n" LENGTH),
+	    ANSWER(OK, "X(B: c\r\n" LENGTH),
+	    ANSWER(OK, ": c\r\n" LENGTH),
+	    ANSWER(OK, "no colon\r\n" LENGTH),
+	    /* The only length: the body would end with the connection. */
+	    ANSWER(OK, "Content-Length : 2\r\nConnection: close\r\n") "cd",
+	    ANSWER(OK, "Content Length: 2\r\nConnection: close\r\n") "cd",
+	    ANSWER(OK, "Transfer-Encoding : chunked\r\n" LENGTH),
+	};
+
+	for (size_t i = 0; i < sizeof(answers) / sizeof(*answers); i++) {
+		print_message("%zu: %s\n", i, answers[i]);
+		expect_run_end(*state, answers[i], IR_RUN_BROKEN);
+	}
+}
+
+static void
+test_odd_lines_and_framing_are_no_answer(void **state)
+{
+	static const char *const answers[] = {
+	    /* Folded lines. */
+	    ANSWER(OK, "X-B: c\r\n d\r\n" LENGTH),
+	    ANSWER(OK, LENGTH "\t\r\n"),
+	    "HTTP/1.1 200 OK\r\n X: b\r\n" ID SIGNATURE LENGTH "\r\nab",
+	    /* Control characters in values, a bare CR. */
+	    ANSWER(OK, "X-B: c\001\r\n" LENGTH),
+	    ANSWER(OK, "X-B: c\rX-C: d\r\n" LENGTH),
+	    /* Codings other than chunked, and lengths that are none. */
+	    ANSWER(OK, "Transfer-Encoding: gzip, chunked\r\n"),
+	    ANSWER(OK, "Transfer-Encoding: gzip\r\n"),
+	    ANSWER(OK, "Transfer-Encoding: chunked\r\n" LENGTH),
+	    ANSWER("HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n"),
+	    ANSWER(OK, "Content-Length: +2\r\n"),
+	    ANSWER(OK, "Content-Length: 2, 2\r\n"),
+	    ANSWER(OK, LENGTH "Content-Length: 3\r\n"),
+	};
+
+	for (size_t i = 0; i < sizeof(answers) / sizeof(*answers); i++) {
+		print_message("%zu: %s\n", i, answers[i]);
+		expect_run_end(*state, answers[i], IR_RUN_BROKEN);
+	}
+}
+
+/* What RFC 9112 lets a recipient take, and upstreams send. */
+static void
+test_lenient_heads_are_answers(void **state)
+{
+	static const char *const answers[] = {
+	    ANSWER(OK, LENGTH),
+	    ANSWER("\r\nHTTP/1.1 200 OK", LENGTH),
+	    ANSWER("HTTP/1.1 200 ", LENGTH),
+	    ANSWER("HTTP/1.1 200", LENGTH),
+	    ANSWER("HTTP/1.1 200 \xc3\xa9\tb", LENGTH),
+	    ANSWER("HTTP/1.0 200 OK", LENGTH),
+	    ANSWER(OK, "X-B:\r\nX-C:c\t d \xc3\xa9\r\n" LENGTH),
+	    ANSWER(OK, "content-length:2 \r\n"),
+	    ANSWER(OK, "Host: a\r\nHost: b\r\n" LENGTH),
+	    "HTTP/1.1 200 OK\nX-Ibisrail-Attempt-Id: 1\n"
+	    "X-Ibisrail-Response-Signature: s\nContent-Length: 2\n\nab",
+	};
+	struct fixture *f = *state;
+
+	for (size_t i = 0; i < sizeof(answers) / sizeof(*answers); i++) {
+		struct script *s = talloc_zero(f, struct script);
+
+		print_message("%zu: %s\n", i, answers[i]);
+		s->answers[0] = answers[i];
+		use_script(f, s);
+		expect_body(run_request_with(f, "1", false, 0), "ab");
+	}
+}
+
 #define REFUSAL(field)                                              \
 	"HTTP/1.1 503 Busy\r\nX-Ibisrail-Not-Executed: 1\r\n" field \
 	"Content-Length: 0\r\n\r\n"
@@ -613,6 +704,9 @@
 	    WITH_UPSTREAM(
 		test_bytes_without_end_after_an_answer_close_the_connection),
 	    WITH_UPSTREAM(test_provisional_answers_are_skipped),
+	    WITH_UPSTREAM(test_odd_field_names_are_no_answer),
+	    WITH_UPSTREAM(test_odd_lines_and_framing_are_no_answer),
+	    WITH_UPSTREAM(test_lenient_heads_are_answers),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
