Upstream: a status line that is not HTTP/1.x's is no answer

What callers got: an answer with status 600 or 999, unchanged; one with "0200", with two blanks before the status, or of version HTTP/2.0, 0.9 or 9.9, as a plain 200.

Cause: http_parser reads any number as the status and any version. A missing reason is still taken.

Status 000, which was reported, got 502 before, as do 001, 099, 2 and 20; the tests stay. They were taken for provisional answers, so that the 502 came at the end of the connection only; it comes at once now.

--- a/src/io/http_head.c
+++ b/src/io/http_head.c
@@ -10,6 +10,8 @@
 #define LINE_END_BYTES 2
 #define MAX_LENGTH_DIGITS 18
 #define CHUNKED "chunked"
+/* Of a status line: from the minor version to the end of the status. */
+#define STATUS_END 5
 
 /* Fields that occurred in a head so far. */
 struct fields {
@@ -142,13 +144,22 @@
 	return NULL;
 }
 
+/* "HTTP/1." DIGIT SP 3DIGIT [ SP reason ] (RFC 9112, 4) */
 static const char *
 check_status_line(struct fields *f, const uint8_t *line, size_t n)
 {
-	static const char old[] = "HTTP/1.0 ";
-
-	f->http_1_1 =
-	    n < sizeof(old) - 1 || memcmp(line, old, sizeof(old) - 1) != 0;
+	static const char version[] = "HTTP/1.";
+	size_t at = sizeof(version) - 1;
+
+	if (n < at + STATUS_END || memcmp(line, version, at) != 0 ||
+	    !is_digit(line[at]) || line[at + 1] != ' ')
+		return "status-line";
+	if (line[at + 2] < '1' || line[at + 2] > '5' ||
+	    !is_digit(line[at + 3]) || !is_digit(line[at + 4]))
+		return "status";
+	if (n > at + STATUS_END && line[at + STATUS_END] != ' ')
+		return "status";
+	f->http_1_1 = line[at] != '0';
 	return NULL;
 }
 
--- a/src/io/http_head.h
+++ b/src/io/http_head.h
@@ -25,7 +25,8 @@
  *
  * In requests also: a bare LF, no Host field or several.
  *
- * Lines of answers may end with a bare LF.
+ * In answers also: a status that is not one of 100 to 599, and a version that
+ * is not HTTP/1.x. Lines may end with a bare LF.
  */
 const char *ir_http_head_fault(const uint8_t *head, size_t size_bytes);
 const char *ir_http_answer_head_fault(const uint8_t *head, size_t size_bytes);
--- a/test/test_odd_answer.c
+++ b/test/test_odd_answer.c
@@ -83,6 +83,12 @@
 test_odd_heads_of_an_upstream_reach_no_caller(void **state)
 {
 	static const char *const answers[] = {
+	    ANSWER("HTTP/1.1 000 OK", ""),
+	    ANSWER("HTTP/1.1 099 OK", ""),
+	    ANSWER("HTTP/1.1 600 OK", ""),
+	    ANSWER("HTTP/1.1 999 OK", ""),
+	    ANSWER("HTTP/1.1 0200 OK", ""),
+	    ANSWER("HTTP/2.0 200 OK", ""),
 	    ANSWER("HTTP/1.1 200 O\001K", ""),
 	    ANSWER("HTTP/1.1 200 OK", "X Odd: a\r\n"),
 	    ANSWER("HTTP/1.1 200 OK", "X-Odd : a\r\n"),
--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -546,6 +546,28 @@
 	}
 }
 
+static void
+test_odd_status_lines_are_no_answer(void **state)
+{
+	static const char *const lines[] = {"HTTP/1.1 000 OK",
+	    "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 2 OK",
+	    "HTTP/1.1 20 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 2000 OK",
+	    "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 -200 OK",
+	    "HTTP/1.1 2x0 OK", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK",
+	    "HTTP/1.1 200OK", "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\001K",
+	    "HTTP/1.1", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/9.9 200 OK",
+	    "HTTP/1 200 OK", "HTTP/1.10 200 OK", "http/1.1 200 OK",
+	    "ICY 200 OK", " HTTP/1.1 200 OK"};
+
+	for (size_t i = 0; i < sizeof(lines) / sizeof(*lines); i++) {
+		print_message("%s\n", lines[i]);
+		expect_run_end(*state,
+		    talloc_asprintf(*state,
+			"%s\r\n" ID SIGNATURE LENGTH "\r\nab", lines[i]),
+		    IR_RUN_BROKEN);
+	}
+}
+
 /* What RFC 9112 lets a recipient take, and upstreams send. */
 static void
 test_lenient_heads_are_answers(void **state)
@@ -706,6 +728,7 @@
 	    WITH_UPSTREAM(test_provisional_answers_are_skipped),
 	    WITH_UPSTREAM(test_odd_field_names_are_no_answer),
 	    WITH_UPSTREAM(test_odd_lines_and_framing_are_no_answer),
+	    WITH_UPSTREAM(test_odd_status_lines_are_no_answer),
 	    WITH_UPSTREAM(test_lenient_heads_are_answers),
 	};
 
