--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -568,6 +568,21 @@
 	}
 }
 
+/* It is no provisional answer: nothing follows on the open connection. */
+static void
+test_status_000_is_not_waited_behind(void **state)
+{
+	static const struct script s = {
+	    .answers = {ANSWER("HTTP/1.1 000 OK", LENGTH), ""}};
+	struct fixture *f = *state;
+	struct ir_to_core *m;
+
+	use_script(f, &s);
+	m = run_request_with(f, "1", false, 0);
+	assert_int_equal(m->u.result.end, IR_RUN_BROKEN);
+	talloc_free(m);
+}
+
 /* What RFC 9112 lets a recipient take, and upstreams send. */
 static void
 test_lenient_heads_are_answers(void **state)
@@ -729,6 +744,7 @@
 	    WITH_UPSTREAM(test_odd_field_names_are_no_answer),
 	    WITH_UPSTREAM(test_odd_lines_and_framing_are_no_answer),
 	    WITH_UPSTREAM(test_odd_status_lines_are_no_answer),
+	    WITH_UPSTREAM(test_status_000_is_not_waited_behind),
 	    WITH_UPSTREAM(test_lenient_heads_are_answers),
 	};
 
