Upstream: trailers of an empty body are not headers

What callers got: fields behind the last chunk of an answer without a body, as its headers: all but the last one, also the digest that tells an upstream's own answer.

Cause: headers ended with the first byte of a body. They end with the head now.

Test: test_upstream_conn, test_trailers_of_an_empty_body_are_no_headers: failed ("X-A" passed on), passes. With a single trailer it passed before, as the last one is dropped.

--- a/src/io/upstream/upstream_answer.c
+++ b/src/io/upstream/upstream_answer.c
@@ -34,7 +34,7 @@
 	ir_upstream_memory_release(a->memory, a->reserved_bytes);
 	a->reserved_bytes = 0;
 	a->body_bytes = 0;
-	a->body_started = false;
+	a->head_ended = false;
 	a->says_not_run = false;
 	a->has_digest = false;
 	a->has_content_encoding = false;
@@ -74,7 +74,7 @@
 {
 	struct ir_header *h;
 
-	if (a->body_started)
+	if (a->head_ended)
 		return;
 	if (a->header_count == IR_MAX_HEADERS || strlen(name) > IR_MAX_NAME ||
 	    strlen(value) > IR_MAX_HEADER_VALUE) {
@@ -94,6 +94,12 @@
 	inspect_header(a, name, value);
 }
 
+void
+ir_upstream_answer_end_head(struct ir_upstream_answer *a)
+{
+	a->head_ended = true;
+}
+
 /*
  * Makes room for wanted bytes: doubles the allocation, or allocates only wanted
  * bytes if doubling would exceed the memory bound.
@@ -122,7 +128,6 @@
 {
 	size_t wanted = a->body_bytes + size;
 
-	a->body_started = true;
 	if (wanted > IR_MAX_BODY) {
 		a->too_large = true;
 		return false;
--- a/src/io/upstream/upstream_answer.h
+++ b/src/io/upstream/upstream_answer.h
@@ -19,7 +19,7 @@
 	size_t header_count;
 	uint8_t *body;
 	size_t body_bytes;
-	bool body_started; /* headers from here on are trailers: ignored */
+	bool head_ended;   /* headers from here on are trailers: ignored */
 	bool says_not_run; /* a header says that the request was not run */
 	bool has_digest;   /* has the digest that the upstream itself adds */
 	bool has_content_encoding; /* the body was encoded on the way */
@@ -43,6 +43,9 @@
 void ir_upstream_answer_add_header(
     struct ir_upstream_answer *a, const char *name, const char *value);
 
+/* Notes that what follows is the body. */
+void ir_upstream_answer_end_head(struct ir_upstream_answer *a);
+
 /*
  * Appends to the body. Returns false if the body would exceed IR_MAX_BODY
  * (sets too_large) or there is no memory (sets a->memory->reserve_failed).
--- a/src/io/upstream/upstream_conn.c
+++ b/src/io/upstream/upstream_conn.c
@@ -213,6 +213,7 @@
 	finish_header(c);
 	if (c->transfer->memory.reserve_failed)
 		return -1;
+	ir_upstream_answer_end_head(&c->transfer->answer);
 	p->upgrade = 0;
 	return strcmp(c->transfer->run_message->u.run.method, "HEAD") == 0 ? 1
 									   : 0;
--- a/test/test_upstream_conn.c
+++ b/test/test_upstream_conn.c
@@ -583,6 +583,27 @@
 	talloc_free(m);
 }
 
+/* Before a trailer of an empty body no byte of a body has come. */
+static void
+test_trailers_of_an_empty_body_are_no_headers(void **state)
+{
+	static const struct script s = {
+	    .answers = {CHUNKED_HEAD "0\r\nX-A: b\r\nX-B: c\r\n\r\n"}};
+	struct fixture *f = *state;
+	struct ir_to_core *m;
+
+	use_script(f, &s);
+	m = run_request_with(f, "1", false, 0);
+	assert_int_equal(m->u.result.end, IR_RUN_ANSWERED);
+	for (size_t i = 0; i < m->u.result.header_count; i++)
+		assert_string_not_equal(m->u.result.headers[i].name, "X-A");
+	talloc_free(m);
+	expect_run_end(f,
+	    OK "\r\n" ID "Transfer-Encoding: chunked\r\n\r\n"
+	       "0\r\n" SIGNATURE "X-B: c\r\n\r\n",
+	    IR_RUN_BROKEN);
+}
+
 /* What RFC 9112 lets a recipient take, and upstreams send. */
 static void
 test_lenient_heads_are_answers(void **state)
@@ -745,6 +766,7 @@
 	    WITH_UPSTREAM(test_odd_lines_and_framing_are_no_answer),
 	    WITH_UPSTREAM(test_odd_status_lines_are_no_answer),
 	    WITH_UPSTREAM(test_status_000_is_not_waited_behind),
+	    WITH_UPSTREAM(test_trailers_of_an_empty_body_are_no_headers),
 	    WITH_UPSTREAM(test_lenient_heads_are_answers),
 	};
 
