Status checks: a head that is no HTTP is no answer

What a cold upstream's callers would get: a check answered with a head such as "Upstream-Id : u7" or status 0200 counted as a sound one, and could end the upstream's ramp, or name no id. Not reported; the same cause in the other reader of answers.

The reader takes the head as the one of requests does. Bytes behind a whole head are still not read; check-bad names the fault.

Test: test_upstream_run, test_status_checks_are_read (two answers added): failed (taken as answered), passes.

--- a/src/io/upstream/status_check.c
+++ b/src/io/upstream/status_check.c
@@ -29,6 +29,7 @@
 	char *request;
 	size_t sent_bytes;
 	size_t read_bytes;
+	struct ir_answer_head head;
 	http_parser parser;
 	char *name;  /* of the header being read, or NULL */
 	char *value; /* of the header being read, or NULL */
@@ -43,6 +44,7 @@
 	TALLOC_FREE(c->event);
 	if (c->fd >= 0)
 		close(c->fd);
+	ir_answer_head_reset(&c->head);
 	talloc_free(c->message);
 	c->upstream->status_check = NULL;
 	return 0;
@@ -165,20 +167,46 @@
 	return true;
 }
 
+/* Returns the number of bytes read. */
+static size_t
+read_head(struct status_check *c, const uint8_t *data, size_t size)
+{
+	size_t n = ir_answer_head_read(&c->head, data, size);
+
+	if (c->head.fault != NULL)
+		ir_io_log_event(c->upstream->channel->log, IR_EVENT_CHECK_BAD,
+		    c->head.fault, "bytes=%zu", c->read_bytes);
+	if (c->head.text == NULL)
+		return n;
+	(void)http_parser_execute(&c->parser, &callbacks,
+	    (const char *)c->head.text, c->head.text_bytes);
+	ir_answer_head_reset(&c->head);
+	return n;
+}
+
+static bool
+is_reading(const struct status_check *c)
+{
+	return !c->complete && c->head.fault == NULL &&
+	       HTTP_PARSER_ERRNO(&c->parser) == HPE_OK;
+}
+
 /* Returns whether the check goes on. */
 static bool
 read_some(struct status_check *c)
 {
-	char data[READ_BYTES];
+	uint8_t data[READ_BYTES];
 	ssize_t n = recv(c->fd, data, sizeof(data), 0);
+	size_t at = 0;
 
 	if (n < 0)
 		return errno == EAGAIN || errno == EINTR;
 	c->read_bytes += (size_t)n;
 	if (n == 0 || c->read_bytes > MAX_READ_BYTES)
 		return false;
-	(void)http_parser_execute(&c->parser, &callbacks, data, (size_t)n);
-	return !c->complete && HTTP_PARSER_ERRNO(&c->parser) == HPE_OK;
+	while (at < (size_t)n && is_reading(c))
+		at += read_head(c, data + at, (size_t)n - at);
+	return is_reading(c);
 }
 
 static void
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -298,9 +298,12 @@
 	"other hosts are preferred.",
 	"Nothing after a start of the upstream. may-be-cold for long: the "
 	"upstream does not answer its status check."},
-    {IR_EVENT_CHECK_BAD, "status; value: of the header that is malformed",
+    {IR_EVENT_CHECK_BAD,
+	"status; value: of the header that is malformed; or bytes: read of an "
+	"answer whose head is no HTTP; reason: its first fault",
 	"The local upstream answered a status check with a value that is not a "
-	"number of milliseconds. The check is repeated.",
+	"number of milliseconds, or with a head that is not one of HTTP/1.x. "
+	"The check is repeated.",
 	"Correct the upstream."},
     {IR_EVENT_UPSTREAM_REPORTS,
 	"attempt: whose answer showed it; speed: 1 when reports appeared, 0 "
--- a/test/test_upstream_run.c
+++ b/test/test_upstream_run.c
@@ -131,6 +131,9 @@
     {"/check-bad", "HTTP/1.1 200 OK\r\nUpstream-Cold-Remaining-Ms: 2s\r\n"
 		   "Content-Length: 0\r\n\r\n"},
     {"/check-cut", "HTTP/1.1 200 OK\r\nUpstream-Cold-"},
+    {"/check-name", "HTTP/1.1 200 OK\r\nUpstream-Id : u7\r\n"
+		    "Content-Length: 0\r\n\r\n"},
+    {"/check-status", "HTTP/1.1 0200 OK\r\nContent-Length: 0\r\n\r\n"},
 };
 
 /* One byte per segment, so that the parser gets each token in pieces. */
@@ -465,6 +468,9 @@
 	/* A malformed value must not end the cold state. */
 	expect_check_result(*state, "/check-bad", false, 0, "");
 	expect_check_result(*state, "/check-cut", false, 0, "");
+	/* Heads that are no HTTP. */
+	expect_check_result(*state, "/check-name", false, 0, "");
+	expect_check_result(*state, "/check-status", false, 0, "");
 	expect_check_result(*state, "/hang", false, 0, "");
 	assert_int_equal(sem_wait(&hang_closed), 0);
 }
