Log: a text from outside adds no fields to a line

What operators saw: fields are separated by blanks in the text that the logger gets, so that an entry "i revision=7" of the host list gave its line a revision that was not its own; a key with a zero byte cut off what followed, a long one the other fields.

Keys of the store, an upstream's id and what status checks answer now go through ir_log_value(), which puts '?' for each byte that is not visible ASCII, as the logger did for control characters.

Ruled out: labels of metrics and the pages of the admin port. Labels are the host's own name, escaped; the pages are JSON by json-c, which escapes. Left: names of services and accounts, which may have blanks, and ids of callers.

Tests: test_store_client, test_key_adds_no_fields_to_the_log: failed, passes; test_log, test_text_from_outside_adds_no_field. The catalogue says what section-refused has for entries and answers.

--- a/src/core/run.c
+++ b/src/core/run.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/internal.h"
+#include "log/value.h"
 #include "upstream/priority.h"
 
 /* Characters of a path that a log line shows. */
@@ -15,7 +16,7 @@
 log_started(struct ir_node *n, int64_t now, const struct ir_record *r,
     const struct ir_run *run)
 {
-	char id[NODE_LOG_ID_BYTES];
+	char id[NODE_LOG_ID_BYTES], upstream[IR_LOG_VALUE_BYTES];
 
 	ir_histogram_add(
 	    &n->histograms, IR_HISTOGRAM_GATE_WAIT, now - r->work.offered_us);
@@ -24,7 +25,8 @@
 	    node_log_id(id, r->forward->caller_attempt, &r->forward->request),
 	    r->attempt_text,
 	    (long long)((now - r->work.offered_us) / IR_US_PER_MS),
-	    run->remaining_ms, run->upstream_id);
+	    run->remaining_ms,
+	    ir_log_value(upstream, run->upstream_id, strlen(run->upstream_id)));
 }
 
 static void
--- a/src/io/store/store_client.c
+++ b/src/io/store/store_client.c
@@ -18,6 +18,7 @@
 #include "io/store/store_answer.h"
 #include "io/store/store_client.h"
 #include "io/store/store_key.h"
+#include "log/value.h"
 
 /* Added to the wait for a change; below IR_VIEW_POLL_US. */
 #define ANSWER_TIMEOUT_MS 350
@@ -324,11 +325,19 @@
 	r->reached_revision = r->revision;
 	r->revision = w->section_position;
 }
+static const char *
+log_key(char buffer[IR_LOG_VALUE_BYTES], const struct ir_store_key *key)
+{
+	return ir_log_value(buffer, key->bytes, key->size_bytes);
+}
+
 static void
 log_unreadable_item(struct watch *w, const struct ir_store_item *item)
 {
+	char key[IR_LOG_VALUE_BYTES];
+
 	ir_io_log_event(w->client->channel->log, IR_EVENT_SECTION_REFUSED,
-	    "unreadable", "key=%s revision=%" PRIu64, item->key.bytes,
+	    "unreadable", "key=%s revision=%" PRIu64, log_key(key, &item->key),
 	    item->revision);
 }
 
@@ -337,16 +346,19 @@
     const char *section, const struct ir_store_key *used)
 {
 	const struct ir_store_client *c = ctx;
+	char key_text[IR_LOG_VALUE_BYTES], used_text[IR_LOG_VALUE_BYTES];
 
 	ir_io_log_event(c->channel->log, IR_EVENT_ENTRY_NOT_USED, NULL,
-	    "key=%s section=%s used=%s", key->bytes, section,
-	    used->bytes != NULL ? used->bytes : "");
+	    "key=%s section=%s used=%s", log_key(key_text, key), section,
+	    log_key(used_text, used));
 }
 
 /* Logs an error once while successive reads fail with the same error. */
 static void
 log_invalid_answer(struct watch *w, const char *error)
 {
+	char after[IR_LOG_VALUE_BYTES];
+
 	if (w->reported_error != NULL && strcmp(w->reported_error, error) == 0)
 		return;
 	talloc_free(w->reported_error);
@@ -354,7 +366,7 @@
 	ir_io_log_event(w->client->channel->log, IR_EVENT_SECTION_REFUSED,
 	    error, "part=%s revision=%" PRIu64 " after=%s",
 	    is_of_hosts(w) ? "hosts" : "config", covered_revision(w),
-	    ir_store_key_is_none(&w->next_key) ? "" : w->next_key.bytes);
+	    log_key(after, &w->next_key));
 }
 
 static void
--- a/src/io/upstream/status_check.c
+++ b/src/io/upstream/status_check.c
@@ -12,6 +12,7 @@
 #include "io/admin/io_log.h"
 #include "io/event_loop.h"
 #include "io/listen.h"
+#include "log/value.h"
 
 /* A cold upstream is slow: twice the time between two checks. */
 #define STATUS_CHECK_TIMEOUT_US (500 * IR_US_PER_MS)
@@ -67,6 +68,7 @@
 set_remaining(struct status_check *c)
 {
 	size_t n = strspn(c->value, "0123456789");
+	char value[IR_LOG_VALUE_BYTES];
 
 	if (n > 0 && n <= MAX_REMAINING_DIGITS && c->value[n] == '\0') {
 		c->message->u.check.cold_remaining_ms =
@@ -75,7 +77,8 @@
 	}
 	c->malformed = true;
 	ir_io_log_event(c->upstream->channel->log, IR_EVENT_CHECK_BAD, NULL,
-	    "status=%u value=%.64s", c->parser.status_code, c->value);
+	    "status=%u value=%s", c->parser.status_code,
+	    ir_log_value(value, c->value, strlen(c->value)));
 }
 
 static bool
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -99,10 +99,17 @@
 	"Nothing. After a publication, look for its revision on every host."},
     {IR_EVENT_SECTION_REFUSED,
 	"name, revision: of the section; error: the place and what was "
-	"expected",
+	"expected. Of an entry of the host list: key, revision; reason. Of an "
+	"answer: part, config or hosts; revision that the last whole read "
+	"reached; after: key that a page follows, if it is not the first; "
+	"reason. In keys, '?' stands for each byte that is not visible ASCII",
 	"A published section does not parse. The whole section is refused and "
-	"its last valid version stays in force.",
-	"Correct the section and publish it again with a higher generation."},
+	"its last valid version stays in force. Or an entry of the host list "
+	"names no upstream, and the others hold; or an answer of the "
+	"configuration service cannot be used, and is asked for again.",
+	"Correct the section and publish it again with a higher generation. "
+	"Find out who writes the entry. After an answer, read it from the "
+	"service as the node does."},
     {IR_EVENT_ENTRIES_DROPPED,
 	"name, revision: of the section; error: how many entries, and what was "
 	"expected of the first",
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -12,6 +12,7 @@
 
 #include "ibisrail/limits.h"
 #include "log/log.h"
+#include "log/value.h"
 
 static char text[1 << 20];
 
@@ -39,6 +40,22 @@
 	return n;
 }
 
+static void
+test_text_from_outside_adds_no_field(void **state)
+{
+	static const char key[] = "a\0b revision=7\"\\\n\xc3\xa9 =";
+	char buffer[IR_LOG_VALUE_BYTES], large[2 * IR_LOG_VALUE_BYTES];
+
+	assert_string_equal(ir_log_value(buffer, key, sizeof(key) - 1),
+	    "a?b?revision=7\"\\?"
+	    "???"
+	    "=");
+	assert_string_equal(ir_log_value(buffer, NULL, 0), "");
+	memset(large, 'x', sizeof(large));
+	assert_int_equal(strlen(ir_log_value(buffer, large, sizeof(large))),
+	    IR_LOG_VALUE_BYTES - 1);
+}
+
 static struct json_object *
 member(struct json_object *obj, const char *key)
 {
@@ -174,6 +191,7 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_text_from_outside_adds_no_field),
 	    cmocka_unit_test_setup_teardown(
 		test_line_has_all_members, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
--- a/test/test_store_client.c
+++ b/test/test_store_client.c
@@ -12,6 +12,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -558,25 +559,46 @@
 		    r, 200, list_page(r, "i-2", INSTANCE("2"), false));
 }
 
+/* Starts a client of the platform's store; zone z1 is known. */
+static void
+start_platform_client(
+    struct fixture *f, const struct fake_handler *store, struct ir_log *log)
+{
+	static struct ir_zone_region zone = {.zone = "z1", .region = "r"};
+
+	f->settings.platform.address = "127.0.0.1";
+	f->settings.zones = &zone;
+	f->settings.zone_count = 1;
+	f->server = fake_server_start(0, store, f);
+	f->settings.platform.port = fake_server_port(f->server);
+	f->core = ir_wakeup_new(NULL);
+	f->channel = ir_channel_new(f->core, f->core, log, RING_SLOTS);
+	f->client = ir_store_client_new(
+	    f->core, f->channel, &f->settings, &platform_dialect.store);
+	pthread_create(&f->thread, NULL, ir_store_client_run, f->client);
+	start_polling(f);
+}
+
+static void
+stop_platform_client(struct fixture *f)
+{
+	ir_ring_push(
+	    f->channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
+	pthread_join(f->thread, NULL);
+	talloc_free(f->client);
+	fake_server_stop(f->server);
+	talloc_free(f->core);
+}
+
 static void
 test_list_that_gets_no_further_is_a_failed_read(void **state)
 {
 	static const struct fake_handler pages = {answer_pages, on_disconnect};
-	struct ir_zone_region zone = {.zone = "z1", .region = "r"};
-	struct fixture f = {.settings.platform.address = "127.0.0.1",
-	    .settings.zones = &zone,
-	    .settings.zone_count = 1};
+	struct fixture f = {0};
 	struct ir_to_core *m;
 	int failures = 0;
 
-	f.server = fake_server_start(0, &pages, &f);
-	f.settings.platform.port = fake_server_port(f.server);
-	f.core = ir_wakeup_new(NULL);
-	f.channel = ir_channel_new(f.core, f.core, NULL, RING_SLOTS);
-	f.client = ir_store_client_new(
-	    f.core, f.channel, &f.settings, &platform_dialect.store);
-	pthread_create(&f.thread, NULL, ir_store_client_run, f.client);
-	start_polling(&f);
+	start_platform_client(&f, &pages, NULL);
 	m = next_read(&f, &failures);
 	assert_true(m->u.store.is_host_list);
 	assert_int_equal(m->u.store.section_count, 2);
@@ -585,11 +607,38 @@
 	assert_int_equal(f.first_pages, 3);
 	fake_server_unlock(f.server);
 	talloc_free(m);
-	ir_ring_push(f.channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
-	pthread_join(f.thread, NULL);
-	talloc_free(f.client);
-	fake_server_stop(f.server);
-	talloc_free(f.core);
+	stop_platform_client(&f);
+}
+
+static void
+answer_odd_key(void *ctx, struct fake_request *r)
+{
+	if (strcmp(r->path, READ_RANGE_PATH) == 0)
+		fake_answer_json(
+		    r, 200, list_page(r, "i revision=7 a=b", "odd", false));
+}
+
+static void
+test_key_adds_no_fields_to_the_log(void **state)
+{
+	static const struct fake_handler store = {
+	    answer_odd_key, on_disconnect};
+	struct fixture f = {0};
+	FILE *file = tmpfile();
+	struct ir_log *log =
+	    ir_log_new(NULL, fileno(file), "h1", IR_LEVEL_NOTICE);
+	char text[2048] = "";
+	int failures = 0;
+
+	start_platform_client(&f, &store, log);
+	talloc_free(next_read(&f, &failures));
+	stop_platform_client(&f);
+	rewind(file);
+	assert_true(fread(text, 1, sizeof(text) - 1, file) > 0);
+	assert_non_null(strstr(text,
+	    "\"key\":\"" SERVERS_PREFIX "i?revision=7?a=b\",\"revision\":3"));
+	talloc_free(log);
+	fclose(file);
 }
 
 static void
@@ -639,6 +688,7 @@
 	    cmocka_unit_test(test_stopped_thread_starts_no_read),
 	    cmocka_unit_test(test_change_between_the_full_reads_is_not_missed),
 	    cmocka_unit_test(test_list_that_gets_no_further_is_a_failed_read),
+	    cmocka_unit_test(test_key_adds_no_fields_to_the_log),
 	    cmocka_unit_test(test_answer_too_large_for_the_process_is_not_read),
 	    cmocka_unit_test(test_provisional_answers_without_end_are_not_read),
 	    cmocka_unit_test(test_invalid_documents),
