--- a/test/test_platform_config.c
+++ b/test/test_platform_config.c
@@ -197,6 +197,22 @@
 	    account_of(v, "keykeykeykeykey08999")->name, "t08999");
 }
 
+static void
+test_key_with_a_zero_byte_grants_nothing(void **state)
+{
+	struct fixture *f = *state;
+	const struct ir_view *v;
+
+	apply_first_version(f);
+	v = apply_second_version(f,
+	    "\"one\":{\"api_keys\":[\"short\\u0000er\",\"long-key\"],"
+	    "\"priority\":1},",
+	    "", "");
+	assert_second_version_is_in_force(v);
+	assert_null(account_of(v, "short"));
+	assert_string_equal(account_of(v, "long-key")->name, "one");
+}
+
 /* A list that shrinks to fewer sections leaves nothing behind. */
 static void
 test_keys_of_a_longer_list_are_withdrawn(void **state)
@@ -411,6 +427,7 @@
 	    cmocka_unit_test(
 		test_65th_key_of_an_account_withholds_no_change_of_others),
 	    WITH_SECTIONS(test_many_accounts_withhold_no_change),
+	    WITH_SECTIONS(test_key_with_a_zero_byte_grants_nothing),
 	    WITH_SECTIONS(test_keys_of_a_longer_list_are_withdrawn),
 	    WITH_SECTIONS(test_largest_configuration_fits_into_a_message),
 	    cmocka_unit_test(test_odd_account_is_served_beside_the_others),
--- a/test/test_platform_store.c
+++ b/test/test_platform_store.c
@@ -315,6 +315,10 @@
     ENTRY_BEGIN SLOTS STATE ",\"address\":\"10.0.0.9:99999999999\"}",
     ENTRY_BEGIN SLOTS STATE ",\"address\":\"10.0.0.300:80\"}",
     ENTRY_BEGIN SLOTS STATE ",\"address\":\"h:80\"}",
+    ENTRY_BEGIN SLOTS STATE ",\"address\":\"10.0.0.9:80\\u0000\"}",
+    ENTRY_BEGIN ADDRESS SLOTS ",\"state\":\"ready\\u0000x\"}",
+    "{\"service\":\"s\\u0000x\",\"zone\":\"z1\",\"version\":\"v1\","
+    "\"cold_remaining_ms\":0,\"sequence\":4" ADDRESS SLOTS STATE "}",
     "{\"service\":\"s\",\"zone\":\"z1\"" ADDRESS SLOTS STATE "}",
 };
 
