Configuration: a name with a zero byte replaces no other entry

What callers would get: 401 with every key of account "t" after a version that has an account "t\0" too, and 404 on the route "r" after one named "r\0". Not reported; found by looking where else texts of the store lose their length.

Cause: json-c ends the names of members at U+0000, so that two members are one, and the later one stays. It gives no length for them.

Ruled out: to refuse the text. A whole configuration would be withheld for one entry.

Test: test_platform_config, test_names_with_a_zero_byte_replace_no_others: failed (no account of the first key), passes.

--- a/test/test_platform_config.c
+++ b/test/test_platform_config.c
@@ -213,6 +213,29 @@
 	assert_string_equal(account_of(v, "long-key")->name, "one");
 }
 
+/* Each of them would take the place of the entry that is named before it. */
+static void
+test_names_with_a_zero_byte_replace_no_others(void **state)
+{
+	struct fixture *f = *state;
+	const struct ir_view *v = apply(f,
+	    "{\"version\":\"00000007\",\"routes\":{" ONE_ROUTE
+	    ",\"r-a\\u0000\" : {\"host\":\"c.example\",\"path_prefix\":"
+	    "\"/c/\",\"service\":\"beta\"," ROUTE "}},"
+	    "\"services\":{\"alpha\":{},\"beta\":{}},\"tenants\":{"
+	    "\"t\":{\"api_keys\":[\"first-key\"]},"
+	    "\"t\\u0000\":{\"api_keys\":[\"second-key\"]},"
+	    "\"t\\\\u0000\":{\"api_keys\":[\"third-key\"]}}}",
+	    7);
+
+	assert_non_null(account_of(v, "first-key"));
+	assert_string_equal(account_of(v, "first-key")->name, "t");
+	assert_null(account_of(v, "second-key"));
+	assert_string_equal(account_of(v, "third-key")->name, "t\\u0000");
+	assert_non_null(ir_view_route(v, "a.example", "/a/1"));
+	assert_non_null(ir_view_route(v, "c.example", "/c/1"));
+}
+
 /* A list that shrinks to fewer sections leaves nothing behind. */
 static void
 test_keys_of_a_longer_list_are_withdrawn(void **state)
@@ -428,6 +451,7 @@
 		test_65th_key_of_an_account_withholds_no_change_of_others),
 	    WITH_SECTIONS(test_many_accounts_withhold_no_change),
 	    WITH_SECTIONS(test_key_with_a_zero_byte_grants_nothing),
+	    WITH_SECTIONS(test_names_with_a_zero_byte_replace_no_others),
 	    WITH_SECTIONS(test_keys_of_a_longer_list_are_withdrawn),
 	    WITH_SECTIONS(test_largest_configuration_fits_into_a_message),
 	    cmocka_unit_test(test_odd_account_is_served_beside_the_others),
