Readiness: a node that knows no host is not ready

What callers got: 503 to all requests, at nodes that answered the readiness check with 200 all the while, as no host list could be read. Clients were kept there.

Cause: where an unconfirmed view is served, readiness asked for the configuration only. A node without any host in its list can only refuse; others may serve, and an operator sees where to look. It says so now. Its own upstream need not be listed, as before.

Weighed: to ask for a whole list, read here. A list from a peer is as good, and what the core holds is whole, whoever read it. An empty list, too, serves nothing.

OPERATIONS.md and the event "started" said to publish a host once it is ready.

--- a/include/ibisrail/node.h
+++ b/include/ibisrail/node.h
@@ -285,7 +285,10 @@
     struct ir_node *n, const struct ir_node_settings *s);
 /* True when a stopping node has no work left. */
 bool ir_node_is_idle(const struct ir_node *n);
-/* True when the node has a view and may serve callers. */
+/*
+ * True when the node has a view and may serve callers. Without any host in the
+ * list it can only refuse them, and callers are better off elsewhere.
+ */
 bool ir_node_is_ready(struct ir_node *n, int64_t now);
 
 /* State and counters as JSON. The caller frees them by json_object_put(). */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -190,7 +190,7 @@
 bool
 ir_node_is_ready(struct ir_node *n, int64_t now)
 {
-	if (n->stopping)
+	if (n->stopping || node_view(n)->host_count == 0)
 		return false;
 	if (node_serves_unlisted(n))
 		return true;
--- a/src/log/catalogue.c
+++ b/src/log/catalogue.c
@@ -12,7 +12,7 @@
 	"process listens on; incarnation: of this process; version",
 	"The process listens on all its ports. It serves requests once it has "
 	"a view (GET /ready).",
-	"Nothing. Publish the host as live when it is ready."},
+	"Publish the host as live. It is ready after that."},
     {IR_EVENT_STOPPING,
 	"calls, open_records: requests in progress at this moment",
 	"A graceful shutdown began: new callers are refused, requests in "
