--- a/test/test_answer_head.c
+++ b/test/test_answer_head.c
@@ -2,14 +2,17 @@
  * Heads of answers that come in pieces: guards against a check that sees only a
  * part of a head, or bytes behind it.
  */
+#include <http_parser.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <cmocka.h>
 #include <talloc.h>
 
+#include "core/random.h"
 #include "io/upstream/answer_head.h"
 
 #define HEAD "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n"
@@ -113,6 +116,70 @@
 	ir_answer_head_reset(&f.head);
 }
 
+static size_t head_end_bytes;
+
+static int
+on_headers_complete(http_parser *p)
+{
+	head_end_bytes = 0;
+	return 1; /* no body */
+}
+
+/* Where http_parser ends the head; 0 if it refuses it, SIZE_MAX: further on. */
+static size_t
+parser_head_end(const char *text, size_t size)
+{
+	const http_parser_settings callbacks = {
+	    .on_headers_complete = on_headers_complete};
+	http_parser p;
+
+	http_parser_init(&p, HTTP_RESPONSE);
+	for (size_t n = 1; n <= size; n++) {
+		head_end_bytes = SIZE_MAX;
+		if (http_parser_execute(&p, &callbacks, text + n - 1, 1) != 1)
+			return 0;
+		if (head_end_bytes == 0)
+			return n;
+	}
+	return SIZE_MAX;
+}
+
+/* What follows a head must not be parsed as a part of it. */
+static void
+test_parser_ends_a_checked_head_where_it_ends(void **state)
+{
+	static const char *const parts[] = {"\r\n", "\n", "\r", " ", "\t", ":",
+	    "HTTP/1.1 200 OK", "HTTP/1.1 101 ", "HTTP/1.0 204", "X-A", "b, c",
+	    "Connection: close", "Connection: upgrade", "Upgrade: h2c",
+	    "Content-Length: 2", "Transfer-Encoding: chunked",
+	    "Keep-Alive: ", "\x01", "\xc3\xa9", "\r\n", "\r\n\r\n"};
+	uint64_t random = 1;
+	int checked = 0;
+
+	for (int i = 0; i < 400000; i++) {
+		char text[1024] = "HTTP/1.1 200 OK\r\n";
+		size_t n = ir_random_below(&random, 4) == 0 ? 0 : strlen(text);
+		struct fixture f = start();
+
+		for (int k = 0; k < 12; k++)
+			n += (size_t)sprintf(text + n, "%s",
+			    parts[ir_random_below(
+				&random, sizeof(parts) / sizeof(*parts))]);
+		(void)read_all(&f.head, text, n);
+		if (f.head.text != NULL) {
+			size_t end = parser_head_end(
+			    (const char *)f.head.text, f.head.text_bytes);
+
+			if (end != 0 && end != f.head.text_bytes)
+				fail_msg("%zu of %zu: %s", end,
+				    f.head.text_bytes, text);
+			checked += end != 0;
+		}
+		ir_answer_head_reset(&f.head);
+	}
+	assert_true(checked > 1000);
+}
+
 static void
 test_pieces_are_charged(void **state)
 {
@@ -136,6 +203,7 @@
 	    cmocka_unit_test(test_fault_is_found_wherever_the_head_is_cut),
 	    cmocka_unit_test(test_lines_may_end_without_cr),
 	    cmocka_unit_test(test_head_without_end_is_a_fault),
+	    cmocka_unit_test(test_parser_ends_a_checked_head_where_it_ends),
 	    cmocka_unit_test(test_pieces_are_charged),
 	};
 
