Store client: a list that gets no further is handled in one place

finish_read() asked three times what had become of the read. The tests of the platform's store share how a client is started and stopped. test_store_client passes.

--- a/src/io/store/store_client.c
+++ b/src/io/store/store_client.c
@@ -496,6 +496,16 @@
 	       ir_store_key_is_after(&page->next_key, &w->next_key);
 }
 
+/* The next read of the list begins with its first page. */
+static void
+handle_stuck_list(struct watch *w, int64_t now)
+{
+	log_invalid_answer(
+	    w, "page does not end behind the key that it follows");
+	set_next_key(w, &no_key);
+	handle_read_failure(w, now);
+}
+
 static void
 handle_page(struct watch *w, int64_t now, struct ir_store_page *page)
 {
@@ -645,7 +655,11 @@
 		result = IR_STORE_FAILED;
 		error = check_era(c, &page);
 	}
-	if (result == IR_STORE_OK && ends_further(w, &page)) {
+	if (result == IR_STORE_OK && !ends_further(w, &page)) {
+		handle_stuck_list(w, now);
+		return;
+	}
+	if (result == IR_STORE_OK) {
 		handle_page(w, now, &page);
 		return;
 	}
@@ -659,11 +673,7 @@
 			    : "answer too large for the memory limit";
 	else if (code != CURLE_OK)
 		error = curl_easy_strerror(code);
-	if (result == IR_STORE_OK)
-		error = "page does not end behind the key that it follows";
 	log_invalid_answer(w, error);
-	if (result == IR_STORE_OK)
-		set_next_key(w, &no_key);
 	handle_read_failure(w, now);
 }
 
--- a/test/test_store_client.c
+++ b/test/test_store_client.c
@@ -482,24 +482,48 @@
 	}
 }
 
+/* Starts a client of the platform's store; zone z1 is known. */
+static void
+start_platform_client(
+    struct fixture *f, const struct fake_handler *store, struct ir_log *log)
+{
+	static struct ir_zone_region zone = {.zone = "z1", .region = "r"};
+
+	f->settings.platform.address = "127.0.0.1";
+	f->settings.zones = &zone;
+	f->settings.zone_count = 1;
+	f->server = fake_server_start(0, store, f);
+	f->settings.platform.port = fake_server_port(f->server);
+	f->core = ir_wakeup_new(NULL);
+	f->channel = ir_channel_new(f->core, f->core, log, RING_SLOTS);
+	f->client = ir_store_client_new(
+	    f->core, f->channel, &f->settings, &platform_dialect.store);
+	pthread_create(&f->thread, NULL, ir_store_client_run, f->client);
+	start_polling(f);
+}
+
+static void
+stop_platform_client(struct fixture *f)
+{
+	ir_ring_push(
+	    f->channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
+	pthread_join(f->thread, NULL);
+	talloc_free(f->client);
+	fake_server_stop(f->server);
+	talloc_free(f->core);
+}
+
 static void
 test_change_between_the_full_reads_is_not_missed(void **state)
 {
 	static const struct fake_handler platform = {
 	    answer_as_platform, on_disconnect};
-	struct fixture f = {.settings.platform.address = "127.0.0.1"};
+	struct fixture f = {0};
 	struct ir_to_core *m;
 	uint64_t held = 0;
 	int failures = 0;
 
-	f.server = fake_server_start(0, &platform, &f);
-	f.settings.platform.port = fake_server_port(f.server);
-	f.core = ir_wakeup_new(NULL);
-	f.channel = ir_channel_new(f.core, f.core, NULL, RING_SLOTS);
-	f.client = ir_store_client_new(
-	    f.core, f.channel, &f.settings, &platform_dialect.store);
-	pthread_create(&f.thread, NULL, ir_store_client_run, f.client);
-	start_polling(&f);
+	start_platform_client(&f, &platform, NULL);
 	while (held != NEW_REVISION) {
 		m = next_read(&f, &failures);
 		/* What is confirmed beyond a change includes that change. */
@@ -512,11 +536,7 @@
 		}
 		talloc_free(m);
 	}
-	ir_ring_push(f.channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
-	pthread_join(f.thread, NULL);
-	talloc_free(f.client);
-	fake_server_stop(f.server);
-	talloc_free(f.core);
+	stop_platform_client(&f);
 }
 
 #define INSTANCE(n)                                                           \
@@ -559,37 +579,6 @@
 		    r, 200, list_page(r, "i-2", INSTANCE("2"), false));
 }
 
-/* Starts a client of the platform's store; zone z1 is known. */
-static void
-start_platform_client(
-    struct fixture *f, const struct fake_handler *store, struct ir_log *log)
-{
-	static struct ir_zone_region zone = {.zone = "z1", .region = "r"};
-
-	f->settings.platform.address = "127.0.0.1";
-	f->settings.zones = &zone;
-	f->settings.zone_count = 1;
-	f->server = fake_server_start(0, store, f);
-	f->settings.platform.port = fake_server_port(f->server);
-	f->core = ir_wakeup_new(NULL);
-	f->channel = ir_channel_new(f->core, f->core, log, RING_SLOTS);
-	f->client = ir_store_client_new(
-	    f->core, f->channel, &f->settings, &platform_dialect.store);
-	pthread_create(&f->thread, NULL, ir_store_client_run, f->client);
-	start_polling(f);
-}
-
-static void
-stop_platform_client(struct fixture *f)
-{
-	ir_ring_push(
-	    f->channel->from_core, ir_from_core_new(IR_FROM_CORE_STOP));
-	pthread_join(f->thread, NULL);
-	talloc_free(f->client);
-	fake_server_stop(f->server);
-	talloc_free(f->core);
-}
-
 static void
 test_list_that_gets_no_further_is_a_failed_read(void **state)
 {
