--- a/test/test_paged_list.c
+++ b/test/test_paged_list.c
@@ -17,9 +17,8 @@
 
 #define HOSTS 2
 
-/* "%7A" and "a+b" are those of other keys if they are not encoded. */
 struct odd_name {
-	const char *name;
+	const char *name;    /* "%7A" and "a+b" are others if not encoded */
 	const char *address; /* of the entry, where no node runs */
 };
 
