--- a/review/three/kit.c
+++ b/review/three/kit.c
@@ -668,16 +668,195 @@
 	    (void *)(intptr_t)listen_on(kit.store_ip, KIT_STORE_PORT, 100));
 }
 
+/* Proxies. */
+
+struct proxy {
+	char to[16];
+	int port;
+	int listen_fd;
+	struct kit_node *owner;
+};
+
+/* A connection that a proxy took. */
+struct proxied {
+	struct proxy *proxy;
+	const struct kit_node *opener; /* NULL: not a node */
+	int fd;
+};
+
+/* One direction of a connection. */
+struct pipe_end {
+	struct proxied conn;
+	int from;
+	int to;
+};
+
+static bool
+is_silent(const struct proxied *c)
+{
+	return kit.silent && (kit.cut_off == c->proxy->owner ||
+				 kit.cut_off == c->opener);
+}
+
+static void *
+run_pipe(void *ctx)
+{
+	struct pipe_end *e = ctx;
+	char data[16384];
+
+	for (;;) {
+		struct pollfd p = {.fd = e->from, .events = POLLIN};
+		ssize_t n;
+
+		if (is_silent(&e->conn)) {
+			kit_sleep_ms(5);
+			continue;
+		}
+		if (poll(&p, 1, 20) != 1 || is_silent(&e->conn))
+			continue;
+		n = recv(e->from, data, sizeof(data), 0);
+		if (n <= 0 || !kit_send_all(e->to, data, (size_t)n))
+			break;
+	}
+	/* The other direction ends by this too. */
+	shutdown(e->to, SHUT_RDWR);
+	shutdown(e->from, SHUT_RDWR);
+	free(e);
+	return NULL;
+}
+
+static void
+start_pipe(const struct proxied *c, int from, int to)
+{
+	struct pipe_end *e = malloc(sizeof(*e));
+
+	*e = (struct pipe_end){*c, from, to};
+	start_thread(run_pipe, e);
+}
+
+/* The inode of the other end of an accepted connection; 0: not found. */
+static unsigned long
+inode_of_peer(int fd)
+{
+	struct sockaddr_in a;
+	socklen_t size = sizeof(a);
+	char line[400];
+	unsigned long inode = 0, found = 0;
+	unsigned port = 0, remote = 0;
+	FILE *f = fopen("/proc/net/tcp", "r");
+
+	if (f == NULL || getpeername(fd, (struct sockaddr *)&a, &size) != 0)
+		kit_fail("the opener of a connection is not known");
+	while (found == 0 && fgets(line, sizeof(line), f) != NULL) {
+		if (sscanf(line, " %*d: %*x:%x %*x:%x %*x %*s %*s %*s %*d %*d "
+				 "%lu",
+			&port, &remote, &inode) == 3 &&
+		    port == ntohs(a.sin_port))
+			found = inode;
+	}
+	fclose(f);
+	return found;
+}
+
+static bool
+has_socket(pid_t pid, unsigned long inode)
+{
+	char path[64], link[64], wanted[64];
+
+	snprintf(wanted, sizeof(wanted), "socket:[%lu]", inode);
+	for (int k = 0; k < 512 && pid > 0; k++) {
+		ssize_t n;
+
+		snprintf(path, sizeof(path), "/proc/%d/fd/%d", (int)pid, k);
+		n = readlink(path, link, sizeof(link) - 1);
+		if (n <= 0)
+			continue;
+		link[n] = '\0';
+		if (strcmp(link, wanted) == 0)
+			return true;
+	}
+	return false;
+}
+
+static const struct kit_node *
+opener_of(int fd)
+{
+	unsigned long inode = inode_of_peer(fd);
+
+	for (int i = 0; i < kit.node_count && inode != 0; i++) {
+		if (has_socket(kit.nodes[i].pid, inode))
+			return &kit.nodes[i];
+	}
+	return NULL;
+}
+
+static void *
+forward_conn(void *ctx)
+{
+	struct proxied *c = ctx;
+	int to;
+
+	c->opener = opener_of(c->fd);
+	while (is_silent(c))
+		kit_sleep_ms(5);
+	to = kit_connect(c->proxy->to, c->proxy->port);
+	if (to < 0) {
+		close(c->fd);
+	} else {
+		start_pipe(c, c->fd, to);
+		start_pipe(c, to, c->fd);
+	}
+	free(c);
+	return NULL;
+}
+
+static void *
+run_proxy(void *ctx)
+{
+	struct proxy *p = ctx;
+
+	for (;;) {
+		struct proxied *c = calloc(1, sizeof(*c));
+
+		c->proxy = p;
+		c->fd = accept4(p->listen_fd, NULL, NULL, SOCK_CLOEXEC);
+		if (c->fd >= 0)
+			start_thread(forward_conn, c);
+	}
+	return NULL;
+}
+
+void
+kit_proxy_start(
+    const char *ip, int port, const char *to, struct kit_node *owner)
+{
+	struct proxy *p = calloc(1, sizeof(*p));
+
+	snprintf(p->to, sizeof(p->to), "%s", to);
+	p->port = port;
+	p->owner = owner;
+	p->listen_fd = listen_on(ip, port, 100);
+	start_thread(run_proxy, p);
+}
+
 /* Nodes. */
 
+void
+kit_address(char ip[16], int last)
+{
+	snprintf(ip, 16, "%.*s%d",
+	    (int)(strrchr(kit.store_ip, '.') - kit.store_ip + 1), kit.store_ip,
+	    last);
+}
+
 struct kit_node *
 kit_add_node(const char *service, const char *zone, const char *region)
 {
 	struct kit_node *n = &kit.nodes[kit.node_count++];
 
-	snprintf(n->ip, sizeof(n->ip), "%.*s%d",
-	    (int)(strrchr(kit.store_ip, '.') - kit.store_ip + 1), kit.store_ip,
-	    kit.node_count);
+	kit_address(n->ip, kit.node_count);
+	memcpy(n->peers_ip, n->ip, sizeof(n->peers_ip));
+	memcpy(n->store_ip, kit.store_ip, sizeof(n->store_ip));
 	n->service = service;
 	n->zone = zone;
 	n->region = region;
@@ -705,8 +884,8 @@
 	    "\"costa-guayaquil\":\"costa\",\"sierra-quito\":\"sierra\","
 	    "\"costa-manta\":\"costa\"}}\n",
 	    n->ip, n->service, n->region, n->zone, n->ip, KIT_CALLERS_PORT,
-	    n->ip, KIT_PEERS_PORT, n->ip, KIT_READY_PORT, n->ip,
-	    KIT_METRICS_PORT, n->ip, KIT_INSTANCE_PORT, kit.store_ip,
+	    n->peers_ip, KIT_PEERS_PORT, n->ip, KIT_READY_PORT, n->ip,
+	    KIT_METRICS_PORT, n->ip, KIT_INSTANCE_PORT, n->store_ip,
 	    KIT_STORE_PORT);
 	fclose(f);
 }
@@ -755,6 +934,29 @@
 	return ready;
 }
 
+int
+kit_node_state(const struct kit_node *n, const char *name)
+{
+	int fd = kit_connect(n->ip, KIT_READY_PORT), value = -1;
+	struct kit_answer a;
+	char text[200], *at;
+
+	if (fd < 0)
+		return -1;
+	snprintf(text, sizeof(text), "GET /state HTTP/1.1\r\nHost: %s\r\n\r\n",
+	    n->ip);
+	kit_send_all(fd, text, strlen(text));
+	a = kit_read_answer(fd, false, 2000);
+	snprintf(text, sizeof(text), "\"%s\"", name);
+	at = a.body != NULL ? strstr(a.body, text) : NULL;
+	at = at != NULL ? strchr(at, ':') : NULL;
+	if (at != NULL)
+		value = atoi(at + 1);
+	kit_answer_free(&a);
+	close(fd);
+	return value;
+}
+
 void
 kit_wait_ready(int seconds)
 {
--- a/review/three/kit.h
+++ b/review/three/kit.h
@@ -32,6 +32,9 @@
 	const char *region;
 	char id[32]; /* of its instance */
 	char settings[300];
+	/* Where it listens for peers, and its store: behind a proxy if set. */
+	char peers_ip[16];
+	char store_ip[16];
 	pid_t pid;
 	pid_t instance; /* 0: none */
 	uint64_t sequence;
@@ -45,6 +48,8 @@
 	char dir[200];	/* temporary folder */
 	char store_ip[16];
 	bool trouble;
+	volatile bool silent; /* of proxies */
+	struct kit_node *volatile cut_off;
 	struct kit_node nodes[KIT_MAX_NODES];
 	int node_count;
 };
@@ -89,6 +94,8 @@
 void kit_list(struct kit_node *n);
 void kit_unlist(struct kit_node *n);
 bool kit_node_is_ready(const struct kit_node *n);
+/* A number in the node's state for operators; -1: none. */
+int kit_node_state(const struct kit_node *n, const char *name);
 void kit_wait_ready(int seconds);
 
 /* Serves one connection to an instance; runs in a process of the instance. */
@@ -108,6 +115,17 @@
 bool kit_send_all(int fd, const void *data, size_t size);
 bool kit_read_exactly(int fd, void *data, size_t size);
 
+/*
+ * A proxy that listens at an address and port and forwards to another address
+ * of the same port, for what goes to or from the node owner. While kit.silent
+ * is set, it forwards nothing, either way, on connections to or from the node
+ * kit.cut_off, and keeps them open.
+ */
+void kit_proxy_start(
+    const char *ip, int port, const char *to, struct kit_node *owner);
+/* The address of this process's block with that last number. */
+void kit_address(char ip[16], int last);
+
 /* -1 if it cannot connect. */
 int kit_connect(const char *ip, int port);
 /* Waits ms at most. Frees nothing; call kit_answer_free(). */
