--- a/review/three/kit.c
+++ b/review/three/kit.c
@@ -15,6 +15,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -906,6 +907,12 @@
 		int fd = open(log, O_CREAT | O_WRONLY | O_APPEND, 0644);
 
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		if (n->max_descriptors > 0) {
+			struct rlimit r = {(rlim_t)n->max_descriptors,
+			    (rlim_t)n->max_descriptors};
+
+			setrlimit(RLIMIT_NOFILE, &r);
+		}
 		dup2(fd, 1);
 		dup2(fd, 2);
 		execve(arguments[0], arguments, environment);
--- a/review/three/kit.h
+++ b/review/three/kit.h
@@ -41,6 +41,7 @@
 	int64_t born_ms;
 	bool listed;
 	bool draining;
+	int max_descriptors; /* of the node; 0: as this process */
 };
 
 struct kit {
